Add build, base, event loop, wire codec and HTTP interfaces

The build has one target per component; scripts/test builds with the sanitizers and sums up the CppUTest programs; scripts/lint runs clang-format and clang-tidy.

--- /dev/null
+++ b/include/amaranthcove/net/http_server.h
@@ -0,0 +1,82 @@
+#ifndef AMARANTHCOVE_NET_HTTP_SERVER_H_
+#define AMARANTHCOVE_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/error.h"
+#include "amaranthcove/net/event_loop.h"
+#include "amaranthcove/net/http.h"
+
+namespace amaranthcove {
+
+// The answer to one request. Exactly one of `Send`, or `Start` with `Write` and
+// `End` or `Abort`, is expected. After the caller has gone all methods do
+// nothing. Destroying an unfinished responder aborts the answer.
+//
+// Thread safety: belongs to the loop's thread.
+class HttpResponder {
+ public:
+  virtual ~HttpResponder() = default;
+
+  // Sends a whole answer with its length.
+  virtual void Send(HttpResponse response) = 0;
+
+  // Begins a streamed answer; `response.body` is its first piece.
+  virtual void Start(HttpResponse response) = 0;
+
+  // Adds `data` to a streamed answer. Precondition: `Start` was called.
+  virtual void Write(std::string_view data) = 0;
+
+  // Ends a streamed answer properly.
+  virtual void End() = 0;
+
+  // Breaks the connection, so that the caller cannot take the answer for whole.
+  virtual void Abort() = 0;
+
+  // Bytes written and not yet taken by the socket.
+  virtual std::size_t buffered_bytes() const = 0;
+
+  // Calls `callback` once if the caller goes away before the answer has ended,
+  // also while no byte of the answer has been sent.
+  virtual void OnCallerGone(std::function<void()> callback) = 0;
+};
+
+// An HTTP/1.1 server on one address.
+//
+// Thread safety: belongs to the loop's thread.
+class HttpServer {
+ public:
+  using Handler =
+      std::function<void(HttpRequest, std::unique_ptr<HttpResponder>)>;
+
+  struct Options {
+    // Larger request bodies are answered 413. Bytes.
+    std::size_t max_body_bytes = 4 << 20;
+  };
+
+  // Listens on `address` and calls `handler` for each request.
+  // Preconditions: `loop` outlives the server. Errors: kUnavailable if the
+  // address cannot be bound.
+  static Result<std::unique_ptr<HttpServer>> Listen(EventLoop& loop,
+                                                    const Address& address,
+                                                    const Options& options,
+                                                    Handler handler);
+
+  virtual ~HttpServer() = default;
+
+  // The bound address, with the port that the system chose.
+  virtual Address local_address() const = 0;
+
+  // Closes the listener. Requests in progress go on; connections are closed
+  // after their current answer.
+  virtual void StopAccepting() = 0;
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,90 @@
+"""Runs the CppUTest programs of a folder and prints the sum of their results.
+
+usage: run_tests.py FOLDER [PROGRAM...]
+
+A line "PROGRAM GROUP.NAME: ..." of KNOWN-RED.txt names a test that is printed
+and not run. A program that ends without CppUTest's summary counts as a failure.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+PROGRAM_TIMEOUT_S = 900
+SUMMARY = re.compile(
+    r"^(OK|Errors) \((?:(\d+) failures?, )?\d+ tests?, (\d+) ran", re.MULTILINE
+)
+KNOWN_RED = re.compile(r"^(\w+_test) (\w+)\.(\w+):")
+
+
+def known_red(root):
+    path = root / "KNOWN-RED.txt"
+    entries = {}
+    if path.exists():
+        for line in path.read_text().splitlines():
+            match = KNOWN_RED.match(line)
+            if match:
+                program, group, name = match.groups()
+                entries.setdefault(program, []).append(f"{group}.{name}")
+    return entries
+
+
+def run(program, skipped):
+    command = [str(program)]
+    for test in skipped:
+        command += ["-xt", test]
+    environment = dict(os.environ, RC_PARAMS="seed=1 " + os.environ.get("RC_EXTRA", ""))
+    try:
+        done = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            errors="replace",
+            timeout=PROGRAM_TIMEOUT_S,
+            env=environment,
+            check=False,
+        )
+        output, code = done.stdout, done.returncode
+    except subprocess.TimeoutExpired as error:
+        output = (error.stdout or b"").decode(errors="replace")
+        output += f"\nno end within {PROGRAM_TIMEOUT_S} s\n"
+        code = 1
+    match = SUMMARY.search(output)
+    if not match:
+        return program.name, 0, 1, output
+    failed = int(match.group(2) or 0)
+    if code != 0 and failed == 0:
+        failed = 1
+    passed = max(0, int(match.group(3)) - failed)
+    return program.name, passed, failed, output
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    folder = pathlib.Path(sys.argv[1]).resolve()
+    names = sys.argv[2:]
+    programs = [folder / n for n in names] if names else sorted(folder.glob("*_test"))
+    red = known_red(root)
+    workers = min(6, os.cpu_count() or 1)
+    passed = failed = 0
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        results = pool.map(lambda p: run(p, red.get(p.name, [])), programs)
+        for name, ok, bad, output in results:
+            passed += ok
+            failed += bad
+            print(f"{name}: {ok} passed, {bad} failed", flush=True)
+            if bad:
+                print(output, flush=True)
+    for program, tests in red.items():
+        for test in tests:
+            print(f"known red, not run: {program} {test}")
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,114 @@
+#include "amaranthcove/wire/codec.h"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace amaranthcove::wire {
+
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+// Containers in a frame may not announce more elements than this, so that a
+// short hostile frame cannot make the decoder allocate much memory.
+constexpr int kMaxContainerElements = 1 << 17;
+
+// Buffered bytes that are dropped from the front once they are consumed.
+constexpr std::size_t kCompactAboveBytes = 64 << 10;
+
+}  // namespace
+
+Result<std::string> EncodeFrame(const Frame& frame) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  frame.write(&protocol);
+  std::uint8_t* data = nullptr;
+  std::uint32_t size = 0;
+  buffer->getBuffer(&data, &size);
+  if (size > kMaxFrameBytes) {
+    return MakeError(ErrorCode::kResourceExhausted,
+                     "frame of " + std::to_string(size) + " bytes is above " +
+                         std::to_string(kMaxFrameBytes));
+  }
+  std::string encoded;
+  encoded.reserve(kLengthBytes + size);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    encoded.push_back(static_cast<char>((size >> shift) & 0xFF));
+  }
+  encoded.append(reinterpret_cast<const char*>(data), size);
+  return encoded;
+}
+
+Result<Frame> DecodeFrame(std::string_view payload) {
+  // TMemoryBuffer in OBSERVE mode only reads, but its interface is not const.
+  auto* bytes = const_cast<std::uint8_t*>(
+      reinterpret_cast<const std::uint8_t*>(payload.data()));
+  const auto buffer = std::make_shared<TMemoryBuffer>(
+      bytes, static_cast<std::uint32_t>(payload.size()),
+      TMemoryBuffer::OBSERVE);
+  TCompactProtocolT<TMemoryBuffer> protocol(
+      buffer, static_cast<int>(kMaxFrameBytes), kMaxContainerElements);
+  Frame frame;
+  try {
+    const std::uint32_t used = frame.read(&protocol);
+    if (used != payload.size() && buffer->available_read() != 0) {
+      return MakeError(ErrorCode::kInvalidArgument,
+                       "frame has bytes after its end");
+    }
+  } catch (const TException& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("frame does not decode: ") + error.what());
+  } catch (const std::exception& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("frame does not decode: ") + error.what());
+  }
+  return frame;
+}
+
+void FrameSplitter::Append(std::string_view bytes) {
+  if (consumed_ > kCompactAboveBytes || consumed_ == buffer_.size()) {
+    buffer_.erase(0, consumed_);
+    consumed_ = 0;
+  }
+  buffer_.append(bytes);
+}
+
+Result<bool> FrameSplitter::Next(std::string& payload) {
+  if (buffer_.size() - consumed_ < kLengthBytes) {
+    return false;
+  }
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length = (length << 8) | static_cast<unsigned char>(buffer_[consumed_ + i]);
+  }
+  if (length > kMaxFrameBytes) {
+    return MakeError(ErrorCode::kResourceExhausted,
+                     "frame of " + std::to_string(length) +
+                         " bytes announced, " + std::to_string(kMaxFrameBytes) +
+                         " allowed");
+  }
+  if (buffer_.size() - consumed_ < kLengthBytes + length) {
+    return false;
+  }
+  payload.assign(buffer_, consumed_ + kLengthBytes, length);
+  consumed_ += kLengthBytes + length;
+  return true;
+}
+
+AttemptId ToWire(const amaranthcove::AttemptId& id) {
+  AttemptId wire;
+  wire.instance = id.instance;
+  wire.incarnation = id.incarnation;
+  wire.number = id.number;
+  return wire;
+}
+
+amaranthcove::AttemptId FromWire(const AttemptId& id) {
+  return {id.instance, id.incarnation, id.number};
+}
+
+}  // namespace amaranthcove::wire
--- /dev/null
+++ b/src/wire/codec_test.cc
@@ -0,0 +1,87 @@
+#include "amaranthcove/wire/codec.h"
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove::wire {
+
+namespace {
+
+Frame ExampleChunk() {
+  Chunk chunk;
+  chunk.attempt = ToWire({"entry-1", 7, 42});
+  chunk.sequence = 3;
+  chunk.data = std::string("a\0b", 3);
+  Frame frame;
+  frame.__set_chunk(chunk);
+  return frame;
+}
+
+std::string Payload(const Frame& frame) {
+  return EncodeFrame(frame)->substr(kLengthBytes);
+}
+
+}  // namespace
+
+TEST_GROUP(Codec){};
+
+// Guards against frames that lose or change fields between two processes.
+TEST(Codec, RoundTrip) {
+  const Result<Frame> decoded = DecodeFrame(Payload(ExampleChunk()));
+  CHECK(decoded.has_value());
+  CHECK(*decoded == ExampleChunk());
+}
+
+// Guards against a truncated frame being taken for a whole one.
+TEST(Codec, RefusesEveryTruncation) {
+  const std::string payload = Payload(ExampleChunk());
+  for (std::size_t size = 0; size < payload.size(); ++size) {
+    CHECK_FALSE(DecodeFrame(std::string_view(payload).substr(0, size)));
+  }
+}
+
+// Guards against hostile frames that crash the decoder or make it allocate
+// without bound. The sanitizers report both.
+TEST(Codec, SurvivesRandomDamage) {
+  std::mt19937 random(1);
+  const std::string original = Payload(ExampleChunk());
+  for (int round = 0; round < 20000; ++round) {
+    std::string payload = original;
+    for (int change = 0; change < 3; ++change) {
+      payload[random() % payload.size()] = static_cast<char>(random());
+    }
+    const Result<Frame> decoded = DecodeFrame(payload);
+    CHECK(decoded.has_value() || !decoded.error().message.empty());
+  }
+}
+
+// Guards against frames that are lost or joined at the borders of reads.
+TEST(Codec, SplitsAtAnyReadBorder) {
+  const std::string one = *EncodeFrame(ExampleChunk());
+  const std::string stream = one + one;
+  for (std::size_t border = 0; border <= stream.size(); ++border) {
+    FrameSplitter splitter;
+    std::string payload;
+    int frames = 0;
+    for (const std::string& part :
+         {stream.substr(0, border), stream.substr(border)}) {
+      splitter.Append(part);
+      while (*splitter.Next(payload)) {
+        ++frames;
+        CHECK(payload == one.substr(kLengthBytes));
+      }
+    }
+    CHECK_EQUAL(2, frames);
+  }
+}
+
+// Guards against a peer that announces a huge frame and fills the memory.
+TEST(Codec, RefusesOversizedLength) {
+  FrameSplitter splitter;
+  splitter.Append(std::string("\x7f\xff\xff\xff", kLengthBytes));
+  std::string payload;
+  CHECK_FALSE(splitter.Next(payload).has_value());
+}
+
+}  // namespace amaranthcove::wire
--- /dev/null
+++ b/src/wire/wire.thrift
@@ -0,0 +1,210 @@
+// Messages between the processes of amaranthcove. Fields are only ever added,
+// with new numbers and as optional, so that releases can be mixed.
+namespace cpp amaranthcove.wire
+
+struct AttemptId {
+  1: string instance
+  2: i64 incarnation
+  3: i64 number
+}
+
+// What a backend server offers; sent by its sidecar.
+struct Backend {
+  1: string kind            // "engine" or "plain"
+  2: string base_model
+  3: string team
+  4: string service_name
+}
+
+struct Hello {
+  1: i32 protocol_version
+  2: string instance
+  3: i64 incarnation
+  4: string role            // "entry", "sidecar" or "tool"
+  5: string region
+  6: string data_centre
+  7: binary nonce
+  8: optional Backend backend
+  9: string peer_address    // where the sender accepts connections
+}
+
+struct Proof {
+  1: binary mac
+}
+
+// State of a sidecar, as of now. Counts are requests.
+struct ServerReport {
+  1: i32 urgent_queued
+  2: i32 patient_queued
+  3: i32 running
+  4: i32 batch_size
+  5: i64 load_wait_ms       // expected wait for a load that is asked for now
+  6: bool leaving
+  7: optional bool resident // the asked adapter is in a slot
+  8: i64 expected_wait_ms   // expected wait of an urgent request
+}
+
+struct DocumentRevision {
+  1: string team
+  2: i64 revision
+}
+
+struct Heartbeat {
+  1: i64 sequence
+  2: bool is_reply
+  3: i64 documents_digest   // equal digests mean equal revisions
+  4: optional ServerReport report
+}
+
+// Asks for every document that is newer than in `known`.
+struct DocumentsRequest {
+  1: list<DocumentRevision> known
+}
+
+struct Document {
+  1: string team
+  2: i64 revision
+  3: bool removed
+  4: string text
+}
+
+struct Submit {
+  1: AttemptId attempt
+  2: string team
+  3: string model           // TEAM/ADAPTER@VERSION; empty for plain services
+  4: string service_name         // plain services
+  5: string method
+  6: string path
+  7: binary body
+  8: string content_type
+  9: bool streamed
+  10: bool urgent
+  11: i64 remaining_ms      // until the deadline, when sent
+  12: string operation_id   // calls that must not be repeated
+  13: i64 fingerprint
+  14: bool run_alone
+  15: string request_id
+  16: i64 low_water_mark    // no attempt below this number is still to be sent
+  17: double heat           // decayed requests per second for the adapter
+}
+
+// The attempt is queued or running.
+struct Accepted {
+  1: AttemptId attempt
+  2: ServerReport report
+}
+
+// The attempt has not run and never will.
+struct Refused {
+  1: AttemptId attempt
+  2: string code
+  3: string message
+  4: i64 retry_after_ms
+  5: ServerReport report
+}
+
+// A piece of the answer, `sequence` counts from 0. The first carries the head.
+struct Chunk {
+  1: AttemptId attempt
+  2: i64 sequence
+  3: binary data
+  4: optional i32 status
+  5: optional string content_type
+}
+
+// The end of the answer. `chunks` is their number; `error_code` is empty after
+// a whole answer, else `outcome` tells what is known.
+struct AnswerEnd {
+  1: AttemptId attempt
+  2: i64 chunks
+  3: string error_code
+  4: string message
+  5: string outcome
+  6: ServerReport report
+  7: i64 load_stall_ms
+  8: i64 queue_ms
+  9: bool engine_crashed
+}
+
+// Everything below `next_sequence` has arrived.
+struct Acknowledge {
+  1: AttemptId attempt
+  2: i64 next_sequence
+}
+
+// Sends the answer again from `next_sequence` on this connection.
+struct Resume {
+  1: AttemptId attempt
+  2: i64 next_sequence
+}
+
+struct Cancel {
+  1: AttemptId attempt
+}
+
+struct Cancelled {
+  1: AttemptId attempt
+  2: string outcome
+}
+
+struct IssueOperation {
+  1: i64 call
+  2: string team
+  3: string service_name
+}
+
+struct OperationIssued {
+  1: i64 call
+  2: string operation_id    // empty if refused
+  3: string code
+}
+
+// Asks a sidecar for its state; `model` sets `resident` in the reply.
+struct Query {
+  1: i64 call
+  2: string model
+}
+
+struct QueryReply {
+  1: i64 call
+  2: ServerReport report
+}
+
+struct Leaving {
+  1: string instance
+}
+
+struct LeavingNotice {
+  1: string instance
+}
+
+struct Suspect {
+  1: i64 fingerprint
+  2: i32 crashes
+  3: bool quarantined
+  4: i64 remaining_ms
+}
+
+union Frame {
+  1: Hello hello
+  2: Proof proof
+  3: Heartbeat heartbeat
+  4: DocumentsRequest documents_request
+  5: Document document
+  6: Submit submit
+  7: Accepted accepted
+  8: Refused refused
+  9: Chunk chunk
+  10: AnswerEnd answer_end
+  11: Acknowledge acknowledge
+  12: Resume resume
+  13: Cancel cancel
+  14: Cancelled cancelled
+  15: IssueOperation issue_operation
+  16: OperationIssued operation_issued
+  17: Query query
+  18: QueryReply query_reply
+  19: Leaving leaving
+  20: LeavingNotice leaving_notice
+  21: Suspect suspect
+}
