--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -25,8 +25,9 @@
   if (signal_socket_ != nullptr) {
     h2o_socket_close(signal_socket_);
   }
-  // h2o 2.2.5 cannot free a loop that has served sockets; it lives as long as
-  // the process.
+  // Closed sockets are freed by the next round of h2o's loop.
+  h2o_evloop_run(loop_, 0);
+  h2o_evloop_destroy(loop_);
 }
 
 TimerId EventLoop::RunAt(Time when, Callback callback) {
--- /dev/null
+++ b/src/net/net_test.cc
@@ -0,0 +1,122 @@
+#include "amaranthcove/net/event_loop.h"
+#include "amaranthcove/net/tcp.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+// Bounds a test whose event never comes; it decides no verdict otherwise.
+constexpr Duration kGiveUp = std::chrono::seconds(20);
+
+template <typename Condition>
+bool RunUntil(EventLoop& loop, Condition condition) {
+  const Time limit = SteadyNow() + kGiveUp;
+  while (!condition() && SteadyNow() < limit) {
+    loop.RunOnce(std::chrono::milliseconds(100));
+  }
+  return condition();
+}
+
+}  // namespace
+
+TEST_GROUP(EventLoop) {
+  EventLoop loop_;
+};
+
+// Guards against timers that run out of order, or after they were cancelled.
+TEST(EventLoop, RunsTimersInOrder) {
+  std::vector<int> order;
+  const Time now = SteadyNow();
+  loop_.RunAt(now + std::chrono::milliseconds(2), [&] { order.push_back(2); });
+  loop_.RunAt(now + std::chrono::milliseconds(1), [&] { order.push_back(1); });
+  const TimerId cancelled = loop_.RunAt(now, [&] { order.push_back(0); });
+  loop_.Cancel(cancelled);
+  CHECK(RunUntil(loop_, [&] { return order.size() >= 2; }));
+  CHECK(order == std::vector<int>({1, 2}));
+}
+
+// Guards against a callback that re-arms itself with no delay and starves the
+// sockets: a round ends although such timers are due.
+TEST(EventLoop, RearmedTimerWaitsForNextRound) {
+  int calls = 0;
+  std::function<void()> rearm = [&] {
+    ++calls;
+    loop_.RunAfter(Duration::zero(), rearm);
+  };
+  loop_.RunAfter(Duration::zero(), rearm);
+  loop_.RunOnce(Duration::zero());
+  CHECK(calls <= 1);
+}
+
+TEST_GROUP(Tcp) {
+  EventLoop loop_;
+};
+
+// Guards against lost or reordered bytes when much more is written than one
+// system call takes.
+TEST(Tcp, CarriesLargeWritesInOrder) {
+  std::unique_ptr<TcpConnection> accepted;
+  std::string received;
+  auto listener = TcpListener::Listen(
+      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
+        accepted = std::move(connection);
+        accepted->Open({nullptr,
+                        [&](std::string_view bytes) { received += bytes; },
+                        nullptr});
+      });
+  CHECK(listener.has_value());
+  auto client =
+      TcpConnection::Connect(loop_, (*listener)->local_address(),
+                             {nullptr, [](std::string_view) {}, nullptr});
+  std::string sent;
+  for (int i = 0; i < 200000; ++i) {
+    const std::string piece = std::to_string(i) + ",";
+    sent += piece;
+    client->Write(piece);
+  }
+  CHECK(RunUntil(loop_, [&] { return received.size() >= sent.size(); }));
+  CHECK(received == sent);
+}
+
+// Guards against a connection failure that nobody is told of.
+TEST(Tcp, ReportsRefusedConnection) {
+  Address unused;
+  {
+    auto listener = TcpListener::Listen(loop_, {"127.0.0.1", 0}, nullptr);
+    unused = (*listener)->local_address();
+  }
+  bool closed = false;
+  auto client = TcpConnection::Connect(
+      loop_, unused,
+      {nullptr, [](std::string_view) {}, [&closed] { closed = true; }});
+  CHECK(RunUntil(loop_, [&] { return closed; }));
+}
+
+// Guards against use of freed memory when a callback destroys its connection.
+TEST(Tcp, MayBeDestroyedInItsCallback) {
+  std::unique_ptr<TcpConnection> accepted;
+  bool received = false;
+  auto listener = TcpListener::Listen(
+      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
+        accepted = std::move(connection);
+        accepted->Open({nullptr,
+                        [&](std::string_view) {
+                          received = true;
+                          accepted.reset();
+                        },
+                        nullptr});
+      });
+  bool closed = false;
+  auto client = TcpConnection::Connect(
+      loop_, (*listener)->local_address(),
+      {nullptr, [](std::string_view) {}, [&closed] { closed = true; }});
+  client->Write("x");
+  CHECK(RunUntil(loop_, [&] { return received && closed; }));
+}
+
+}  // namespace amaranthcove
