--- /dev/null
+++ b/src/peer/peer_connection_test.cc
@@ -0,0 +1,156 @@
+#include "amaranthcove/peer/peer_connection.h"
+
+#include <optional>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+// Bounds a test whose event never comes; it decides no verdict otherwise.
+constexpr Duration kGiveUp = std::chrono::seconds(20);
+
+wire::Hello MakeHello(const std::string& instance) {
+  wire::Hello hello;
+  hello.protocol_version = wire::kProtocolVersion;
+  hello.instance = instance;
+  hello.incarnation = 1;
+  return hello;
+}
+
+wire::Frame MakeCancel(std::int64_t number) {
+  wire::Cancel cancel;
+  cancel.attempt = wire::ToWire({"entry-1", 1, number});
+  wire::Frame frame;
+  frame.__set_cancel(cancel);
+  return frame;
+}
+
+}  // namespace
+
+TEST_GROUP(PeerConnection) {
+  EventLoop loop_;
+  PeerContext server_{loop_, MakeHello("sidecar-1"), "key", {}, nullptr, {}};
+  PeerContext client_{loop_, MakeHello("entry-1"), "key", {}, nullptr, {}};
+  std::unique_ptr<TcpListener> listener_;
+  std::unique_ptr<PeerConnection> accepted_;
+  std::vector<wire::Frame> received_;
+  std::optional<PeerCloseReason> accepted_closed_;
+  std::optional<PeerCloseReason> client_closed_;
+
+  void setup() override {
+    listener_ = *TcpListener::Listen(
+        loop_, {"127.0.0.1", 0}, [this](std::unique_ptr<TcpConnection> tcp) {
+          accepted_ = PeerConnection::Accept(
+              server_, std::move(tcp),
+              {nullptr,
+               [this](const wire::Frame& frame) { received_.push_back(frame); },
+               [this](PeerCloseReason reason) { accepted_closed_ = reason; }});
+        });
+  }
+
+  std::unique_ptr<PeerConnection> Connect() {
+    return PeerConnection::Connect(
+        client_, listener_->local_address(),
+        {nullptr, nullptr,
+         [this](PeerCloseReason reason) { client_closed_ = reason; }});
+  }
+
+  std::unique_ptr<TcpConnection> ConnectRaw() {
+    return TcpConnection::Connect(loop_, listener_->local_address(),
+                                  {nullptr, [](std::string_view) {}, nullptr});
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const Time limit = SteadyNow() + kGiveUp;
+    while (!condition() && SteadyNow() < limit) {
+      loop_.RunOnce(std::chrono::milliseconds(100));
+    }
+    return condition();
+  }
+};
+
+// Guards against frames that are lost or reordered after the handshake.
+TEST(PeerConnection, CarriesFramesAfterHandshake) {
+  const auto client = Connect();
+  CHECK(RunUntil([&] { return client->ready(); }));
+  STRCMP_EQUAL("sidecar-1", client->remote().instance.c_str());
+  client->Send(MakeCancel(1));
+  client->Send(MakeCancel(2));
+  CHECK(RunUntil([&] { return received_.size() == 2; }));
+  CHECK(received_[0] == MakeCancel(1));
+  CHECK(received_[1] == MakeCancel(2));
+}
+
+// Guards against a stranger whose frames are obeyed without the cluster key.
+TEST(PeerConnection, RefusesWrongKey) {
+  client_.cluster_key = "other";
+  const auto client = Connect();
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kHandshakeFailed);
+  CHECK(received_.empty());
+  CHECK_EQUAL(1, server_.counters.failed_handshakes);
+}
+
+// Guards against frames that are obeyed before the sender is authenticated.
+TEST(PeerConnection, RefusesFramesBeforeHandshake) {
+  const auto stranger = ConnectRaw();
+  stranger->Write(*wire::EncodeFrame(MakeCancel(1)));
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kHandshakeFailed);
+  CHECK(received_.empty());
+}
+
+// Guards against a proof that is reflected to its sender: the stranger sends
+// back whatever it receives.
+TEST(PeerConnection, RefusesReflectedProof) {
+  std::unique_ptr<TcpConnection> mirror;
+  mirror = TcpConnection::Connect(
+      loop_, listener_->local_address(),
+      {nullptr, [&mirror](std::string_view bytes) { mirror->Write(bytes); },
+       nullptr});
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kHandshakeFailed);
+}
+
+// Guards against garbage that harms more than its own connection.
+TEST(PeerConnection, MalformedFrameClosesOnlyItsConnection) {
+  const auto stranger = ConnectRaw();
+  stranger->Write(std::string("\0\0\0\5hello", 9));
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kBadFrame);
+  const auto client = Connect();
+  CHECK(RunUntil([&] { return client->ready(); }));
+}
+
+// Guards against pending work on a connection that went silent for good: the
+// peer's process here accepts bytes and answers nothing more.
+TEST(PeerConnection, FindsSilence) {
+  client_.timings.busy_interval = std::chrono::milliseconds(20);
+  client_.timings.busy_limit = std::chrono::milliseconds(60);
+  EventLoop other_loop;
+  PeerContext silent{other_loop, MakeHello("sidecar-2"), "key", {}, nullptr,
+                     {}};
+  std::unique_ptr<PeerConnection> silent_side;
+  auto silent_listener = *TcpListener::Listen(
+      other_loop, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> tcp) {
+        silent_side = PeerConnection::Accept(silent, std::move(tcp), {});
+      });
+  const auto pending = PeerConnection::Connect(
+      client_, silent_listener->local_address(),
+      {nullptr, nullptr,
+       [this](PeerCloseReason reason) { client_closed_ = reason; }});
+  while (!pending->ready()) {
+    other_loop.RunOnce(Duration::zero());
+    loop_.RunOnce(Duration::zero());
+  }
+  // From here on the other loop does not run, as if its process were stopped.
+  pending->SetBusy(true);
+  CHECK(RunUntil([&] { return client_closed_.has_value(); }));
+  CHECK(*client_closed_ == PeerCloseReason::kSilent);
+}
+
+}  // namespace amaranthcove
--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -1479,6 +1479,14 @@
 void Submit::__set_heat(const double val) {
   this->heat = val;
 }
+
+void Submit::__set_document_revision(const int64_t val) {
+  this->document_revision = val;
+}
+
+void Submit::__set_objective(const std::string& val) {
+  this->objective = val;
+}
 std::ostream& operator<<(std::ostream& out, const Submit& obj)
 {
   obj.printTo(out);
@@ -1643,6 +1651,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_revision);
+          this->__isset.document_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->objective);
+          this->__isset.objective = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1728,6 +1752,14 @@
   xfer += oprot->writeDouble(this->heat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("document_revision", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->document_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objective", ::apache::thrift::protocol::T_STRING, 19);
+  xfer += oprot->writeString(this->objective);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1752,6 +1784,8 @@
   swap(a.request_id, b.request_id);
   swap(a.low_water_mark, b.low_water_mark);
   swap(a.heat, b.heat);
+  swap(a.document_revision, b.document_revision);
+  swap(a.objective, b.objective);
   swap(a.__isset, b.__isset);
 }
 
@@ -1773,6 +1807,8 @@
   request_id = other24.request_id;
   low_water_mark = other24.low_water_mark;
   heat = other24.heat;
+  document_revision = other24.document_revision;
+  objective = other24.objective;
   __isset = other24.__isset;
 }
 Submit& Submit::operator=(const Submit& other25) {
@@ -1793,6 +1829,8 @@
   request_id = other25.request_id;
   low_water_mark = other25.low_water_mark;
   heat = other25.heat;
+  document_revision = other25.document_revision;
+  objective = other25.objective;
   __isset = other25.__isset;
   return *this;
 }
@@ -1816,6 +1854,8 @@
   out << ", " << "request_id=" << to_string(request_id);
   out << ", " << "low_water_mark=" << to_string(low_water_mark);
   out << ", " << "heat=" << to_string(heat);
+  out << ", " << "document_revision=" << to_string(document_revision);
+  out << ", " << "objective=" << to_string(objective);
   out << ")";
 }
 
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -653,7 +653,7 @@
 std::ostream& operator<<(std::ostream& out, const Document& obj);
 
 typedef struct _Submit__isset {
-  _Submit__isset() : attempt(false), team(false), model(false), service_name(false), method(false), path(false), body(false), content_type(false), streamed(false), urgent(false), remaining_ms(false), operation_id(false), fingerprint(false), run_alone(false), request_id(false), low_water_mark(false), heat(false) {}
+  _Submit__isset() : attempt(false), team(false), model(false), service_name(false), method(false), path(false), body(false), content_type(false), streamed(false), urgent(false), remaining_ms(false), operation_id(false), fingerprint(false), run_alone(false), request_id(false), low_water_mark(false), heat(false), document_revision(false), objective(false) {}
   bool attempt :1;
   bool team :1;
   bool model :1;
@@ -671,6 +671,8 @@
   bool request_id :1;
   bool low_water_mark :1;
   bool heat :1;
+  bool document_revision :1;
+  bool objective :1;
 } _Submit__isset;
 
 class Submit : public virtual ::apache::thrift::TBase {
@@ -694,7 +696,9 @@
            run_alone(0),
            request_id(),
            low_water_mark(0),
-           heat(0) {
+           heat(0),
+           document_revision(0),
+           objective() {
   }
 
   virtual ~Submit() noexcept;
@@ -715,6 +719,8 @@
   std::string request_id;
   int64_t low_water_mark;
   double heat;
+  int64_t document_revision;
+  std::string objective;
 
   _Submit__isset __isset;
 
@@ -752,6 +758,10 @@
 
   void __set_heat(const double val);
 
+  void __set_document_revision(const int64_t val);
+
+  void __set_objective(const std::string& val);
+
   bool operator == (const Submit & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -788,6 +798,10 @@
       return false;
     if (!(heat == rhs.heat))
       return false;
+    if (!(document_revision == rhs.document_revision))
+      return false;
+    if (!(objective == rhs.objective))
+      return false;
     return true;
   }
   bool operator != (const Submit &rhs) const {
--- a/src/wire/wire.thrift
+++ b/src/wire/wire.thrift
@@ -86,6 +86,8 @@
   15: string request_id
   16: i64 low_water_mark    // no attempt below this number is still to be sent
   17: double heat           // decayed requests per second for the adapter
+  18: i64 document_revision // of the team's service document at the entry
+  19: string objective      // "stalls" or "batch_efficiency"
 }
 
 // The attempt is queued or running.
