--- /dev/null
+++ b/include/amaranthcove/entry/entry.h
@@ -0,0 +1,127 @@
+#ifndef AMARANTHCOVE_ENTRY_ENTRY_H_
+#define AMARANTHCOVE_ENTRY_ENTRY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "amaranthcove/base/error.h"
+#include "amaranthcove/entry/call.h"
+#include "amaranthcove/entry/catalogue.h"
+#include "amaranthcove/entry/entry_mesh.h"
+#include "amaranthcove/entry/explain.h"
+#include "amaranthcove/entry/server_chooser.h"
+#include "amaranthcove/entry/sidecar_links.h"
+#include "amaranthcove/membership/instance_directory.h"
+#include "amaranthcove/net/http_client.h"
+#include "amaranthcove/net/http_server.h"
+#include "amaranthcove/peer/peer_connection.h"
+#include "amaranthcove/platform_client/platform_client.h"
+
+namespace amaranthcove {
+
+struct EntryOptions {
+  Address http_address;
+  Address peer_address;
+  std::vector<Address> platform;
+  // How long the listener stays open after readiness was withdrawn.
+  Duration drain = std::chrono::seconds(5);
+  // Readiness does not wait longer than this for the first document.
+  Duration first_document_limit = std::chrono::seconds(5);
+  std::size_t max_calls = 20000;  // In progress; more are refused.
+  std::size_t explain_records = 2000;
+  ChooseServerFunction choose = &policy::ChooseServer;
+};
+
+// The entry role: the HTTP API for callers, and everything that an entry knows:
+// documents, instances, reports of sidecars and suspects.
+//
+// Thread safety: belongs to the loop's thread.
+class Entry {
+ public:
+  // Preconditions: `context` and `http` outlive the entry.
+  Entry(PeerContext& context, HttpClient& http, const EntryOptions& options);
+  ~Entry();
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  // Listens for peers and callers and begins to watch the platform.
+  // Errors: kUnavailable if an address cannot be bound.
+  Status Start();
+
+  // Withdraws readiness, keeps accepting for the drain time, then finishes the
+  // calls in progress. Calling it again changes nothing.
+  void Leave();
+
+  // Whether new callers should be sent here.
+  bool ready() const;
+
+  // Calls `callback` once after `Leave`, when the last call has ended.
+  void OnDrained(std::function<void()> callback) {
+    on_drained_ = std::move(callback);
+  }
+
+  // The bound address of the caller API.
+  Address http_address() const { return server_->local_address(); }
+
+  // State for the dump, and the record of a request (null if forgotten).
+  nlohmann::json Dump(Time now) const;
+  nlohmann::json Explain(const std::string& request_id) const;
+
+ private:
+  SidecarEvents MakeSidecarEvents();
+  void OnRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder);
+  void OnModels(HttpResponder& responder) const;
+  void OnIssueOperation(const HttpRequest& request,
+                        std::unique_ptr<HttpResponder> responder,
+                        const std::string& request_id);
+  void StartCall(HttpRequest request,
+                 std::unique_ptr<HttpResponder> responder,
+                 std::string request_id);
+  void OnDocument(Document document, const std::string& from);
+  void OnSuspect(const wire::Suspect& suspect, const std::string& from);
+  void OnInstances(std::int64_t revision,
+                   std::span<const InstanceRecord> changes);
+  void WatchPlatform();
+  void StopAccepting();
+  void CheckDrained();
+  std::string NewRequestId();
+
+  PeerContext& context_;
+  HttpClient& http_;
+  const EntryOptions options_;
+  policy::Random random_;
+  Catalogue catalogue_;
+  InstanceDirectory directory_;
+  SuspectTable suspects_;
+  policy::RetryBudget retry_budget_;
+  ExplainLog explain_;
+  CallCounters counters_;
+  std::uint64_t documents_adopted_ = 0;
+  std::uint64_t documents_refused_ = 0;
+  PeerContext mesh_context_;
+  EntryMesh mesh_;
+  SidecarLinks links_;
+  ServerChooser chooser_;
+  CallContext call_context_;
+  PlatformClient platform_;
+  std::unique_ptr<HttpServer> server_;
+  std::unordered_map<std::string, std::unique_ptr<Call>> calls_;
+  std::uint64_t next_request_ = 1;
+  Time started_;
+  bool leaving_ = false;
+  bool accepting_ = true;
+  std::function<void()> on_drained_;
+  TimerId watch_timer_ = 0;
+  TimerId drain_timer_ = 0;
+  Duration read_jitter_;
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ENTRY_ENTRY_H_
--- /dev/null
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -0,0 +1,114 @@
+#ifndef AMARANTHCOVE_ENTRY_SERVER_CHOOSER_H_
+#define AMARANTHCOVE_ENTRY_SERVER_CHOOSER_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/time.h"
+#include "amaranthcove/entry/call_plan.h"
+#include "amaranthcove/membership/instance_directory.h"
+#include "amaranthcove/policy/choice.h"
+#include "amaranthcove/policy/placement.h"
+#include "amaranthcove/policy/popularity.h"
+#include "amaranthcove/policy/random.h"
+#include "amaranthcove/wire/codec.h"
+
+namespace amaranthcove {
+
+// The decision that chooses among candidates; benches replace it.
+using ChooseServerFunction =
+    std::optional<policy::Choice> (*)(std::span<const policy::Candidate>,
+                                      std::size_t replicas,
+                                      const policy::ChoiceSettings&,
+                                      policy::Random&);
+
+struct ServerChooserSettings {
+  std::string region;
+  std::string data_centre;
+  // Candidates looked at for each adapter beyond its replicas.
+  std::size_t spare_candidates = 2;
+  policy::ChoiceSettings choice;
+  policy::ReplicaSettings replicas;
+  ChooseServerFunction choose = &policy::ChooseServer;
+};
+
+// A backend server chosen for an attempt, with the reason for `explain`.
+struct ChosenServer {
+  std::string instance;
+  Address address;
+  nlohmann::json explanation;
+};
+
+// Chooses backend servers for an entry's requests from the instances it knows
+// and from what sidecars reported on earlier answers.
+//
+// Thread safety: none; belongs to the loop's thread.
+class ServerChooser {
+ public:
+  // Preconditions: `directory` outlives the object.
+  ServerChooser(const InstanceDirectory& directory,
+                const ServerChooserSettings& settings,
+                std::uint64_t seed);
+
+  // Records a request for the popularity of its adapter.
+  void RecordRequest(const CallPlan& plan, Time now);
+
+  // Chooses a server for `plan` that is not in `excluded`.
+  // Errors: kUnavailable if there is none.
+  Result<ChosenServer> Choose(const CallPlan& plan,
+                              const std::set<std::string>& excluded,
+                              Time now);
+
+  // An attempt was sent to `instance`; its next report includes it.
+  void OnSent(const std::string& instance);
+
+  // A sidecar reported its state; `model` is the one that `resident` is about.
+  void OnReport(const std::string& instance,
+                std::string_view model,
+                const wire::ServerReport& report,
+                Time now);
+
+  // Requests per second for the adapter of `plan` at this entry.
+  double Heat(const CallPlan& plan, Time now) const;
+
+  // Reported state of the servers, for the dump.
+  nlohmann::json Dump(Time now) const;
+
+ private:
+  struct ServerState {
+    wire::ServerReport report;
+    Time reported_at;
+    bool reported = false;
+    std::uint32_t unreported = 0;
+  };
+
+  Result<ChosenServer> ChooseEngine(
+      const CallPlan& plan,
+      const std::vector<ServerCandidate>& servers,
+      Time now);
+  Result<ChosenServer> ChoosePlain(const std::vector<ServerCandidate>& servers);
+  policy::Candidate CandidateOf(const std::string& instance,
+                                std::uint64_t adapter,
+                                Time now) const;
+  std::uint32_t Replicas(const CallPlan& plan, Time now);
+
+  const InstanceDirectory& directory_;
+  const ServerChooserSettings settings_;
+  policy::Random random_;
+  policy::PopularityTable popularity_;
+  std::unordered_map<std::string, ServerState> servers_;
+  // By adapter and instance: what the last report said about residency.
+  std::unordered_map<std::uint64_t, bool> residency_;
+  std::unordered_map<std::uint64_t, std::uint32_t> replicas_;  // Above 1.
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ENTRY_SERVER_CHOOSER_H_
--- /dev/null
+++ b/src/entry/call_plan.cc
@@ -0,0 +1,187 @@
+#include "amaranthcove/entry/call_plan.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "amaranthcove/operations/operation_id.h"
+#include "amaranthcove/suspects/fingerprint.h"
+
+namespace amaranthcove {
+
+namespace {
+
+using Json = nlohmann::json;
+using PlanResult = tl::expected<CallPlan, ApiError>;
+
+constexpr std::string_view kPlainPrefix = "/s/";
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+tl::unexpected<ApiError> Refuse(int status,
+                                std::string code,
+                                std::string message) {
+  return tl::unexpected<ApiError>(
+      ApiError{status, std::move(code), std::move(message)});
+}
+
+// Sets deadline and urgency from the document's kind and the caller's headers.
+std::optional<ApiError> ApplyKind(const HttpRequest& request,
+                                  const ServiceDocument& document,
+                                  CallPlan& plan) {
+  const auto kind =
+      FindRequestKind(document, FindHeader(request.headers, "X-Request-Kind"));
+  if (!kind) {
+    return ApiError{kBadRequest, "unknown_kind", kind.error().message};
+  }
+  plan.urgent = (*kind)->urgency == Urgency::kUrgent;
+  plan.deadline = (*kind)->deadline;
+  const std::string_view timeout =
+      FindHeader(request.headers, "X-Request-Timeout-Ms");
+  if (timeout.empty()) {
+    return std::nullopt;
+  }
+  std::int64_t milliseconds = 0;
+  const char* end = timeout.data() + timeout.size();
+  const auto [rest, error] = std::from_chars(timeout.data(), end, milliseconds);
+  if (error != std::errc() || rest != end || milliseconds <= 0) {
+    return ApiError{kBadRequest, "bad_timeout",
+                    "X-Request-Timeout-Ms is not a positive number."};
+  }
+  // The comparison comes first: a huge number would overflow as a Duration.
+  if (milliseconds < ToMilliseconds(plan.deadline)) {
+    plan.deadline = std::chrono::milliseconds(milliseconds);
+  }
+  return std::nullopt;
+}
+
+void ApplyDocument(const CatalogueEntry& entry, CallPlan& plan) {
+  plan.team = entry.document.team;
+  plan.document_revision = entry.revision;
+  plan.objective = entry.document.objective;
+}
+
+PlanResult PlanModelCall(const HttpRequest& request,
+                         const Catalogue& catalogue) {
+  if (request.method != "POST") {
+    return Refuse(405, "method_not_allowed", "Use POST.");
+  }
+  Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    return Refuse(kBadRequest, "bad_json", "The body is not a JSON object.");
+  }
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) {
+    return Refuse(kBadRequest, "bad_model", "`model` is missing or no string.");
+  }
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_boolean()) {
+    return Refuse(kBadRequest, "bad_stream", "`stream` is not true or false.");
+  }
+  const std::string name = model->get<std::string>();
+  const std::size_t slash = name.find('/');
+  if (slash == std::string::npos) {
+    return Refuse(kBadRequest, "bad_model",
+                  "`model` is not TEAM/ADAPTER@VERSION or TEAM/ALIAS.");
+  }
+  const CatalogueEntry* entry = catalogue.Find(name.substr(0, slash));
+  if (entry == nullptr) {
+    return Refuse(kNotFound, "unknown_team",
+                  "No service document is in force for the team.");
+  }
+  const auto resolved = ResolveModel(entry->document, name.substr(slash + 1));
+  if (!resolved) {
+    return Refuse(kNotFound, "unknown_model", resolved.error().message);
+  }
+  CallPlan plan;
+  ApplyDocument(*entry, plan);
+  if (auto error = ApplyKind(request, entry->document, plan)) {
+    return tl::unexpected<ApiError>(std::move(*error));
+  }
+  plan.base_model = entry->document.base_model;
+  plan.model = plan.team + "/" + resolved->adapter + "@" +
+               std::to_string(resolved->version);
+  plan.method = request.method;
+  plan.path = request.path;
+  plan.content_type = "application/json";
+  plan.streamed = stream != body.end() && stream->get<bool>();
+  body["model"] = plan.model;
+  plan.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  plan.fingerprint = RequestFingerprint(plan.team, plan.model, plan.body);
+  return plan;
+}
+
+PlanResult PlanPlainCall(const HttpRequest& request,
+                         const Catalogue& catalogue) {
+  const std::string_view rest =
+      std::string_view(request.path).substr(kPlainPrefix.size());
+  const std::size_t team_end = rest.find('/');
+  const std::string_view team = rest.substr(0, team_end);
+  const std::string_view after_team =
+      team_end == std::string_view::npos ? "" : rest.substr(team_end + 1);
+  const std::size_t service_end = after_team.find_first_of("/?");
+  const std::string_view service = after_team.substr(0, service_end);
+  std::string path = "/";
+  if (service_end != std::string_view::npos) {
+    path = after_team.substr(service_end);
+    if (path.front() == '?') {
+      path.insert(path.begin(), '/');
+    }
+  }
+  const CatalogueEntry* entry = catalogue.Find(team);
+  if (entry == nullptr) {
+    return Refuse(kNotFound, "unknown_team",
+                  "No service document is in force for the team.");
+  }
+  if (!entry->document.plain_services.contains(service)) {
+    return Refuse(kNotFound, "unknown_service",
+                  "The team's service document has no such service.");
+  }
+  CallPlan plan;
+  ApplyDocument(*entry, plan);
+  if (auto error = ApplyKind(request, entry->document, plan)) {
+    return tl::unexpected<ApiError>(std::move(*error));
+  }
+  plan.service = service;
+  plan.method = request.method;
+  plan.path = std::move(path);
+  plan.body = request.body;
+  plan.content_type = FindHeader(request.headers, "Content-Type");
+  const std::string_view key = FindHeader(request.headers, "Idempotency-Key");
+  if (ParseOperationId(key)) {
+    plan.kind = CallKind::kOperation;
+    plan.operation_id = key;
+  } else if (IsNeverRepeat(entry->document, service, plan.method, plan.path)) {
+    plan.kind = CallKind::kNeedsOperation;
+  } else {
+    plan.kind = CallKind::kPlain;
+  }
+  return plan;
+}
+
+}  // namespace
+
+bool IsModelPath(std::string_view path) {
+  return path == "/v1/completions" || path == "/v1/chat/completions";
+}
+
+PlanResult PlanCall(const HttpRequest& request, const Catalogue& catalogue) {
+  if (IsModelPath(request.path)) {
+    return PlanModelCall(request, catalogue);
+  }
+  if (request.path.starts_with(kPlainPrefix)) {
+    PlanResult plan = PlanPlainCall(request, catalogue);
+    if (!plan &&
+        ParseOperationId(FindHeader(request.headers, "Idempotency-Key"))) {
+      // The operation may have run under an earlier document.
+      plan.error().outcome = Outcome::kUnknown;
+    }
+    return plan;
+  }
+  return Refuse(kNotFound, "unknown_path", "There is nothing at this path.");
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/entry/server_chooser.cc
@@ -0,0 +1,248 @@
+#include "amaranthcove/entry/server_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+#include "amaranthcove/base/hash.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// Most candidates that are looked at for one request.
+constexpr std::size_t kMaxCandidates = 10;
+
+// Residency facts above which all are forgotten; they are learnt again from
+// the next answers. 35,000 adapters on two engines each stay below.
+constexpr std::size_t kMaxResidencyFacts = 1 << 17;
+
+// Requests per second that one engine should spend on one adapter, in batch
+// places: more than this share of a batch makes others wait.
+constexpr double kBatchShare = 0.5;
+
+std::uint64_t ResidencyKey(std::uint64_t adapter, std::string_view instance) {
+  return Hash64(instance, adapter);
+}
+
+std::uint64_t AdapterKeyOf(const CallPlan& plan) {
+  return Hash64(plan.model);
+}
+
+}  // namespace
+
+ServerChooser::ServerChooser(const InstanceDirectory& directory,
+                             const ServerChooserSettings& settings,
+                             std::uint64_t seed)
+    : directory_(directory), settings_(settings), random_{seed} {}
+
+void ServerChooser::RecordRequest(const CallPlan& plan, Time now) {
+  if (plan.kind == CallKind::kModel) {
+    popularity_.Record(AdapterKeyOf(plan), now);
+  }
+}
+
+double ServerChooser::Heat(const CallPlan& plan, Time now) const {
+  return popularity_.Rate(AdapterKeyOf(plan), now);
+}
+
+Result<ChosenServer> ServerChooser::Choose(
+    const CallPlan& plan,
+    const std::set<std::string>& excluded,
+    Time now) {
+  const bool is_model = plan.kind == CallKind::kModel;
+  std::vector<ServerCandidate> servers =
+      is_model ? directory_.ServersForModel(plan.base_model, settings_.region,
+                                            now)
+               : directory_.ServersForService(plan.team, plan.service,
+                                              settings_.region, now);
+  std::erase_if(servers, [&](const ServerCandidate& candidate) {
+    return excluded.contains(candidate.instance->record.instance);
+  });
+  const bool any_healthy =
+      std::any_of(servers.begin(), servers.end(),
+                  [](const auto& server) { return !server.on_probation; });
+  if (any_healthy) {
+    std::erase_if(servers,
+                  [](const auto& server) { return server.on_probation; });
+  }
+  if (servers.empty()) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "No backend server is available for the request.");
+  }
+  return is_model ? ChooseEngine(plan, servers, now) : ChoosePlain(servers);
+}
+
+Result<ChosenServer> ServerChooser::ChooseEngine(
+    const CallPlan& plan,
+    const std::vector<ServerCandidate>& servers,
+    Time now) {
+  std::vector<policy::PlacementServer> placement;
+  placement.reserve(servers.size());
+  for (const ServerCandidate& server : servers) {
+    placement.push_back({Hash64(server.instance->record.instance), 1.0F,
+                         server.same_region
+                             ? policy::Distance::kSameRegion
+                             : policy::Distance::kOtherRegion});
+  }
+  const std::uint32_t replicas = Replicas(plan, now);
+  std::array<std::uint32_t, kMaxCandidates> best{};
+  const std::size_t wanted =
+      std::min(kMaxCandidates, replicas + settings_.spare_candidates);
+  const std::size_t count = policy::RankServers(
+      plan.model, placement, std::span(best).first(wanted));
+  const std::uint64_t adapter = AdapterKeyOf(plan);
+  std::vector<policy::Candidate> candidates;
+  nlohmann::json described = nlohmann::json::array();
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string& name = servers[best[i]].instance->record.instance;
+    candidates.push_back(CandidateOf(name, adapter, now));
+    const policy::Candidate& candidate = candidates.back();
+    described.push_back(
+        {{"instance", name},
+         {"expected_wait_ms", ToMilliseconds(candidate.expected_wait)},
+         {"load_wait_ms", ToMilliseconds(candidate.load_wait)},
+         {"resident", candidate.resident == policy::Residency::kYes  ? "yes"
+                      : candidate.resident == policy::Residency::kNo ? "no"
+                                                                     : "unknown"},
+         {"leaving", candidate.leaving},
+         {"unreported", candidate.unreported}});
+  }
+  const auto choice =
+      settings_.choose(candidates, replicas, settings_.choice, random_);
+  if (!choice) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "Every backend server for the request is leaving.");
+  }
+  const InstanceRecord& record =
+      servers[best[choice->index]].instance->record;
+  return ChosenServer{
+      record.instance,
+      record.address,
+      {{"candidates", described},
+       {"replicas", replicas},
+       {"chosen", record.instance},
+       {"reason", policy::ChoiceReasonName(choice->reason)}}};
+}
+
+Result<ChosenServer> ServerChooser::ChoosePlain(
+    const std::vector<ServerCandidate>& servers) {
+  // Of two drawn at random the one with less work, in the region if possible.
+  std::size_t count = 0;
+  while (count < servers.size() && servers[count].same_region) {
+    ++count;
+  }
+  if (count == 0) {
+    count = servers.size();
+  }
+  const auto load = [this](const ServerCandidate& server) {
+    const auto found = servers_.find(server.instance->record.instance);
+    return found == servers_.end()
+               ? 0
+               : found->second.report.urgent_queued +
+                     found->second.report.running +
+                     static_cast<std::int32_t>(found->second.unreported);
+  };
+  const ServerCandidate& first = servers[random_.NextBelow(count)];
+  const ServerCandidate& second = servers[random_.NextBelow(count)];
+  const ServerCandidate& chosen = load(second) < load(first) ? second : first;
+  const InstanceRecord& record = chosen.instance->record;
+  return ChosenServer{record.instance,
+                      record.address,
+                      {{"chosen", record.instance},
+                       {"servers", servers.size()},
+                       {"load", load(chosen)}}};
+}
+
+policy::Candidate ServerChooser::CandidateOf(const std::string& instance,
+                                             std::uint64_t adapter,
+                                             Time now) const {
+  policy::Candidate candidate;
+  const auto found = servers_.find(instance);
+  if (found == servers_.end()) {
+    return candidate;
+  }
+  const ServerState& state = found->second;
+  candidate.unreported = state.unreported;
+  if (!state.reported) {
+    return candidate;
+  }
+  candidate.report_age = now - state.reported_at;
+  candidate.leaving = state.report.leaving;
+  candidate.expected_wait =
+      std::chrono::milliseconds(state.report.expected_wait_ms);
+  candidate.load_wait = std::chrono::milliseconds(state.report.load_wait_ms);
+  const auto resident = residency_.find(ResidencyKey(adapter, instance));
+  if (resident != residency_.end()) {
+    candidate.resident =
+        resident->second ? policy::Residency::kYes : policy::Residency::kNo;
+  }
+  return candidate;
+}
+
+std::uint32_t ServerChooser::Replicas(const CallPlan& plan, Time now) {
+  const std::uint64_t adapter = AdapterKeyOf(plan);
+  const auto found = replicas_.find(adapter);
+  const std::uint32_t current = found == replicas_.end() ? 1 : found->second;
+  // Other entries see the same share of the requests.
+  const double entries = static_cast<double>(
+      std::max<std::size_t>(1, directory_.LiveEntries().size()));
+  double places = 0;
+  for (const auto& [instance, state] : servers_) {
+    places = std::max(places, static_cast<double>(state.report.batch_size));
+  }
+  if (places == 0) {
+    return current;
+  }
+  const std::uint32_t replicas =
+      policy::ReplicaCount(popularity_.Rate(adapter, now) * entries,
+                           places * kBatchShare, current, settings_.replicas);
+  if (replicas > 1) {
+    replicas_[adapter] = replicas;
+  } else {
+    replicas_.erase(adapter);
+  }
+  return replicas;
+}
+
+void ServerChooser::OnSent(const std::string& instance) {
+  ++servers_[instance].unreported;
+}
+
+void ServerChooser::OnReport(const std::string& instance,
+                             std::string_view model,
+                             const wire::ServerReport& report,
+                             Time now) {
+  ServerState& state = servers_[instance];
+  state.report = report;
+  state.reported_at = now;
+  state.reported = true;
+  state.unreported = 0;
+  if (!report.__isset.resident || model.empty()) {
+    return;
+  }
+  if (residency_.size() >= kMaxResidencyFacts) {
+    residency_.clear();
+  }
+  residency_[ResidencyKey(Hash64(model), instance)] = report.resident;
+}
+
+nlohmann::json ServerChooser::Dump(Time now) const {
+  nlohmann::json servers = nlohmann::json::object();
+  for (const auto& [instance, state] : servers_) {
+    servers[instance] = {
+        {"report_age_ms",
+         state.reported ? ToMilliseconds(now - state.reported_at) : -1},
+        {"running", state.report.running},
+        {"urgent_queued", state.report.urgent_queued},
+        {"patient_queued", state.report.patient_queued},
+        {"expected_wait_ms", state.report.expected_wait_ms},
+        {"unreported", state.unreported},
+        {"leaving", state.report.leaving}};
+  }
+  return {{"servers", servers},
+          {"adapters_remembered", popularity_.size()},
+          {"residency_facts", residency_.size()}};
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/programs/amaranthd/main.cc
@@ -0,0 +1,70 @@
+// The daemon: an entry or a sidecar, as its settings say.
+
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include <boost/program_options.hpp>
+
+#include "amaranthcove/daemon/daemon.h"
+#include "amaranthcove/log/log.h"
+#include "amaranthcove/settings/settings.h"
+
+namespace {
+
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+
+int RunWithSettings(const std::string& file, bool check_only) {
+  const auto settings = amaranthcove::ReadSettings(file);
+  if (!settings) {
+    std::cerr << amaranthcove::FormatIniErrors(file, settings.error());
+    return kExitRefused;
+  }
+  const auto key = amaranthcove::ReadClusterKey(settings->cluster_key_file);
+  if (!key) {
+    std::cerr << key.error().message << "\n";
+    return kExitRefused;
+  }
+  if (check_only) {
+    std::cout << file << ": settings are valid\n";
+    return 0;
+  }
+  const amaranthcove::Logging logging(settings->log_level);
+  return amaranthcove::RunDaemon(*settings, *key);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace options = boost::program_options;
+  options::options_description description(
+      "usage: amaranthd --settings FILE [--check-settings]");
+  description.add_options()("settings", options::value<std::string>(),
+                            "settings file (INI)")(
+      "check-settings", "validate the settings and exit")(
+      "help", "show this text")("version", "show the version");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description),
+                   values);
+  } catch (const options::error& error) {
+    std::cerr << "amaranthd: " << error.what() << "\n" << description;
+    return kExitUsage;
+  }
+  if (values.contains("help")) {
+    std::cout << description;
+    return 0;
+  }
+  if (values.contains("version")) {
+    std::cout << "amaranthd " AMARANTHCOVE_VERSION "\n";
+    return 0;
+  }
+  if (!values.contains("settings")) {
+    std::cerr << "amaranthd: --settings is missing\n" << description;
+    return kExitUsage;
+  }
+  return RunWithSettings(values["settings"].as<std::string>(),
+                         values.contains("check-settings"));
+}
--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -1010,6 +1010,11 @@
   this->report = val;
 __isset.report = true;
 }
+
+void Heartbeat::__set_platform_age_ms(const int64_t val) {
+  this->platform_age_ms = val;
+__isset.platform_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1070,6 +1075,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->platform_age_ms);
+          this->__isset.platform_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1104,6 +1117,11 @@
     xfer += this->report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.platform_age_ms) {
+    xfer += oprot->writeFieldBegin("platform_age_ms", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->platform_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1115,6 +1133,7 @@
   swap(a.is_reply, b.is_reply);
   swap(a.documents_digest, b.documents_digest);
   swap(a.report, b.report);
+  swap(a.platform_age_ms, b.platform_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1123,6 +1142,7 @@
   is_reply = other12.is_reply;
   documents_digest = other12.documents_digest;
   report = other12.report;
+  platform_age_ms = other12.platform_age_ms;
   __isset = other12.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other13) noexcept {
@@ -1130,6 +1150,7 @@
   is_reply = other13.is_reply;
   documents_digest = other13.documents_digest;
   report = other13.report;
+  platform_age_ms = other13.platform_age_ms;
   __isset = other13.__isset;
   return *this;
 }
@@ -1140,6 +1161,7 @@
   out << ", " << "is_reply=" << to_string(is_reply);
   out << ", " << "documents_digest=" << to_string(documents_digest);
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
+  out << ", " << "platform_age_ms="; (__isset.platform_age_ms ? (out << to_string(platform_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1151,6 +1173,11 @@
 void DocumentsRequest::__set_known(const std::vector<DocumentRevision> & val) {
   this->known = val;
 }
+
+void DocumentsRequest::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentsRequest& obj)
 {
   obj.printTo(out);
@@ -1199,6 +1226,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1228,6 +1263,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1236,15 +1276,18 @@
 void swap(DocumentsRequest &a, DocumentsRequest &b) {
   using ::std::swap;
   swap(a.known, b.known);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
 DocumentsRequest::DocumentsRequest(const DocumentsRequest& other20) {
   known = other20.known;
+  team = other20.team;
   __isset = other20.__isset;
 }
 DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other21) {
   known = other21.known;
+  team = other21.team;
   __isset = other21.__isset;
   return *this;
 }
@@ -1252,6 +1295,7 @@
   using ::apache::thrift::to_string;
   out << "DocumentsRequest(";
   out << "known=" << to_string(known);
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -482,11 +482,12 @@
 std::ostream& operator<<(std::ostream& out, const DocumentRevision& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : sequence(false), is_reply(false), documents_digest(false), report(false) {}
+  _Heartbeat__isset() : sequence(false), is_reply(false), documents_digest(false), report(false), platform_age_ms(false) {}
   bool sequence :1;
   bool is_reply :1;
   bool documents_digest :1;
   bool report :1;
+  bool platform_age_ms :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -497,7 +498,8 @@
   Heartbeat() noexcept
             : sequence(0),
               is_reply(0),
-              documents_digest(0) {
+              documents_digest(0),
+              platform_age_ms(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -505,6 +507,7 @@
   bool is_reply;
   int64_t documents_digest;
   ServerReport report;
+  int64_t platform_age_ms;
 
   _Heartbeat__isset __isset;
 
@@ -516,6 +519,8 @@
 
   void __set_report(const ServerReport& val);
 
+  void __set_platform_age_ms(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -528,6 +533,10 @@
       return false;
     else if (__isset.report && !(report == rhs.report))
       return false;
+    if (__isset.platform_age_ms != rhs.__isset.platform_age_ms)
+      return false;
+    else if (__isset.platform_age_ms && !(platform_age_ms == rhs.platform_age_ms))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -547,8 +556,9 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _DocumentsRequest__isset {
-  _DocumentsRequest__isset() : known(false) {}
+  _DocumentsRequest__isset() : known(false), team(false) {}
   bool known :1;
+  bool team :1;
 } _DocumentsRequest__isset;
 
 class DocumentsRequest : public virtual ::apache::thrift::TBase {
@@ -556,20 +566,28 @@
 
   DocumentsRequest(const DocumentsRequest&);
   DocumentsRequest& operator=(const DocumentsRequest&);
-  DocumentsRequest() noexcept {
+  DocumentsRequest() noexcept
+                   : team() {
   }
 
   virtual ~DocumentsRequest() noexcept;
   std::vector<DocumentRevision>  known;
+  std::string team;
 
   _DocumentsRequest__isset __isset;
 
   void __set_known(const std::vector<DocumentRevision> & val);
 
+  void __set_team(const std::string& val);
+
   bool operator == (const DocumentsRequest & rhs) const
   {
     if (!(known == rhs.known))
       return false;
+    if (__isset.team != rhs.__isset.team)
+      return false;
+    else if (__isset.team && !(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const DocumentsRequest &rhs) const {
--- a/src/wire/wire.thrift
+++ b/src/wire/wire.thrift
@@ -54,11 +54,16 @@
   2: bool is_reply
   3: i64 documents_digest   // equal digests mean equal revisions
   4: optional ServerReport report
+  // Time since the sender's documents were confirmed by the platform, directly
+  // or through its peers.
+  5: optional i64 platform_age_ms
 }
 
-// Asks for every document that is newer than in `known`.
+// Asks for every document that is newer than in `known`; only for `team`'s if
+// that is set.
 struct DocumentsRequest {
   1: list<DocumentRevision> known
+  2: optional string team
 }
 
 struct Document {
