net: add the HTTP server and client

Both run on h2o 2.2.5. h2o takes one piece of an answer at a time, so the server collects writes meanwhile. h2o does not notice callers that leave before an answer begins; their sockets are polled every 100 ms. The client reports a close between two chunks and an answer without framing as broken, because h2o takes both for complete. A retired loop and a context's queue cannot be freed with 2.2.5; they are kept reachable for the leak checker.

h2o's 413 is JSON. Its 400 for bytes that are no HTTP request is a constant in the library and stays plain text.

--- a/include/amaranthcove/net/http_client.h
+++ b/include/amaranthcove/net/http_client.h
@@ -26,8 +26,14 @@
 
 // An HTTP/1.1 client for callers that know IP addresses.
 //
+// Idle connections are kept for 15 s and used again. A call whose connection
+// breaks is never sent again: the server may have run it. An answer that states
+// neither a length nor chunks ends with kBroken, because nothing shows whether
+// it is whole.
+//
 // Thread safety: belongs to the loop's thread. Callbacks never run inside
-// `Start` or `Cancel`.
+// `Start` or `Cancel`. The client may be destroyed in `on_end`, but not in
+// `on_head` or `on_data`; its running calls are dropped without a callback.
 class HttpClient {
  public:
   struct Callbacks {
--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -46,7 +46,10 @@
   virtual void OnCallerGone(std::function<void()> callback) = 0;
 };
 
-// An HTTP/1.1 server on one address.
+// An HTTP/1.1 server on one address. Streamed answers are sent in chunks; those
+// that HTTP/1.1 callers could not check for truncation (a status other than 200
+// and 206, or an HTTP/1.0 caller) are collected and sent with their length.
+// Destroying the server breaks its connections.
 //
 // Thread safety: belongs to the loop's thread.
 class HttpServer {
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "src/net/h2o_headers.h"
 
@@ -17,6 +18,16 @@
 
 }  // namespace
 
+namespace internal {
+
+void KeepUntilExit(void* memory) {
+  // Never destroyed, so that the leak checker finds the pointers at exit.
+  static auto* kept = new std::vector<void*>();
+  kept->push_back(memory);
+}
+
+}  // namespace internal
+
 EventLoop::EventLoop() : loop_(h2o_evloop_create()), now_(SteadyNow()) {
   signal(SIGPIPE, SIG_IGN);
 }
@@ -25,8 +36,7 @@
   if (signal_socket_ != nullptr) {
     h2o_socket_close(signal_socket_);
   }
-  // h2o 2.2.5 cannot free a loop that has served sockets; it lives as long as
-  // the process.
+  internal::KeepUntilExit(loop_);
 }
 
 TimerId EventLoop::RunAt(Time when, Callback callback) {
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,685 @@
+#include "amaranthcove/net/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "src/net/h2o_headers.h"
+#include "src/net/http_fields.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// How often the sockets of unanswered requests are looked at. h2o does not
+// read while a request is in progress, so it misses callers that go away.
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
+
+// Connections without a request are closed after this time.
+constexpr std::uint64_t kIdleConnectionMs = 60'000;
+
+// An aborted answer may take this long to send the piece that h2o has; a caller
+// that reads no further is cut off then.
+constexpr Duration kAbortGrace = std::chrono::seconds(1);
+
+// Connections accepted in a row before other events are handled.
+constexpr int kMaxAcceptsPerRound = 64;
+
+constexpr std::size_t kUnknownLength = static_cast<std::size_t>(-1);
+
+constexpr int kBadRequest = 400;
+constexpr int kBodyTooLarge = 413;
+
+std::string ToString(h2o_iovec_t text) {
+  return text.base == nullptr ? std::string()
+                              : std::string(text.base, text.len);
+}
+
+bool MayHaveBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+// h2o frames a body of unknown length in chunks only for these answers. Others
+// would end with the connection, and callers could not see a truncation.
+bool CanBeChunked(const h2o_req_t& request, int status) {
+  return request.version >= 0x101 && (status == 200 || status == 206);
+}
+
+class Exchange;
+
+// Lives in the memory pool of h2o's request and tells the exchange when h2o
+// disposes of the request.
+struct RequestGenerator {
+  h2o_generator_t super;
+  std::shared_ptr<Exchange> exchange;
+};
+
+// One request and its answer. Shared by the request's pool and the responder:
+// an answer that has ended is still being sent after its responder has gone.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(EventLoop& loop,
+           std::unordered_set<Exchange*>& open_exchanges,
+           const bool& closing)
+      : loop_(loop), open_exchanges_(open_exchanges), closing_(closing) {}
+
+  void Attach(h2o_req_t* request) {
+    request_ = request;
+    is_head_method_ = ToString(request->input.method) == "HEAD";
+    auto* generator = static_cast<RequestGenerator*>(
+        h2o_mem_alloc_shared(&request->pool, sizeof(RequestGenerator),
+                             &Exchange::OnRequestDisposed));
+    new (generator)
+        RequestGenerator{{&Exchange::OnProceed, nullptr}, shared_from_this()};
+    generator_ = generator;
+    open_exchanges_.insert(this);
+  }
+
+  bool is_attached() const { return request_ != nullptr; }
+
+  bool has_ended() const { return ended_; }
+
+  int socket_fd() const {
+    return h2o_socket_get_fd(
+        request_->conn->callbacks->get_socket(request_->conn));
+  }
+
+  void Send(HttpResponse response) {
+    if (request_ == nullptr || head_given_ || ended_) {
+      return;
+    }
+    head_given_ = true;
+    pending_ = std::move(response.body);
+    response_ = std::move(response);
+    ended_ = true;
+    StartWithLength();
+  }
+
+  void Start(HttpResponse response) {
+    if (request_ == nullptr || head_given_ || ended_) {
+      return;
+    }
+    head_given_ = true;
+    pending_ = std::move(response.body);
+    response_ = std::move(response);
+    if (!CanBeChunked(*request_, response_.status)) {
+      return;  // Collected until `End`.
+    }
+    StartResponse(kUnknownLength);
+    Flush();
+  }
+
+  void Write(std::string_view data) {
+    if (request_ == nullptr || ended_) {
+      return;
+    }
+    pending_ += data;
+    if (started_) {
+      Flush();
+    }
+  }
+
+  void End() {
+    if (request_ == nullptr || ended_) {
+      return;
+    }
+    ended_ = true;
+    if (started_) {
+      Flush();
+    } else {
+      StartWithLength();
+    }
+  }
+
+  void Abort() {
+    if (request_ == nullptr || ended_) {
+      return;
+    }
+    ended_ = true;
+    aborted_ = true;
+    on_caller_gone_ = nullptr;
+    BreakConnection();
+  }
+
+  void OnCallerGone(std::function<void()> callback) {
+    on_caller_gone_ = std::move(callback);
+  }
+
+  void DropCallback() { on_caller_gone_ = nullptr; }
+
+  // The caller has closed its side; h2o does not know it yet.
+  void CallerHasGone() {
+    ReportCallerGone();
+    ended_ = true;
+    aborted_ = true;
+    // Makes an outstanding piece fail.
+    shutdown(socket_fd(), SHUT_RDWR);
+    if (!sending_) {
+      SendError();
+    }
+  }
+
+  std::size_t buffered_bytes() const {
+    return pending_.size() + in_flight_.size();
+  }
+
+ private:
+  static void OnProceed(h2o_generator_t* self, h2o_req_t* /*request*/) {
+    const auto exchange = reinterpret_cast<RequestGenerator*>(self)->exchange;
+    exchange->sending_ = false;
+    exchange->in_flight_.clear();
+    exchange->Flush();
+  }
+
+  static void OnRequestDisposed(void* memory) {
+    auto* generator = static_cast<RequestGenerator*>(memory);
+    const std::shared_ptr<Exchange> exchange = std::move(generator->exchange);
+    generator->~RequestGenerator();
+    exchange->Detach();
+  }
+
+  void Detach() {
+    request_ = nullptr;
+    generator_ = nullptr;
+    open_exchanges_.erase(this);
+    pending_.clear();
+    in_flight_.clear();
+    ReportCallerGone();
+  }
+
+  void ReportCallerGone() {
+    if (ended_ || !on_caller_gone_) {
+      return;
+    }
+    // Called by the loop, because h2o or the responder may be on the stack.
+    loop_.RunAfter(Duration::zero(), [self = weak_from_this()] {
+      const auto exchange = self.lock();
+      if (exchange != nullptr && exchange->on_caller_gone_) {
+        std::exchange(exchange->on_caller_gone_, nullptr)();
+      }
+    });
+  }
+
+  void StartWithLength() {
+    if (!MayHaveBody(response_.status)) {
+      pending_.clear();
+      StartResponse(kUnknownLength);
+    } else {
+      StartResponse(pending_.size());
+    }
+    Flush();
+  }
+
+  void StartResponse(std::size_t length) {
+    started_ = true;
+    h2o_res_t& res = request_->res;
+    res.status = response_.status;
+    res.reason = "";
+    res.content_length = length;
+    for (const HttpHeader& header : response_.headers) {
+      if (internal::IsSendable(header)) {
+        AddHeader(header);
+      }
+    }
+    if (closing_) {
+      request_->http1_is_persistent = 0;
+    }
+    h2o_start_response(request_, &generator_->super);
+  }
+
+  void AddHeader(const HttpHeader& header) {
+    h2o_mem_pool_t* pool = &request_->pool;
+    h2o_iovec_t name = h2o_strdup(pool, header.name.data(), header.name.size());
+    h2o_strtolower(name.base, name.len);
+    const h2o_iovec_t value =
+        h2o_strdup(pool, header.value.data(), header.value.size());
+    h2o_add_header_by_str(pool, &request_->res.headers, name.base, name.len, 1,
+                          nullptr, value.base, value.len);
+  }
+
+  // Hands what has been collected to h2o, which takes one piece at a time.
+  void Flush() {
+    if (sending_ || request_ == nullptr || sent_last_) {
+      return;
+    }
+    if (aborted_) {
+      SendError();
+      return;
+    }
+    if (is_head_method_) {
+      pending_.clear();
+    }
+    if (pending_.empty() && !ended_ && head_flushed_) {
+      return;
+    }
+    head_flushed_ = true;
+    in_flight_.swap(pending_);
+    sending_ = true;
+    sent_last_ = ended_;
+    h2o_iovec_t buffer = h2o_iovec_init(in_flight_.data(), in_flight_.size());
+    // h2o may dispose of the request within this call.
+    const auto self = shared_from_this();
+    h2o_send(request_, &buffer, in_flight_.empty() ? 0 : 1,
+             ended_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+  }
+
+  // Ends the connection without a proper end of the answer.
+  void BreakConnection() {
+    if (!started_) {
+      shutdown(socket_fd(), SHUT_RDWR);
+      SendError();
+    } else if (!sending_) {
+      SendError();
+    } else {
+      // `Flush` sends the error after the outstanding piece, because a close
+      // between two chunks is taken for the end by some clients.
+      loop_.RunAfter(kAbortGrace, [self = weak_from_this()] {
+        const auto exchange = self.lock();
+        if (exchange != nullptr && exchange->is_attached()) {
+          shutdown(exchange->socket_fd(), SHUT_RDWR);
+        }
+      });
+    }
+  }
+
+  // Passes on an invalid chunk, if the answer is chunked, and closes.
+  void SendError() {
+    const auto self = shared_from_this();
+    sent_last_ = true;
+    request_->http1_is_persistent = 0;
+    if (!started_) {
+      started_ = true;
+      request_->res.status = 500;
+      request_->res.reason = "";
+      h2o_start_response(request_, &generator_->super);
+    }
+    h2o_send(request_, nullptr, 0, H2O_SEND_STATE_ERROR);
+  }
+
+  EventLoop& loop_;
+  std::unordered_set<Exchange*>& open_exchanges_;
+  const bool& closing_;
+  h2o_req_t* request_ = nullptr;  // Null once h2o has disposed of it.
+  RequestGenerator* generator_ = nullptr;
+  HttpResponse response_;
+  std::string pending_;
+  std::string in_flight_;
+  std::function<void()> on_caller_gone_;
+  bool is_head_method_ = false;
+  bool head_given_ = false;    // `Send` or `Start` was called.
+  bool started_ = false;       // h2o knows the head of the answer.
+  bool head_flushed_ = false;  // The head was sent, perhaps without a body.
+  bool sending_ = false;       // h2o has a piece and has not asked for more.
+  bool ended_ = false;
+  bool aborted_ = false;
+  bool sent_last_ = false;  // h2o has the last piece.
+};
+
+class Responder final : public HttpResponder {
+ public:
+  explicit Responder(std::shared_ptr<Exchange> exchange)
+      : exchange_(std::move(exchange)) {}
+
+  ~Responder() override {
+    exchange_->DropCallback();
+    exchange_->Abort();
+  }
+
+  void Send(HttpResponse response) override {
+    exchange_->Send(std::move(response));
+  }
+  void Start(HttpResponse response) override {
+    exchange_->Start(std::move(response));
+  }
+  void Write(std::string_view data) override { exchange_->Write(data); }
+  void End() override { exchange_->End(); }
+  void Abort() override { exchange_->Abort(); }
+  std::size_t buffered_bytes() const override {
+    return exchange_->buffered_bytes();
+  }
+  void OnCallerGone(std::function<void()> callback) override {
+    exchange_->OnCallerGone(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<Exchange> exchange_;
+};
+
+// h2o answers oversized requests and bad chunks itself, in plain text, before
+// any handler. This output stream puts JSON in the place of that text. The 400
+// for bytes that are no HTTP request is a constant in h2o and stays plain text.
+struct ErrorBodyStream {
+  h2o_ostream_t super;
+  bool sent;
+};
+
+std::string_view ErrorBody(int status) {
+  if (status == kBodyTooLarge) {
+    return R"({"error":{"code":"request_too_large","message":)"
+           R"("the request body exceeds the limit of this server",)"
+           R"("outcome":"not_run","request_id":""}})";
+  }
+  return R"({"error":{"code":"bad_request","message":)"
+         R"("the request is not well-formed HTTP/1.1",)"
+         R"("outcome":"not_run","request_id":""}})";
+}
+
+void SendErrorBody(h2o_ostream_t* self,
+                   h2o_req_t* request,
+                   h2o_iovec_t* /*buffers*/,
+                   size_t /*buffer_count*/,
+                   h2o_send_state_t state) {
+  auto* stream = reinterpret_cast<ErrorBodyStream*>(self);
+  const std::string_view body = ErrorBody(request->res.status);
+  h2o_iovec_t buffer = h2o_iovec_init(body.data(), body.size());
+  h2o_ostream_send_next(self, request, &buffer, stream->sent ? 0 : 1, state);
+  stream->sent = true;
+}
+
+void SetUpErrorBody(h2o_filter_t* /*self*/,
+                    h2o_req_t* request,
+                    h2o_ostream_t** slot) {
+  const int status = request->res.status;
+  if (status == kBadRequest || status == kBodyTooLarge) {
+    request->res.content_length = ErrorBody(status).size();
+    static constexpr std::string_view kJson = "application/json";
+    h2o_set_header(&request->pool, &request->res.headers,
+                   H2O_TOKEN_CONTENT_TYPE, kJson.data(), kJson.size(), 1);
+    auto* stream = reinterpret_cast<ErrorBodyStream*>(
+        h2o_add_ostream(request, sizeof(ErrorBodyStream), slot));
+    stream->super.do_send = &SendErrorBody;
+    stream->sent = false;
+    slot = &stream->super.next;
+  }
+  h2o_setup_next_ostream(request, slot);
+}
+
+// What h2o's connections refer to. It outlives the `HttpServer` until the last
+// of them is closed, because h2o closes a connection only from the loop.
+class ServerCore {
+ public:
+  ServerCore(EventLoop& loop,
+             const HttpServer::Options& options,
+             HttpServer::Handler handler)
+      : loop_(loop), handler_(std::move(handler)) {
+    h2o_config_init(&config_);
+    static constexpr std::string_view kServerName = "amaranthcove";
+    config_.server_name =
+        h2o_iovec_init(kServerName.data(), kServerName.size());
+    config_.max_request_entity_size = options.max_body_bytes;
+    config_.http1.req_timeout = kIdleConnectionMs;
+    config_.http1.upgrade_to_http2 = 0;
+    static constexpr std::string_view kHost = "default";
+    h2o_hostconf_t* host = h2o_config_register_host(
+        &config_, h2o_iovec_init(kHost.data(), kHost.size()), 65535);
+    AddHandler(h2o_config_register_path(host, "/", 0));
+    h2o_filter_t* filter =
+        h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t));
+    filter->on_setup_ostream = &SetUpErrorBody;
+    h2o_context_init(&context_, loop.native(), &config_);
+    accept_.ctx = &context_;
+    accept_.hosts = config_.hosts;
+  }
+
+  ~ServerCore() {
+    loop_.Cancel(check_timer_);
+    internal::KeepUntilExit(context_.queue);
+    h2o_context_dispose(&context_);
+    h2o_config_dispose(&config_);
+  }
+
+  ServerCore(const ServerCore&) = delete;
+  ServerCore& operator=(const ServerCore&) = delete;
+
+  void Accept(h2o_socket_t* listener) {
+    for (int i = 0; i < kMaxAcceptsPerRound; ++i) {
+      h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+      if (socket == nullptr) {
+        return;
+      }
+      connections_.insert(socket);
+      auto* closed = new ClosedConnection{this, socket};
+      socket->on_close.cb = &ServerCore::OnConnectionClosed;
+      socket->on_close.data = closed;
+      h2o_accept(&accept_, socket);
+    }
+  }
+
+  // Closes connections after their current answers.
+  void BeginClosing() {
+    closing_ = true;
+    context_.shutdown_requested = 1;
+  }
+
+  // Ends everything; deletes itself when the last connection is closed.
+  void Orphan() {
+    orphaned_ = true;
+    BeginClosing();
+    handler_ = nullptr;
+    const std::vector<Exchange*> open(open_exchanges_.begin(),
+                                      open_exchanges_.end());
+    for (Exchange* exchange : open) {
+      exchange->DropCallback();
+      exchange->Abort();
+    }
+    for (h2o_socket_t* socket : connections_) {
+      shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+    DeleteIfUnused();
+  }
+
+ private:
+  struct RequestHandler {
+    h2o_handler_t super;
+    ServerCore* core;
+  };
+
+  struct ClosedConnection {
+    ServerCore* core;
+    h2o_socket_t* socket;
+  };
+
+  void AddHandler(h2o_pathconf_t* path) {
+    auto* handler = reinterpret_cast<RequestHandler*>(
+        h2o_create_handler(path, sizeof(RequestHandler)));
+    handler->super.on_req = &ServerCore::OnRequest;
+    handler->core = this;
+  }
+
+  static void OnConnectionClosed(void* data) {
+    const std::unique_ptr<ClosedConnection> closed(
+        static_cast<ClosedConnection*>(data));
+    closed->core->connections_.erase(closed->socket);
+    closed->core->DeleteIfUnused();
+  }
+
+  void DeleteIfUnused() {
+    if (!orphaned_ || !connections_.empty()) {
+      return;
+    }
+    // h2o may still be on the stack.
+    loop_.RunAfter(Duration::zero(), [this] { delete this; });
+  }
+
+  static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
+    ServerCore* core = reinterpret_cast<RequestHandler*>(self)->core;
+    auto exchange = std::make_shared<Exchange>(
+        core->loop_, core->open_exchanges_, core->closing_);
+    exchange->Attach(request);
+    core->WatchCallers();
+    HttpRequest copy = Copy(*request);
+    // Called by the loop: h2o reads a pipelined request while it ends the
+    // answer before, that is, inside a method of another responder.
+    core->loop_.RunAfter(
+        Duration::zero(), [core, exchange = std::move(exchange),
+                           copy = std::move(copy)]() mutable {
+          if (!exchange->is_attached()) {
+            return;
+          }
+          if (core->handler_ == nullptr) {
+            exchange->Abort();
+            return;
+          }
+          auto responder = std::make_unique<Responder>(std::move(exchange));
+          core->handler_(std::move(copy), std::move(responder));
+        });
+    return 0;
+  }
+
+  static HttpRequest Copy(const h2o_req_t& request) {
+    HttpRequest copy;
+    copy.method = ToString(request.input.method);
+    copy.path = ToString(request.input.path);
+    copy.body = ToString(request.entity);
+    copy.headers.reserve(request.headers.size + 1);
+    copy.headers.push_back({"host", ToString(request.input.authority)});
+    for (std::size_t i = 0; i < request.headers.size; ++i) {
+      const h2o_header_t& header = request.headers.entries[i];
+      copy.headers.push_back({ToString(*header.name), ToString(header.value)});
+    }
+    return copy;
+  }
+
+  void WatchCallers() {
+    if (check_timer_ == 0) {
+      check_timer_ =
+          loop_.RunAfter(kCallerCheckInterval, [this] { CheckCallers(); });
+    }
+  }
+
+  // A caller that only shuts down its sending side counts as gone too; the two
+  // cannot be told apart.
+  void CheckCallers() {
+    check_timer_ = 0;
+    std::vector<Exchange*> open;
+    std::vector<pollfd> sockets;
+    for (Exchange* exchange : open_exchanges_) {
+      if (!exchange->has_ended()) {
+        open.push_back(exchange);
+        // POLLRDHUP is reported even behind unread pipelined bytes, where
+        // MSG_PEEK would see only the bytes.
+        sockets.push_back({exchange->socket_fd(), POLLRDHUP, 0});
+      }
+    }
+    poll(sockets.data(), sockets.size(), 0);
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      if (sockets[i].revents != 0 && open_exchanges_.contains(open[i])) {
+        open[i]->CallerHasGone();
+      }
+    }
+    if (!open_exchanges_.empty()) {
+      WatchCallers();
+    }
+  }
+
+  EventLoop& loop_;
+  HttpServer::Handler handler_;
+  h2o_globalconf_t config_ = {};
+  h2o_context_t context_ = {};
+  h2o_accept_ctx_t accept_ = {};
+  std::unordered_set<h2o_socket_t*> connections_;
+  std::unordered_set<Exchange*> open_exchanges_;
+  TimerId check_timer_ = 0;
+  bool closing_ = false;
+  bool orphaned_ = false;
+};
+
+class HttpServerImpl final : public HttpServer {
+ public:
+  HttpServerImpl(EventLoop& loop,
+                 int fd,
+                 const Options& options,
+                 Handler handler)
+      : core_(new ServerCore(loop, options, std::move(handler))) {
+    listener_ =
+        h2o_evloop_socket_create(loop.native(), fd, H2O_SOCKET_FLAG_DONT_READ);
+    listener_->data = core_;
+    local_address_ = AddressOf(fd);
+    h2o_socket_read_start(listener_, &HttpServerImpl::OnAccept);
+  }
+
+  ~HttpServerImpl() override {
+    StopAccepting();
+    core_->Orphan();
+  }
+
+  Address local_address() const override { return local_address_; }
+
+  void StopAccepting() override {
+    if (listener_ == nullptr) {
+      return;
+    }
+    h2o_socket_read_stop(listener_);
+    h2o_socket_close(std::exchange(listener_, nullptr));
+    core_->BeginClosing();
+  }
+
+ private:
+  static void OnAccept(h2o_socket_t* listener, const char* error) {
+    if (error == nullptr) {
+      static_cast<ServerCore*>(listener->data)->Accept(listener);
+    }
+  }
+
+  static Address AddressOf(int fd) {
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
+    char ip[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &bound.sin_addr, ip, sizeof(ip));
+    return {ip, ntohs(bound.sin_port)};
+  }
+
+  ServerCore* core_;  // Deletes itself after `Orphan`.
+  h2o_socket_t* listener_ = nullptr;
+  Address local_address_;
+};
+
+// A listening, non-blocking socket on `address`.
+Result<int> OpenListener(const Address& address) {
+  sockaddr_in bound{};
+  bound.sin_family = AF_INET;
+  bound.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr) != 1) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "not an IPv4 address: " + address.ip);
+  }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (fd < 0 ||
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      bind(fd, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0 ||
+      listen(fd, SOMAXCONN) != 0) {
+    std::string message = "cannot listen on " + FormatAddress(address) + ": " +
+                          std::strerror(errno);
+    if (fd >= 0) {
+      close(fd);
+    }
+    return MakeError(ErrorCode::kUnavailable, std::move(message));
+  }
+  return fd;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(EventLoop& loop,
+                                                       const Address& address,
+                                                       const Options& options,
+                                                       Handler handler) {
+  const Result<int> fd = OpenListener(address);
+  if (!fd.has_value()) {
+    return tl::unexpected(fd.error());
+  }
+  return std::make_unique<HttpServerImpl>(loop, *fd, options,
+                                          std::move(handler));
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/net/http_test.cc
@@ -0,0 +1,460 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "amaranthcove/net/http_client.h"
+#include "amaranthcove/net/http_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(20);
+const Address kAnyPort = {"127.0.0.1", 0};
+
+// Runs the loop until `done`; fails the test after `kLimit`.
+void RunUntil(EventLoop& loop, const std::function<bool()>& done) {
+  const Time limit = SteadyNow() + kLimit;
+  while (!done()) {
+    CHECK_TEXT(SteadyNow() < limit, "the event did not happen in time");
+    loop.RunOnce(std::chrono::milliseconds(20));
+  }
+}
+
+// A TCP connection whose bytes the test writes and reads itself.
+class RawPeer {
+ public:
+  explicit RawPeer(int fd) : fd_(fd) {}
+  ~RawPeer() { Close(); }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+
+  static int Connect(const Address& address) {
+    sockaddr_in server{};
+    server.sin_family = AF_INET;
+    server.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &server.sin_addr);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    CHECK_EQUAL(
+        0, connect(fd, reinterpret_cast<sockaddr*>(&server), sizeof(server)));
+    return fd;
+  }
+
+  void Write(std::string_view text) const {
+    CHECK_EQUAL(static_cast<ssize_t>(text.size()),
+                send(fd_, text.data(), text.size(), MSG_NOSIGNAL));
+  }
+
+  // Adds what has arrived to `received`; true once the peer has closed.
+  bool ReadAvailable() {
+    char buffer[65536];
+    for (;;) {
+      const ssize_t size = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (size <= 0) {
+        return size == 0 || errno == ECONNRESET;
+      }
+      received.append(buffer, static_cast<std::size_t>(size));
+    }
+  }
+
+  void Close() {
+    if (fd_ >= 0) {
+      close(fd_);
+      fd_ = -1;
+    }
+  }
+
+  std::string received;
+
+ private:
+  int fd_;
+};
+
+// A listener whose connections are answered by the test, byte by byte.
+class RawListener {
+ public:
+  RawListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(bound);
+    CHECK_EQUAL(0, bind(fd_, reinterpret_cast<sockaddr*>(&bound), size));
+    CHECK_EQUAL(0, listen(fd_, 8));
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
+    address = {"127.0.0.1", ntohs(bound.sin_port)};
+  }
+  ~RawListener() { close(fd_); }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  // Waits for a connection while the loop runs.
+  std::unique_ptr<RawPeer> Accept(EventLoop& loop) const {
+    int fd = -1;
+    RunUntil(loop, [&] {
+      fd = accept4(fd_, nullptr, nullptr, 0);
+      return fd >= 0;
+    });
+    return std::make_unique<RawPeer>(fd);
+  }
+
+  void SetNonBlocking() const {
+    const timeval wait = {0, 1000};
+    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+  }
+
+  Address address;
+
+ private:
+  int fd_;
+};
+
+struct Answer {
+  HttpCallEnd end = HttpCallEnd::kBroken;
+  HttpResponse response;
+};
+
+}  // namespace
+
+TEST_GROUP(Http) {
+  EventLoop loop;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(loop);
+  std::unique_ptr<HttpServer> server;
+  std::vector<std::unique_ptr<HttpResponder>> responders;
+  std::vector<HttpRequest> requests;
+
+  void Listen(HttpServer::Handler handler,
+              const HttpServer::Options& options = HttpServer::Options()) {
+    auto listening =
+        HttpServer::Listen(loop, kAnyPort, options, std::move(handler));
+    CHECK(listening.has_value());
+    server = std::move(*listening);
+  }
+
+  // A server that keeps each request and responder for the test.
+  void ListenAndKeep(const HttpServer::Options& options =
+                         HttpServer::Options()) {
+    const auto keep = [this](HttpRequest request,
+                             std::unique_ptr<HttpResponder> responder) {
+      requests.push_back(std::move(request));
+      responders.push_back(std::move(responder));
+    };
+    Listen(keep, options);
+  }
+
+  Answer Fetch(const Address& address, HttpRequest request) {
+    std::optional<Answer> answer;
+    client->Fetch(address, std::move(request), SteadyNow() + kLimit,
+                  [&answer](HttpCallEnd end, HttpResponse response) {
+                    answer = Answer{end, std::move(response)};
+                  });
+    CHECK_FALSE(answer.has_value());
+    RunUntil(loop, [&answer] { return answer.has_value(); });
+    return *answer;
+  }
+
+  // Sends `bytes` as the answer of a server that closes after them.
+  HttpCallEnd EndAfterAnswer(std::string_view bytes) {
+    const RawListener listener;
+    listener.SetNonBlocking();
+    std::optional<HttpCallEnd> end;
+    client->Fetch(listener.address, {"GET", "/", {}, ""}, SteadyNow() + kLimit,
+                  [&end](HttpCallEnd how, const HttpResponse&) { end = how; });
+    const auto peer = listener.Accept(loop);
+    RunUntil(loop, [&peer] {
+      peer->ReadAvailable();
+      return peer->received.ends_with("\r\n\r\n");
+    });
+    peer->Write(bytes);
+    peer->Close();
+    RunUntil(loop, [&end] { return end.has_value(); });
+    return *end;
+  }
+
+  void teardown() override {
+    responders.clear();
+    client.reset();
+    server.reset();
+    // Lets h2o close its connections.
+    for (int i = 0; i < 20; ++i) {
+      loop.RunOnce(Duration::zero());
+    }
+  }
+};
+
+// Guards against requests or answers that lose a part on the way.
+TEST(Http, CarriesRequestAndAnswer) {
+  Listen([this](HttpRequest request, std::unique_ptr<HttpResponder> to) {
+    requests.push_back(std::move(request));
+    to->Send({201, {{"X-Request-Id", "7"}}, std::string(300'000, 'b')});
+  });
+  const Answer answer =
+      Fetch(server->local_address(), {"PUT",
+                                      "/a/b?c=d%20e",
+                                      {{"X-Request-Kind", "counter"}},
+                                      std::string(200'000, 'a')});
+  CHECK(answer.end == HttpCallEnd::kComplete);
+  CHECK_EQUAL(201, answer.response.status);
+  CHECK("7" == FindHeader(answer.response.headers, "x-request-id"));
+  CHECK(answer.response.body == std::string(300'000, 'b'));
+  CHECK("PUT" == requests[0].method);
+  CHECK("/a/b?c=d%20e" == requests[0].path);
+  CHECK("counter" == FindHeader(requests[0].headers, "X-Request-Kind"));
+  CHECK(requests[0].body == std::string(200'000, 'a'));
+}
+
+// Guards against callers that pass a forged header field in a value.
+TEST(Http, DropsFieldsWithLineBreaks) {
+  Listen([](const HttpRequest&, std::unique_ptr<HttpResponder> to) {
+    to->Send({200, {{"X-A", "1\r\nX-B: 2"}, {"Content-Length", "9"}}, "ok"});
+  });
+  const Answer answer = Fetch(server->local_address(), {"GET", "/", {}, ""});
+  CHECK(answer.end == HttpCallEnd::kComplete);
+  CHECK(FindHeader(answer.response.headers, "x-b").empty());
+  CHECK("ok" == answer.response.body);
+}
+
+// Guards against pieces that are lost or reordered while an earlier piece is
+// still being sent.
+TEST(Http, StreamsPiecesInOrder) {
+  ListenAndKeep();
+  std::string received;
+  std::optional<HttpCallEnd> end;
+  HttpClient::Callbacks callbacks;
+  callbacks.on_data = [&received](std::string_view data) { received += data; };
+  callbacks.on_end = [&end](HttpCallEnd how) { end = how; };
+  client->Start(server->local_address(), {"GET", "/", {}, ""},
+                SteadyNow() + kLimit, callbacks);
+  RunUntil(loop, [this] { return !responders.empty(); });
+  responders[0]->Start({200, {}, "head;"});
+  RunUntil(loop, [&received] { return received == "head;"; });
+  std::string expected = "head;";
+  for (int i = 0; i < 5000; ++i) {
+    const std::string piece = "piece " + std::to_string(i) + ";";
+    expected += piece;
+    responders[0]->Write(piece);
+  }
+  responders[0]->End();
+  responders.clear();
+  RunUntil(loop, [&end] { return end.has_value(); });
+  CHECK(*end == HttpCallEnd::kComplete);
+  CHECK(expected == received);
+}
+
+// Guards against answers whose truncation callers cannot see: h2o ends a
+// streamed answer of these statuses with the connection.
+TEST(Http, FramesStreamedAnswersOfOtherStatuses) {
+  Listen([](const HttpRequest&, std::unique_ptr<HttpResponder> to) {
+    to->Start({503, {}, "a"});
+    to->Write("b");
+    to->End();
+  });
+  const Answer answer = Fetch(server->local_address(), {"GET", "/", {}, ""});
+  CHECK(answer.end == HttpCallEnd::kComplete);
+  CHECK_EQUAL(503, answer.response.status);
+  CHECK("ab" == answer.response.body);
+}
+
+// Guards against a broken answer that its caller takes for whole.
+TEST(Http, AbortedAnswersAreBroken) {
+  for (const bool started : {false, true}) {
+    Listen([started](const HttpRequest&, std::unique_ptr<HttpResponder> to) {
+      if (started) {
+        to->Start({200, {}, "part"});
+      }
+    });
+    const Answer answer = Fetch(server->local_address(), {"GET", "/", {}, ""});
+    CHECK(answer.end == HttpCallEnd::kBroken);
+  }
+}
+
+// Guards against an aborted stream that ends between two chunks, which lenient
+// clients take for whole, and against one that a slow reader keeps open.
+TEST(Http, AbortedStreamsEndInAnInvalidChunk) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  responders[0]->Start({200, {}, "part"});
+  responders[0]->Abort();
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  CHECK(peer.received.ends_with("4\r\npart\r\n\r\n1\r\n"));
+
+  RawPeer slow(RawPeer::Connect(server->local_address()));
+  slow.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return responders.size() == 2; });
+  constexpr std::size_t kMoreThanSocketsBuffer = 64 << 20;
+  responders[1]->Start({200, {}, std::string(kMoreThanSocketsBuffer, 'x')});
+  responders[1]->Abort();
+  RunUntil(loop, [this] { return responders[1]->buffered_bytes() == 0; });
+  RunUntil(loop, [&slow] { return slow.ReadAvailable(); });
+  CHECK(slow.received.size() < kMoreThanSocketsBuffer);
+}
+
+// Guards against truncated bodies that end as kComplete.
+TEST(Http, TruncatedBodiesAreBroken) {
+  CHECK(HttpCallEnd::kComplete ==
+        EndAfterAnswer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab"));
+  CHECK(HttpCallEnd::kComplete ==
+        EndAfterAnswer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                       "2\r\nab\r\n0\r\n\r\n"));
+  CHECK(HttpCallEnd::kComplete ==
+        EndAfterAnswer("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+  for (const char* bytes :
+       {"", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\na",
+        "HTTP/1.1 200 OK\r\n\r\nno length and no chunks"}) {
+    CHECK_TEXT(HttpCallEnd::kBroken == EndAfterAnswer(bytes), bytes);
+  }
+}
+
+// Guards against a second copy of a request on a new connection: the server
+// may have run the first.
+TEST(Http, BrokenKeepAliveConnectionIsNotSentAgain) {
+  const RawListener listener;
+  listener.SetNonBlocking();
+  std::vector<HttpCallEnd> ends;
+  const auto fetch = [&] {
+    client->Fetch(
+        listener.address, {"POST", "/", {}, "x"}, SteadyNow() + kLimit,
+        [&ends](HttpCallEnd end, const HttpResponse&) { ends.push_back(end); });
+  };
+  fetch();
+  const auto peer = listener.Accept(loop);
+  peer->Write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+  RunUntil(loop, [&ends] { return ends.size() == 1; });
+  CHECK(ends[0] == HttpCallEnd::kComplete);
+  peer->ReadAvailable();
+  peer->received.clear();
+  fetch();
+  RunUntil(loop, [&peer] {
+    peer->ReadAvailable();
+    return peer->received.ends_with("\r\n\r\nx");
+  });
+  peer->Close();
+  RunUntil(loop, [&ends] { return ends.size() == 2; });
+  CHECK(ends[1] == HttpCallEnd::kBroken);
+}
+
+// Guards against a refused connection that counts as a request that may have
+// run, which would forbid its retry.
+TEST(Http, ConnectFailureIsItsOwnEnd) {
+  Address closed;
+  {
+    const RawListener listener;
+    closed = listener.address;
+  }
+  const Answer answer = Fetch(closed, {"GET", "/", {}, ""});
+  CHECK(answer.end == HttpCallEnd::kConnectFailed);
+}
+
+// Guards against calls that outlive their deadline.
+TEST(Http, CallsEndAtTheirDeadline) {
+  ListenAndKeep();
+  std::optional<HttpCallEnd> end;
+  client->Fetch(server->local_address(), {"GET", "/", {}, ""},
+                SteadyNow() + std::chrono::milliseconds(30),
+                [&end](HttpCallEnd how, const HttpResponse&) { end = how; });
+  RunUntil(loop, [&end] { return end.has_value(); });
+  CHECK(*end == HttpCallEnd::kTimedOut);
+}
+
+// Guards against work that goes on for a caller that has gone, before and
+// after the answer has begun.
+TEST(Http, NoticesCallersThatLeave) {
+  for (const bool started : {false, true}) {
+    ListenAndKeep();
+    auto peer =
+        std::make_unique<RawPeer>(RawPeer::Connect(server->local_address()));
+    // The pipelined second request must not hide the end of the connection.
+    peer->Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    RunUntil(loop, [this] { return !responders.empty(); });
+    bool gone = false;
+    responders[0]->OnCallerGone([&gone] { gone = true; });
+    if (started) {
+      responders[0]->Start({200, {}, "x"});
+    }
+    peer->Close();
+    RunUntil(loop, [&gone] { return gone; });
+    responders[0]->Write("more");
+    responders[0]->End();
+    responders.clear();
+  }
+}
+
+// Guards against callbacks of a cancelled call, also when one of its own
+// callbacks cancels it, and against a server that works on for it.
+TEST(Http, CancelledCallsAreSilent) {
+  ListenAndKeep();
+  int calls = 0;
+  HttpCallId id = 0;
+  HttpClient::Callbacks callbacks;
+  callbacks.on_data = [&](std::string_view) {
+    ++calls;
+    client->Cancel(id);
+  };
+  callbacks.on_end = [&calls](HttpCallEnd) { ++calls; };
+  id = client->Start(server->local_address(), {"GET", "/", {}, ""},
+                     SteadyNow() + kLimit, callbacks);
+  RunUntil(loop, [this] { return !responders.empty(); });
+  bool gone = false;
+  responders[0]->OnCallerGone([&gone] { gone = true; });
+  responders[0]->Start({200, {}, "x"});
+  RunUntil(loop, [&gone] { return gone; });
+  CHECK_EQUAL(1, calls);
+}
+
+// Guards against answers of h2o itself that do not have the shape callers
+// parse, and against large bodies that fill the memory.
+TEST(Http, RefusesLargeBodiesInJson) {
+  HttpServer::Options options;
+  options.max_body_bytes = 100;
+  ListenAndKeep(options);
+  for (const char* framing : {"content-length: 101\r\n\r\n",
+                              "transfer-encoding: chunked\r\n\r\n65\r\n"}) {
+    RawPeer peer(RawPeer::Connect(server->local_address()));
+    peer.Write("POST / HTTP/1.1\r\n");
+    peer.Write(framing);
+    peer.Write(std::string(101, 'x'));
+    RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+    STRCMP_CONTAINS("HTTP/1.1 413 ", peer.received.c_str());
+    STRCMP_CONTAINS(R"("outcome":"not_run")", peer.received.c_str());
+  }
+  CHECK(requests.empty());
+}
+
+// Guards against bytes that are no HTTP and reach a handler.
+TEST(Http, RefusesOtherProtocols) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("nonsense\r\n\r\n");
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  STRCMP_CONTAINS("HTTP/1.1 400 ", peer.received.c_str());
+  CHECK(requests.empty());
+}
+
+// Guards against requests that a graceful shutdown interrupts, and against
+// connections that stay open for more work after it.
+TEST(Http, StopAcceptingFinishesRequests) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  server->StopAccepting();
+  responders[0]->Send({200, {}, "done"});
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  CHECK(peer.received.ends_with("done"));
+  const Answer answer = Fetch(server->local_address(), {"GET", "/", {}, ""});
+  CHECK(answer.end == HttpCallEnd::kConnectFailed);
+}
+
+}  // namespace amaranthcove
