--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <filesystem>
-#include <fstream>
 #include <utility>
 
+#include "amaranthcove/base/file.h"
 #include "amaranthcove/ini/schema.h"
 
 namespace amaranthcove {
@@ -124,27 +124,6 @@
   }
 }
 
-IniErrors FileError(std::string message) {
-  return {{0, "", "", std::move(message)}};
-}
-
-// The first `limit` + 1 bytes of `file`, so that callers notice a longer file;
-// nothing if it cannot be read.
-std::optional<std::string> ReadUpTo(const std::string& file,
-                                    std::size_t limit) {
-  std::ifstream stream(file, std::ios::binary);
-  std::string text(limit + 1, '\0');
-  if (!stream || std::filesystem::is_directory(file)) {
-    return std::nullopt;
-  }
-  stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (stream.bad()) {
-    return std::nullopt;
-  }
-  text.resize(static_cast<std::size_t>(stream.gcount()));
-  return text;
-}
-
 }  // namespace
 
 std::string_view RoleName(Role role) {
@@ -188,13 +167,10 @@
 }
 
 tl::expected<Settings, IniErrors> ReadSettings(const std::string& file) {
-  const std::optional<std::string> text = ReadUpTo(file, kMaxSettingsBytes);
+  const Result<std::string> text = ReadFile(file, kMaxSettingsBytes);
   if (!text) {
-    return tl::unexpected<IniErrors>(FileError("the file cannot be read"));
-  }
-  if (text->size() > kMaxSettingsBytes) {
-    return tl::unexpected<IniErrors>(FileError(
-        "the file exceeds " + std::to_string(kMaxSettingsBytes) + " bytes"));
+    return tl::unexpected<IniErrors>(
+        IniErrors{{0, "", "", text.error().message}});
   }
   auto settings = ParseSettings(*text);
   if (settings) {
@@ -207,18 +183,17 @@
 }
 
 Result<std::string> ReadClusterKey(const std::string& file) {
-  std::optional<std::string> key = ReadUpTo(file, kMaxClusterKeyBytes);
+  Result<std::string> key = ReadFile(file, kMaxClusterKeyBytes);
   if (!key) {
-    return MakeError(ErrorCode::kNotFound,
-                     "cluster key file \"" + file + "\" cannot be read");
+    return MakeError(key.error().code, "cluster key file \"" + file +
+                                           "\": " + key.error().message);
   }
-  const bool whole = key->size() <= kMaxClusterKeyBytes;
   key->erase(key->find_last_not_of(" \t\r\n") + 1);
-  if (!whole || key->size() < kMinClusterKeyBytes) {
+  if (key->size() < kMinClusterKeyBytes) {
     return MakeError(ErrorCode::kInvalidArgument,
-                     "cluster key file \"" + file + "\" must hold " +
-                         std::to_string(kMinClusterKeyBytes) + " to " +
-                         std::to_string(kMaxClusterKeyBytes) + " bytes");
+                     "cluster key file \"" + file + "\": the key has " +
+                         std::to_string(key->size()) + " bytes; at least " +
+                         std::to_string(kMinClusterKeyBytes) + " are needed");
   }
   return std::move(*key);
 }
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -73,6 +73,7 @@
 // Guards against a handshake under an empty or truncated key.
 TEST(Settings, RefusesMissingAndShortClusterKeys) {
   CHECK(ReadClusterKey("/nonexistent").error().code == ErrorCode::kNotFound);
+  CHECK(ReadClusterKey("/").error().code == ErrorCode::kNotFound);
   CHECK(ReadClusterKey("/dev/null").error().code ==
         ErrorCode::kInvalidArgument);
   CHECK(ReadClusterKey("/dev/zero").error().code ==
