--- /dev/null
+++ b/src/policy/choice.cc
@@ -0,0 +1,146 @@
+#include "amaranthcove/policy/choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthcove::policy {
+
+namespace {
+
+// 1 for a fresh report, 0 for none.
+double ReportTrust(const Candidate& candidate, const ChoiceSettings& settings) {
+  if (candidate.report_age == Duration::max()) {
+    return 0;
+  }
+  return std::exp2(-ToSeconds(candidate.report_age) /
+                   ToSeconds(settings.report_half_life));
+}
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+double MissProbability(const Candidate& candidate,
+                       bool preferred,
+                       double trust) {
+  const double prior = preferred ? 0.5 : 1.0;
+  switch (candidate.resident) {
+    case Residency::kYes:
+      return (1 - trust) * prior;
+    case Residency::kNo:
+      return trust + (1 - trust) * prior;
+    case Residency::kUnknown:
+      break;
+  }
+  return prior;
+}
+
+// Index of the better of two of the first `count` candidates that are not
+// leaving, drawn at random; `count` if all are leaving.
+std::size_t DrawPreferred(std::span<const Candidate> candidates,
+                          std::size_t count,
+                          const ChoiceSettings& settings,
+                          Random& random) {
+  std::size_t first = count;
+  std::size_t second = count;
+  std::uint64_t seen = 0;
+  // Reservoir sampling of two candidates.
+  for (std::size_t i = 0; i < count; ++i) {
+    if (candidates[i].leaving) {
+      continue;
+    }
+    ++seen;
+    if (seen == 1) {
+      first = i;
+    } else if (seen == 2) {
+      second = i;
+    } else if (const std::uint64_t draw = random.NextBelow(seen); draw < 2) {
+      (draw == 0 ? first : second) = i;
+    }
+  }
+  if (second == count) {
+    return first;
+  }
+  const Duration a = EstimatedStart(candidates[first], true, settings);
+  const Duration b = EstimatedStart(candidates[second], true, settings);
+  return b < a || (a == b && random.NextBelow(2) == 1) ? second : first;
+}
+
+}  // namespace
+
+Duration EstimatedStart(const Candidate& candidate,
+                        bool preferred,
+                        const ChoiceSettings& settings) {
+  const double trust = ReportTrust(candidate, settings);
+  const Duration wait = Scale(candidate.expected_wait, trust) +
+                        Scale(settings.unknown_wait, 1 - trust) +
+                        settings.request_cost * candidate.unreported;
+  const Duration load = std::max(candidate.load_wait, settings.load_cost);
+  return wait + Scale(load, MissProbability(candidate, preferred, trust));
+}
+
+std::optional<Choice> ChooseServer(std::span<const Candidate> candidates,
+                                   std::size_t replicas,
+                                   const ChoiceSettings& settings,
+                                   Random& random) {
+  const std::size_t preferred =
+      std::min(std::max<std::size_t>(replicas, 1), candidates.size());
+  const std::size_t base =
+      DrawPreferred(candidates, preferred, settings, random);
+  const bool has_base = base < preferred;
+  const Duration limit =
+      has_base ? EstimatedStart(candidates[base], true, settings) -
+                     settings.load_cost
+               : Duration::max();
+  // Of all candidates below the limit, the better of two random ones is taken:
+  // entries that see the same reports do not all go to the same server.
+  std::size_t best = candidates.size();
+  Duration best_start = Duration::max();
+  std::uint64_t seen = 0;
+  std::size_t drawn[2] = {0, 0};
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].leaving || (has_base && i == base) ||
+        EstimatedStart(candidates[i], i < preferred, settings) >= limit) {
+      continue;
+    }
+    const std::uint64_t place = seen < 2 ? seen : random.NextBelow(seen + 1);
+    ++seen;
+    if (place < 2) {
+      drawn[place] = i;
+    }
+  }
+  for (std::size_t k = 0; k < std::min<std::uint64_t>(seen, 2); ++k) {
+    const Duration start =
+        EstimatedStart(candidates[drawn[k]], drawn[k] < preferred, settings);
+    if (start < best_start) {
+      best = drawn[k];
+      best_start = start;
+    }
+  }
+  if (best < candidates.size()) {
+    return Choice{best, has_base ? ChoiceReason::kShorterWait
+                                 : ChoiceReason::kOthersLeaving};
+  }
+  if (!has_base) {
+    return std::nullopt;
+  }
+  return Choice{
+      base, base == 0 ? ChoiceReason::kFirstCandidate : ChoiceReason::kReplica};
+}
+
+std::string_view ChoiceReasonName(ChoiceReason reason) {
+  switch (reason) {
+    case ChoiceReason::kFirstCandidate:
+      return "first_candidate";
+    case ChoiceReason::kReplica:
+      return "replica";
+    case ChoiceReason::kShorterWait:
+      return "shorter_wait";
+    case ChoiceReason::kOthersLeaving:
+      return "others_leaving";
+  }
+  return "first_candidate";
+}
+
+}  // namespace amaranthcove::policy
