--- a/src/base/address.cc
+++ b/src/base/address.cc
@@ -24,7 +24,7 @@
   if (error != std::errc() || rest != end) {
     return MakeError(
         ErrorCode::kInvalidArgument,
-        "\"" + std::string(port) + "\" is not a port (0 to 65535)");
+        std::string("\"").append(port).append("\" is not a port (0 to 65535)"));
   }
   return address;
 }
