--- /dev/null
+++ b/src/membership/instance_directory_test.cc
@@ -0,0 +1,194 @@
+#include "amaranthcove/membership/instance_directory.h"
+
+#include <map>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+constexpr Time kNow{std::chrono::hours(1)};
+
+InstanceRecord Engine(const std::string& name,
+                      const std::string& region = "sofia",
+                      InstanceState state = InstanceState::kLive) {
+  return {name,
+          InstanceRole::kSidecar,
+          {"127.0.0.1", 1},
+          region,
+          region + "-1",
+          state,
+          {BackendKind::kEngine, "base-1", "", ""}};
+}
+
+std::string Names(const std::vector<ServerCandidate>& servers) {
+  std::string names;
+  for (const ServerCandidate& server : servers) {
+    names += server.instance->record.instance + " ";
+  }
+  return names;
+}
+
+void Apply(InstanceDirectory& directory,
+           std::int64_t revision,
+           const InstanceRecord& record) {
+  directory.ApplyList(revision, {&record, 1});
+}
+
+}  // namespace
+
+TEST_GROUP(InstanceDirectory) {
+  InstanceDirectory directory;
+
+  std::string Servers() const {
+    return Names(directory.ServersForModel("base-1", "sofia", kNow));
+  }
+};
+
+// Guards against new work for a server that said it is leaving, while the list
+// still calls it live; and against its next incarnation staying unused.
+TEST(InstanceDirectory, LeavingLastsForTheIncarnation) {
+  Apply(directory, 1, Engine("e1"));
+  directory.OnHello(Engine("e1"), 11);
+  directory.OnLeaving("e1", 11);
+  STRCMP_EQUAL("", Servers().c_str());
+  Apply(directory, 2, Engine("e1"));
+  STRCMP_EQUAL("", Servers().c_str());
+  CHECK_EQUAL(1U,
+              directory.ConnectTargets(InstanceRole::kSidecar, kNow).size());
+  CHECK(directory.OnHello(Engine("e1"), 12) == HelloResult::kNewIncarnation);
+  Apply(directory, 3, Engine("e1"));
+  STRCMP_EQUAL("e1 ", Servers().c_str());
+}
+
+// Guards against late messages of a replaced process taking its successor out
+// of service.
+TEST(InstanceDirectory, IgnoresReplacedIncarnations) {
+  directory.OnHello(Engine("e1"), 11);
+  directory.OnHello(Engine("e1"), 12);
+  CHECK(directory.OnHello(Engine("e1"), 11) == HelloResult::kPastIncarnation);
+  directory.OnLeaving("e1", 11);
+  STRCMP_EQUAL("e1 ", Servers().c_str());
+  CHECK_EQUAL(12, directory.Find("e1")->incarnation);
+}
+
+// Guards against a lagging replica of the list bringing back what is gone.
+TEST(InstanceDirectory, IgnoresOlderListAnswers) {
+  Apply(directory, 5, Engine("e1", "sofia", InstanceState::kGone));
+  Apply(directory, 4, Engine("e1"));
+  CHECK_EQUAL(1, directory.stale_answers());
+  directory.ForgetGone();
+  Apply(directory, 4, Engine("e1"));
+  STRCMP_EQUAL("", Servers().c_str());
+  CHECK(directory.Find("e1") == nullptr);
+}
+
+// Guards against a repeated list answer undoing what an instance said later.
+TEST(InstanceDirectory, RepeatedAnswerDoesNotUndoHello) {
+  const InstanceRecord gone = Engine("e1", "sofia", InstanceState::kGone);
+  Apply(directory, 5, gone);
+  directory.OnHello(Engine("e1"), 12);
+  Apply(directory, 5, gone);
+  STRCMP_EQUAL("e1 ", Servers().c_str());
+}
+
+// Guards against sending requests to far or failing servers while near and
+// healthy ones exist.
+TEST(InstanceDirectory, OrdersByRegionThenProbation) {
+  for (const char* name : {"a", "b", "c"}) {
+    Apply(directory, 1, Engine(name, name[0] == 'a' ? "graz" : "sofia"));
+  }
+  STRCMP_EQUAL("b c a ", Servers().c_str());
+  directory.OnSilence("b", kNow);
+  STRCMP_EQUAL("c b a ", Servers().c_str());
+  directory.OnHeard("b");
+  STRCMP_EQUAL("b c a ", Servers().c_str());
+}
+
+// Guards against plain calls of one team reaching the service of another.
+TEST(InstanceDirectory, FindsPlainServicesByTeam) {
+  InstanceRecord desk = Engine("p1");
+  desk.backend = {BackendKind::kPlain, "", "team", "booking"};
+  Apply(directory, 1, desk);
+  const auto count = [&](const char* team, const char* service) {
+    return directory.ServersForService(team, service, "sofia", kNow).size();
+  };
+  CHECK_EQUAL(1U, count("team", "booking"));
+  CHECK_EQUAL(0U, count("other", "booking"));
+  CHECK_EQUAL(0U, count("team", "stock"));
+  STRCMP_EQUAL("", Servers().c_str());
+}
+
+// Guards against entries that left being chosen as readers or peers.
+TEST(InstanceDirectory, ListsLiveEntries) {
+  for (const char* name : {"entry-1", "entry-2"}) {
+    InstanceRecord entry = Engine(name);
+    entry.role = InstanceRole::kEntry;
+    entry.backend = {};
+    directory.OnHello(entry, 1);
+  }
+  CHECK_EQUAL(2U, directory.EntriesOf("sofia-1").size());
+  CHECK_EQUAL(0U, directory.EntriesOf("sofia-2").size());
+  directory.OnLeaving("entry-1", 1);
+  CHECK_EQUAL(1U, directory.LiveEntries().size());
+}
+
+// Guards, under list answers in any order, restarts, late messages and
+// leaving notices, against offering a server whose current incarnation said it
+// is leaving, and against a list revision that falls.
+TEST(InstanceDirectory, HistoriesNeverOfferLeavingServers) {
+  CHECK(rc::check([] {
+    InstanceDirectory instances;
+    std::map<std::string, Incarnation> current;
+    std::set<std::string> leaving;
+    const int steps = *rc::gen::inRange(1, 50);
+    for (int step = 0; step < steps; ++step) {
+      const std::string name(1, static_cast<char>(*rc::gen::inRange('a', 'd')));
+      const std::int64_t before = instances.list_revision();
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          instances.OnHello(Engine(name), ++current[name]);
+          leaving.erase(name);
+          break;
+        case 1:
+          if (current[name] > 0) {
+            leaving.insert(name);
+          }
+          instances.OnLeaving(name, current[name]);
+          break;
+        case 2:
+          // A late message or a further connection.
+          if (const Incarnation old = current[name] - *rc::gen::inRange(0, 3);
+              old > 0) {
+            instances.OnHello(Engine(name), old);
+          }
+          break;
+        case 3:
+          instances.OnLeaving(name, current[name] - 1);
+          break;
+        default: {
+          const auto state =
+              static_cast<InstanceState>(*rc::gen::inRange(0, 3));
+          Apply(instances, *rc::gen::inRange(1, 40),
+                Engine(name, "sofia", state));
+        }
+      }
+      RC_ASSERT(instances.list_revision() >= before);
+      for (const ServerCandidate& server :
+           instances.ServersForModel("base-1", "sofia", kNow)) {
+        RC_ASSERT(!leaving.contains(server.instance->record.instance));
+      }
+      for (const auto& [instance, incarnation] : current) {
+        if (incarnation != 0) {
+          RC_ASSERT(instances.Find(instance)->incarnation == incarnation);
+        }
+      }
+    }
+  }));
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/membership/peer_graph_test.cc
@@ -0,0 +1,169 @@
+#include "amaranthcove/membership/peer_graph.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+constexpr int kEntries = 860;
+constexpr int kDataCentres = 17;
+constexpr Time kStart{std::chrono::hours(1)};
+
+// Names of the entries; the places point into them.
+struct Entries {
+  std::vector<std::string> names;
+  std::vector<std::string> data_centres;
+  std::vector<EntryPlace> places;
+
+  Entries() {
+    for (int i = 0; i < kDataCentres; ++i) {
+      data_centres.push_back("dc-" + std::to_string(i));
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      names.push_back("entry-" + std::to_string(i));
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      places.push_back({names[i], data_centres[i % kDataCentres]});
+    }
+  }
+};
+
+using Graph = std::map<std::string_view, std::set<std::string_view>>;
+
+// The links among `live`, chosen while everybody in `known` was listed.
+Graph LinksAmong(const std::set<std::string_view>& live,
+                 std::span<const EntryPlace> known) {
+  Graph graph;
+  for (const EntryPlace& entry : known) {
+    for (const std::string_view peer : PeersFor(entry, known)) {
+      if (live.contains(entry.instance) && live.contains(peer)) {
+        graph[entry.instance].insert(peer);
+        graph[peer].insert(entry.instance);
+      }
+    }
+  }
+  return graph;
+}
+
+std::size_t ReachedFrom(std::string_view start, const Graph& graph) {
+  std::set<std::string_view> reached{start};
+  std::vector<std::string_view> pending{start};
+  while (!pending.empty()) {
+    const std::string_view entry = pending.back();
+    pending.pop_back();
+    const auto links = graph.find(entry);
+    if (links == graph.end()) {
+      continue;
+    }
+    for (const std::string_view peer : links->second) {
+      if (reached.insert(peer).second) {
+        pending.push_back(peer);
+      }
+    }
+  }
+  return reached.size();
+}
+
+}  // namespace
+
+TEST_GROUP(PeerGraph) {
+  Entries entries;
+};
+
+// Guards against changes that do not reach some entries although the platform
+// and most peers live: 20% of the entries are dead and still listed.
+TEST(PeerGraph, StaysConnectedWithDeadEntries) {
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<EntryPlace> shuffled = entries.places;
+    std::ranges::shuffle(shuffled, random);
+    std::set<std::string_view> live;
+    for (int i = 0; i < kEntries * 8 / 10; ++i) {
+      live.insert(shuffled[i].instance);
+    }
+    const Graph graph = LinksAmong(live, entries.places);
+    CHECK_EQUAL(live.size(), ReachedFrom(*live.begin(), graph));
+  }
+}
+
+// Guards against peers of only one data centre: a partition between data
+// centres would then cut entries off from all others at once.
+TEST(PeerGraph, ChoosesPeersInsideAndOutside) {
+  std::map<std::string_view, std::string_view> place;
+  for (const EntryPlace& entry : entries.places) {
+    place[entry.instance] = entry.data_centre;
+  }
+  for (const EntryPlace& entry : entries.places) {
+    const auto peers = PeersFor(entry, entries.places);
+    CHECK_EQUAL(kPeersInside + kPeersOutside, peers.size());
+    CHECK(std::ranges::find(peers, entry.instance) == peers.end());
+    const auto inside = std::ranges::count_if(
+        peers, [&](auto peer) { return place[peer] == entry.data_centre; });
+    CHECK_EQUAL(kPeersInside, static_cast<std::size_t>(inside));
+  }
+}
+
+// Guards against one replaced entry making most entries reconnect.
+TEST(PeerGraph, ChangesLittleWhenAnEntryGoes) {
+  const EntryPlace gone = entries.places.front();
+  const std::span<const EntryPlace> rest(entries.places.begin() + 1,
+                                         entries.places.end());
+  for (const EntryPlace& entry : rest) {
+    auto before = PeersFor(entry, entries.places);
+    const auto after = PeersFor(entry, rest);
+    std::erase(before, gone.instance);
+    for (const std::string_view peer : before) {
+      CHECK(std::ranges::find(after, peer) != after.end());
+    }
+  }
+}
+
+// Guards against too many pending watches at the platform, and against a data
+// centre without a reader.
+TEST(PeerGraph, TwoReadersInEachDataCentre) {
+  std::vector<EntryPlace> reversed(entries.places.rbegin(),
+                                   entries.places.rend());
+  const auto readers = ReadersOf(entries.places);
+  CHECK_EQUAL(kDataCentres * kReadersPerDataCentre, readers.size());
+  CHECK(readers == ReadersOf(reversed));
+  std::map<std::string_view, int> by_data_centre;
+  for (const EntryPlace& entry : entries.places) {
+    const bool listed =
+        std::ranges::find(readers, entry.instance) != readers.end();
+    CHECK_EQUAL(listed, IsReader(entry, reversed));
+    by_data_centre[entry.data_centre] += listed ? 1 : 0;
+  }
+  for (const auto& [data_centre, count] : by_data_centre) {
+    CHECK_EQUAL(2, count);
+  }
+}
+
+// Guards against entries that stay without configuration when all readers of
+// the list are dead, and against all entries reading although readers live.
+TEST(PeerGraph, ReadsWhenReadersAreSilent) {
+  for (const EntryPlace& entry : entries.places) {
+    const Duration jitter = std::chrono::seconds(2);
+    const Time due = kStart + kReaderSilence + jitter;
+    CHECK_EQUAL(
+        IsReader(entry, entries.places),
+        ShouldRead(entry, entries.places, kStart, due - Duration(1), jitter));
+    CHECK(ShouldRead(entry, entries.places, kStart, due, jitter));
+  }
+}
+
+// Guards against sending a change back to the peer that it came from.
+TEST(PeerGraph, PushesToAllLinksButTheSource) {
+  const std::vector<std::string_view> links{"a", "b", "c"};
+  CHECK_EQUAL(3U, PushTargets(links, "").size());
+  const auto targets = PushTargets(links, "b");
+  CHECK(targets == std::vector<std::string_view>({"a", "c"}));
+}
+
+}  // namespace amaranthcove
