--- a/include/amaranthcove/daemon/daemon.h
+++ b/include/amaranthcove/daemon/daemon.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "amaranthcove/policy/choice.h"
 #include "amaranthcove/entry/server_chooser.h"
+#include "amaranthcove/policy/choice.h"
 #include "amaranthcove/settings/settings.h"
 #include "amaranthcove/sidecar/engine_backend.h"
 
--- a/include/amaranthcove/engine_client/engine_client.h
+++ b/include/amaranthcove/engine_client/engine_client.h
@@ -22,8 +22,8 @@
   std::string boot_id;  // Changes with each start of the engine.
   std::string base_model;
   int batch_size = 0;
-  std::vector<std::string> slots;    // The model in each slot, or empty.
-  std::vector<std::string> running;  // Stream ids.
+  std::vector<std::string> slots;     // The model in each slot, or empty.
+  std::vector<std::string> running;   // Stream ids.
   std::optional<std::int64_t> fence;  // Highest fencing number it has seen.
 };
 
@@ -41,7 +41,7 @@
 struct LoadResult {
   LoadStatus status = LoadStatus::kUnknown;
   std::string boot_id;
-  std::int64_t fence = 0;             // With kStaleFence.
+  std::int64_t fence = 0;              // With kStaleFence.
   Duration retry_after = Duration(0);  // With kStoreBusy.
 };
 
@@ -74,9 +74,9 @@
 // The last callback of a generation.
 struct GenerationResult {
   GenerationEnd end = GenerationEnd::kBroken;
-  std::string code;     // The engine's error code with kNotRun.
-  int status = 0;       // HTTP status with kRejected.
-  std::string body;     // The engine's answer with kRejected.
+  std::string code;  // The engine's error code with kNotRun.
+  int status = 0;    // HTTP status with kRejected.
+  std::string body;  // The engine's answer with kRejected.
 };
 
 // Speaks the HTTP protocol of one model engine.
@@ -116,8 +116,7 @@
   EngineClient& operator=(const EngineClient&) = delete;
 
   // Asks for the engine's state. Errors: kUnavailable without a valid answer.
-  void FetchState(Time deadline,
-                  std::function<void(Result<EngineState>)> done);
+  void FetchState(Time deadline, std::function<void(Result<EngineState>)> done);
 
   // Commands the engine to load `model` into `slot`.
   void Load(std::string_view model,
--- a/include/amaranthcove/entry/call_plan.h
+++ b/include/amaranthcove/entry/call_plan.h
@@ -15,9 +15,9 @@
 
 // What kind of call a caller made.
 enum class CallKind {
-  kModel,        // A generation on a model engine.
-  kPlain,        // A call of a plain service that may be repeated.
-  kOperation,    // A call that must not be repeated, with an operation id.
+  kModel,          // A generation on a model engine.
+  kPlain,          // A call of a plain service that may be repeated.
+  kOperation,      // A call that must not be repeated, with an operation id.
   kNeedsOperation  // A call that must not be repeated, without a usable id.
 };
 
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -89,10 +89,9 @@
     std::uint32_t unreported = 0;
   };
 
-  Result<ChosenServer> ChooseEngine(
-      const CallPlan& plan,
-      const std::vector<ServerCandidate>& servers,
-      Time now);
+  Result<ChosenServer> ChooseEngine(const CallPlan& plan,
+                                    const std::vector<ServerCandidate>& servers,
+                                    Time now);
   Result<ChosenServer> ChoosePlain(const std::vector<ServerCandidate>& servers);
   policy::Candidate CandidateOf(const std::string& instance,
                                 std::uint64_t adapter,
--- a/include/amaranthcove/membership/instance.h
+++ b/include/amaranthcove/membership/instance.h
@@ -15,7 +15,7 @@
   kGone
 };
 
-enum class BackendKind {
+enum class OfferKind {
   kNone,    // Entries.
   kEngine,  // A model engine; `base_model` is set.
   kPlain    // A plain service; `team` and `service` are set.
@@ -23,7 +23,7 @@
 
 // What the backend server of a sidecar offers.
 struct BackendOffer {
-  BackendKind kind = BackendKind::kNone;
+  OfferKind kind = OfferKind::kNone;
   std::string base_model;
   std::string team;
   std::string service;
--- /dev/null
+++ b/include/amaranthcove/service_document/document_validator.h
@@ -0,0 +1,18 @@
+#ifndef AMARANTHCOVE_SERVICE_DOCUMENT_DOCUMENT_VALIDATOR_H_
+#define AMARANTHCOVE_SERVICE_DOCUMENT_DOCUMENT_VALIDATOR_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthcove {
+
+// The errors of `text` as the service document of `team`, one line each; none
+// means that it is valid. A document that names another team is invalid.
+// Thread-safe.
+std::vector<std::string> ValidateServiceDocument(std::string_view team,
+                                                 std::string_view text);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_SERVICE_DOCUMENT_DOCUMENT_VALIDATOR_H_
--- a/include/amaranthcove/sidecar/engine_backend.h
+++ b/include/amaranthcove/sidecar/engine_backend.h
@@ -22,12 +22,12 @@
 namespace amaranthcove {
 
 // The decision that orders a sidecar's queue; benches replace it.
-using NextStepFunction = policy::Step (*)(
-    std::span<const policy::WaitingRequest> requests,
-    const policy::EngineView& engine,
-    const policy::PopularityTable& popularity,
-    const policy::QueueSettings& settings,
-    Time now);
+using NextStepFunction =
+    policy::Step (*)(std::span<const policy::WaitingRequest> requests,
+                     const policy::EngineView& engine,
+                     const policy::PopularityTable& popularity,
+                     const policy::QueueSettings& settings,
+                     Time now);
 
 struct EngineBackendSettings {
   Address engine;
--- a/include/amaranthcove/wire/codec.h
+++ b/include/amaranthcove/wire/codec.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
+#include <wire_types.h>
 #include "amaranthcove/base/error.h"
 #include "amaranthcove/base/ids.h"
-#include "src/wire/gen/wire_types.h"
 
 namespace amaranthcove::wire {
 
--- a/include/amaranthcove/wire/suspect_codec.h
+++ b/include/amaranthcove/wire/suspect_codec.h
@@ -1,8 +1,8 @@
 #ifndef AMARANTHCOVE_WIRE_SUSPECT_CODEC_H_
 #define AMARANTHCOVE_WIRE_SUSPECT_CODEC_H_
 
+#include <wire_types.h>
 #include "amaranthcove/suspects/suspect_table.h"
-#include "src/wire/gen/wire_types.h"
 
 namespace amaranthcove::wire {
 
--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -10,11 +10,10 @@
 constexpr std::string_view kExplainPrefix = "/explain/";
 
 HttpResponse JsonResponse(int status, const nlohmann::json& json) {
-  return {
-      status,
-      {{"Content-Type", "application/json"}},
-      json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
-          "\n"};
+  return {status,
+          {{"Content-Type", "application/json"}},
+          json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
+              "\n"};
 }
 
 HttpResponse TextResponse(int status, std::string text) {
@@ -22,8 +21,7 @@
 }
 
 // Sets the counter `amaranthcove_PREFIX_NAME` for each number.
-void ExportCounters(const nlohmann::json& counters,
-                    MetricsRegistry& registry) {
+void ExportCounters(const nlohmann::json& counters, MetricsRegistry& registry) {
   for (const auto& [name, value] : counters.items()) {
     if (!value.is_number()) {
       continue;
@@ -59,12 +57,12 @@
     : loop_(loop), registry_(registry), source_(std::move(source)) {}
 
 Status AdminServer::Listen(const Address& address) {
-  auto server = HttpServer::Listen(
-      loop_, address, {},
-      [this](const HttpRequest& request,
-             std::unique_ptr<HttpResponder> responder) {
-        OnRequest(request, *responder);
-      });
+  auto server =
+      HttpServer::Listen(loop_, address, {},
+                         [this](const HttpRequest& request,
+                                std::unique_ptr<HttpResponder> responder) {
+                           OnRequest(request, *responder);
+                         });
   if (!server) {
     return tl::unexpected<Error>(server.error());
   }
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -131,8 +131,7 @@
 int Daemon::Run() {
   AddChildren();
   constexpr std::array kSignals = {SIGTERM, SIGINT};
-  if (Status handled =
-          loop_.HandleSignals(kSignals, [this](int) { Leave(); });
+  if (Status handled = loop_.HandleSignals(kSignals, [this](int) { Leave(); });
       !handled) {
     Log(LogLevel::kError, "daemon", handled.error().message);
     return kExitNotStarted;
@@ -222,7 +221,8 @@
 }
 
 void Daemon::OnFailed(const Error& error) {
-  Log(LogLevel::kError, "daemon", "a component keeps failing: " + error.message);
+  Log(LogLevel::kError, "daemon",
+      "a component keeps failing: " + error.message);
   exit_code_ = kExitNotStarted;
   loop_.Stop();
 }
--- a/src/engine_client/engine_client.cc
+++ b/src/engine_client/engine_client.cc
@@ -23,9 +23,8 @@
 
 std::string JsonString(const Json& object, const char* key) {
   const auto found = object.find(key);
-  return found != object.end() && found->is_string()
-             ? found->get<std::string>()
-             : std::string();
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
 }
 
 std::int64_t JsonInteger(const Json& object, const char* key) {
@@ -157,20 +156,20 @@
 
 void EngineClient::FetchState(Time deadline,
                               std::function<void(Result<EngineState>)> done) {
-  http_.Fetch(engine_, {"GET", "/v1/state", {}, ""}, deadline,
-              [alive = alive_, done = std::move(done)](HttpCallEnd end,
-                                                       HttpResponse response) {
-                if (!*alive) {
-                  return;
-                }
-                if (end != HttpCallEnd::kComplete ||
-                    response.status != kHttpOk) {
-                  done(MakeError(ErrorCode::kUnavailable,
-                                 "the engine did not tell its state"));
-                  return;
-                }
-                done(ParseState(response.body));
-              });
+  http_.Fetch(
+      engine_, {"GET", "/v1/state", {}, ""}, deadline,
+      [alive = alive_, done = std::move(done)](HttpCallEnd end,
+                                               HttpResponse response) {
+        if (!*alive) {
+          return;
+        }
+        if (end != HttpCallEnd::kComplete || response.status != kHttpOk) {
+          done(MakeError(ErrorCode::kUnavailable,
+                         "the engine did not tell its state"));
+          return;
+        }
+        done(ParseState(response.body));
+      });
 }
 
 void EngineClient::Load(std::string_view model,
@@ -196,8 +195,8 @@
 
 void EngineClient::Generate(GenerationRequest request,
                             GenerationCallbacks callbacks) {
-  generations_.push_back(std::make_unique<Generation>(
-      *this, std::move(request), std::move(callbacks)));
+  generations_.push_back(std::make_unique<Generation>(*this, std::move(request),
+                                                      std::move(callbacks)));
   generations_.back()->Start();
 }
 
--- a/src/engine_client/generation.cc
+++ b/src/engine_client/generation.cc
@@ -173,8 +173,7 @@
   }
   const Json json = Json::parse(body_, nullptr, false);
   std::string code = "engine_refused";
-  if (json.is_object() && json.contains("error") &&
-      json["error"].is_object()) {
+  if (json.is_object() && json.contains("error") && json["error"].is_object()) {
     code = json["error"].value("code", code);
   }
   Finish({GenerationEnd::kNotRun, code, status_, ""});
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -68,11 +68,10 @@
   context_.chooser.RecordRequest(plan_, context_.loop.Now());
   context_.retry_budget.OnFirstAttempt();
   responder_->OnCallerGone([this] { OnCallerGone(); });
-  deadline_timer_ =
-      context_.loop.RunAt(deadline_ + kDeadlineGrace, [this] {
-        deadline_timer_ = 0;
-        OnDeadline();
-      });
+  deadline_timer_ = context_.loop.RunAt(deadline_ + kDeadlineGrace, [this] {
+    deadline_timer_ = 0;
+    OnDeadline();
+  });
   switch (plan_.kind) {
     case CallKind::kNeedsOperation:
       OfferOperation();
@@ -256,15 +255,14 @@
     FinishWhole(end);
     return;
   }
-  const Outcome outcome = end.outcome == OutcomeName(Outcome::kCompleted)
-                              ? Outcome::kCompleted
-                          : end.outcome == OutcomeName(Outcome::kNotRun)
-                              ? Outcome::kNotRun
-                              : Outcome::kUnknown;
+  const Outcome outcome =
+      end.outcome == OutcomeName(Outcome::kCompleted) ? Outcome::kCompleted
+      : end.outcome == OutcomeName(Outcome::kNotRun)  ? Outcome::kNotRun
+                                                      : Outcome::kUnknown;
   may_have_run_ = may_have_run_ || outcome == Outcome::kUnknown;
-  RetryOrFail({StatusOfCode(end.error_code), end.error_code, end.message,
-               outcome},
-              Duration(0));
+  RetryOrFail(
+      {StatusOfCode(end.error_code), end.error_code, end.message, outcome},
+      Duration(0));
 }
 
 void Call::OnRefused(const wire::Refused& refused) {
@@ -282,10 +280,10 @@
   attempt_.reset();
   may_have_run_ = true;
   Explain("lost", {{"instance", server_}, {"code", code}});
-  RetryOrFail({StatusOfCode(code), std::string(code),
-               "The connection to the backend server was lost.",
-               Outcome::kUnknown},
-              Duration(0));
+  RetryOrFail(
+      {StatusOfCode(code), std::string(code),
+       "The connection to the backend server was lost.", Outcome::kUnknown},
+      Duration(0));
 }
 
 bool Call::IsNotRunProof(std::string_view code) const {
@@ -345,10 +343,10 @@
   }
   if (plan_.streamed && end.chunks == 0) {
     // A whole stream without any event.
-    responder_->Start({kHttpOk,
-                       {{"Content-Type", "text/event-stream"},
-                        {"X-Request-Id", request_id_}},
-                       std::string(kDoneEvent)});
+    responder_->Start(
+        {kHttpOk,
+         {{"Content-Type", "text/event-stream"}, {"X-Request-Id", request_id_}},
+         std::string(kDoneEvent)});
     responder_->End();
     Done();
     return;
@@ -365,13 +363,14 @@
 }
 
 void Call::Fail(ApiError error) {
-  if (error.outcome == Outcome::kNotRun && (may_have_run_ || !IsNotRunProof(error.code))) {
+  if (error.outcome == Outcome::kNotRun &&
+      (may_have_run_ || !IsNotRunProof(error.code))) {
     error.outcome = Outcome::kUnknown;
   }
   ++(error.outcome == Outcome::kNotRun ? context_.counters.failed_not_run
                                        : context_.counters.failed_unknown);
-  Explain("failed", {{"code", error.code},
-                     {"outcome", OutcomeName(error.outcome)}});
+  Explain("failed",
+          {{"code", error.code}, {"outcome", OutcomeName(error.outcome)}});
   if (started_) {
     ++context_.counters.broken_after_start;
     responder_->Write("event: error\ndata: " + ErrorJson(error, request_id_) +
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -41,16 +41,16 @@
 InstanceRecord RecordOf(const wire::Hello& hello) {
   InstanceRecord record;
   record.instance = hello.instance;
-  record.role = hello.role == "entry" ? InstanceRole::kEntry
-                                      : InstanceRole::kSidecar;
+  record.role =
+      hello.role == "entry" ? InstanceRole::kEntry : InstanceRole::kSidecar;
   record.region = hello.region;
   record.data_centre = hello.data_centre;
   if (const auto address = ParseAddress(hello.peer_address)) {
     record.address = *address;
   }
   if (hello.__isset.backend) {
-    record.backend.kind = hello.backend.kind == "engine" ? OfferKind::kEngine
-                                                         : OfferKind::kPlain;
+    record.backend.kind =
+        hello.backend.kind == "engine" ? OfferKind::kEngine : OfferKind::kPlain;
     record.backend.base_model = hello.backend.base_model;
     record.backend.team = hello.backend.team;
     record.backend.service = hello.backend.service_name;
@@ -82,27 +82,26 @@
              }}),
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
-      call_context_{context.loop, catalogue_, directory_, links_,
+      call_context_{context.loop, catalogue_, directory_,    links_,
                     chooser_,     suspects_,  retry_budget_, random_,
                     explain_,     counters_},
-      platform_(context.loop,
-                http,
-                {options.platform, std::chrono::seconds(25),
-                 std::chrono::seconds(5), [this] { return random_.NextUnit(); }},
-                {[this](std::string_view team) {
-                   const DocumentState* state = catalogue_.store().Find(team);
-                   return state == nullptr ? 0 : state->newest_revision();
-                 },
-                 [this](Document document) {
-                   OnDocument(std::move(document), "");
-                 },
-                 [this](std::int64_t revision,
-                        std::span<const InstanceRecord> changes) {
-                   OnInstances(revision, changes);
-                 }}),
+      platform_(
+          context.loop,
+          http,
+          {options.platform, std::chrono::seconds(25), std::chrono::seconds(5),
+           [this] { return random_.NextUnit(); }},
+          {[this](std::string_view team) {
+             const DocumentState* state = catalogue_.store().Find(team);
+             return state == nullptr ? 0 : state->newest_revision();
+           },
+           [this](Document document) { OnDocument(std::move(document), ""); },
+           [this](std::int64_t revision,
+                  std::span<const InstanceRecord> changes) {
+             OnInstances(revision, changes);
+           }}),
       started_(SteadyNow()),
-      read_jitter_(std::chrono::duration_cast<Duration>(
-          kReaderSilenceJitter * random_.NextUnit())) {}
+      read_jitter_(std::chrono::duration_cast<Duration>(kReaderSilenceJitter *
+                                                        random_.NextUnit())) {}
 
 Entry::~Entry() {
   context_.loop.Cancel(watch_timer_);
@@ -171,8 +170,8 @@
   const Time heard = mesh_.platform_confirmed().value_or(started_);
   // A fresh process reads at once, so that it does not wait for its peers.
   const bool fresh = catalogue_.entries().empty();
-  platform_.WatchDocuments(
-      fresh || ShouldRead(self, entries, heard, now, read_jitter_));
+  platform_.WatchDocuments(fresh ||
+                           ShouldRead(self, entries, heard, now, read_jitter_));
   directory_.ForgetGone();
   watch_timer_ =
       context_.loop.RunAfter(kWatchInterval, [this] { WatchPlatform(); });
@@ -219,8 +218,7 @@
     }
   }
   const nlohmann::json body = {{"object", "list"}, {"data", data}};
-  responder.Send(
-      {200, {{"Content-Type", "application/json"}}, body.dump()});
+  responder.Send({200, {{"Content-Type", "application/json"}}, body.dump()});
 }
 
 void Entry::OnIssueOperation(const HttpRequest& request,
@@ -228,8 +226,8 @@
                              const std::string& request_id) {
   const auto refuse = [&](int status, std::string code, std::string message) {
     ++counters_.refused_early;
-    responder->Send(ErrorResponse(
-        {status, std::move(code), std::move(message)}, request_id));
+    responder->Send(ErrorResponse({status, std::move(code), std::move(message)},
+                                  request_id));
   };
   const nlohmann::json body =
       nlohmann::json::parse(request.body, nullptr, false);
@@ -261,11 +259,11 @@
       [responder = std::shared_ptr<HttpResponder>(std::move(responder)),
        request_id](const std::string& id) {
         if (id.empty()) {
-          responder->Send(ErrorResponse(
-              {503, "no_backend_server",
-               "No backend server issued an operation id.", Outcome::kNotRun,
-               std::chrono::seconds(1)},
-              request_id));
+          responder->Send(
+              ErrorResponse({503, "no_backend_server",
+                             "No backend server issued an operation id.",
+                             Outcome::kNotRun, std::chrono::seconds(1)},
+                            request_id));
           return;
         }
         const nlohmann::json answer = {{"operation_id", id}};
@@ -293,12 +291,12 @@
     responder->Send(ErrorResponse(plan.error(), request_id));
     return;
   }
-  auto call = std::make_unique<Call>(
-      call_context_, std::move(request), std::move(*plan), request_id,
-      std::move(responder), [this, request_id] {
-        calls_.erase(request_id);
-        CheckDrained();
-      });
+  auto call = std::make_unique<Call>(call_context_, std::move(request),
+                                     std::move(*plan), request_id,
+                                     std::move(responder), [this, request_id] {
+                                       calls_.erase(request_id);
+                                       CheckDrained();
+                                     });
   Call* started = call.get();
   calls_[request_id] = std::move(call);
   started->Start();
@@ -392,11 +390,10 @@
   }
   nlohmann::json instances = nlohmann::json::object();
   for (const auto& [name, instance] : directory_.instances()) {
-    instances[name] = {
-        {"address", FormatAddress(instance.record.address)},
-        {"live", instance.live()},
-        {"said_leaving", instance.said_leaving},
-        {"failures", instance.health.consecutive_failures}};
+    instances[name] = {{"address", FormatAddress(instance.record.address)},
+                       {"live", instance.live()},
+                       {"said_leaving", instance.said_leaving},
+                       {"failures", instance.health.consecutive_failures}};
   }
   const PlatformClient::Counters& platform = platform_.counters();
   return {{"role", "entry"},
@@ -442,8 +439,8 @@
             {"bytes_received", context_.counters.bytes_received},
             {"mesh_bytes_sent", mesh_context_.counters.bytes_sent},
             {"mesh_bytes_received", mesh_context_.counters.bytes_received},
-            {"bad_frames", context_.counters.bad_frames +
-                               mesh_context_.counters.bad_frames},
+            {"bad_frames",
+             context_.counters.bad_frames + mesh_context_.counters.bad_frames},
             {"failed_handshakes", context_.counters.failed_handshakes +
                                       mesh_context_.counters.failed_handshakes},
             {"silent_connections",
--- a/src/entry/entry_mesh.cc
+++ b/src/entry/entry_mesh.cc
@@ -78,8 +78,8 @@
                                        link->instance) == wanted.end();
   });
   for (const std::string_view name : wanted) {
-    const bool linked = std::any_of(
-        links_.begin(), links_.end(), [&](const auto& link) {
+    const bool linked =
+        std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
           return link->outgoing && link->instance == name;
         });
     const Instance* peer = directory_.Find(name);
@@ -170,8 +170,7 @@
   for (const wire::DocumentRevision& revision : request.known) {
     known.push_back({revision.team, revision.revision});
   }
-  const DocumentPortion portion =
-      documents_.NewerThan(known, kMaxPortionBytes);
+  const DocumentPortion portion = documents_.NewerThan(known, kMaxPortionBytes);
   for (const Document& document : portion.documents) {
     if (request.__isset.team && document.team != request.team) {
       continue;
@@ -207,10 +206,9 @@
 }
 
 std::size_t EntryMesh::ready_links() const {
-  return static_cast<std::size_t>(
-      std::count_if(links_.begin(), links_.end(), [](const auto& link) {
-        return link->connection->ready();
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      links_.begin(), links_.end(),
+      [](const auto& link) { return link->connection->ready(); }));
 }
 
 nlohmann::json EntryMesh::Dump() const {
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -52,10 +52,10 @@
     Time now) {
   const bool is_model = plan.kind == CallKind::kModel;
   std::vector<ServerCandidate> servers =
-      is_model ? directory_.ServersForModel(plan.base_model, settings_.region,
-                                            now)
-               : directory_.ServersForService(plan.team, plan.service,
-                                              settings_.region, now);
+      is_model
+          ? directory_.ServersForModel(plan.base_model, settings_.region, now)
+          : directory_.ServersForService(plan.team, plan.service,
+                                         settings_.region, now);
   std::erase_if(servers, [&](const ServerCandidate& candidate) {
     return excluded.contains(candidate.instance->record.instance);
   });
@@ -81,16 +81,15 @@
   placement.reserve(servers.size());
   for (const ServerCandidate& server : servers) {
     placement.push_back({Hash64(server.instance->record.instance), 1.0F,
-                         server.same_region
-                             ? policy::Distance::kSameRegion
-                             : policy::Distance::kOtherRegion});
+                         server.same_region ? policy::Distance::kSameRegion
+                                            : policy::Distance::kOtherRegion});
   }
   const std::uint32_t replicas = Replicas(plan, now);
   std::array<std::uint32_t, kMaxCandidates> best{};
   const std::size_t wanted =
       std::min(kMaxCandidates, replicas + settings_.spare_candidates);
-  const std::size_t count = policy::RankServers(
-      plan.model, placement, std::span(best).first(wanted));
+  const std::size_t count =
+      policy::RankServers(plan.model, placement, std::span(best).first(wanted));
   const std::uint64_t adapter = AdapterKeyOf(plan);
   std::vector<policy::Candidate> candidates;
   nlohmann::json described = nlohmann::json::array();
@@ -102,9 +101,10 @@
         {{"instance", name},
          {"expected_wait_ms", ToMilliseconds(candidate.expected_wait)},
          {"load_wait_ms", ToMilliseconds(candidate.load_wait)},
-         {"resident", candidate.resident == policy::Residency::kYes  ? "yes"
-                      : candidate.resident == policy::Residency::kNo ? "no"
-                                                                     : "unknown"},
+         {"resident", candidate.resident == policy::Residency::kYes ? "yes"
+                      : candidate.resident == policy::Residency::kNo
+                          ? "no"
+                          : "unknown"},
          {"leaving", candidate.leaving},
          {"unreported", candidate.unreported}});
   }
@@ -114,15 +114,13 @@
     return MakeError(ErrorCode::kUnavailable,
                      "Every backend server for the request is leaving.");
   }
-  const InstanceRecord& record =
-      servers[best[choice->index]].instance->record;
-  return ChosenServer{
-      record.instance,
-      record.address,
-      {{"candidates", described},
-       {"replicas", replicas},
-       {"chosen", record.instance},
-       {"reason", policy::ChoiceReasonName(choice->reason)}}};
+  const InstanceRecord& record = servers[best[choice->index]].instance->record;
+  return ChosenServer{record.instance,
+                      record.address,
+                      {{"candidates", described},
+                       {"replicas", replicas},
+                       {"chosen", record.instance},
+                       {"reason", policy::ChoiceReasonName(choice->reason)}}};
 }
 
 Result<ChosenServer> ServerChooser::ChoosePlain(
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -179,10 +179,8 @@
   const bool never_ready = reason == PeerCloseReason::kConnectFailed ||
                            reason == PeerCloseReason::kHandshakeFailed;
   // The connection's callback is running, so it is destroyed later.
-  context_.loop.RunAfter(
-      Duration(0),
-      [closed = std::shared_ptr<PeerConnection>(std::move(link.connection))] {
-      });
+  context_.loop.RunAfter(Duration(0), [closed = std::shared_ptr<PeerConnection>(
+                                           std::move(link.connection))] {});
   if (!never_ready) {
     link.broken_since = context_.loop.Now();
   }
@@ -214,8 +212,8 @@
       std::clamp(link.reconnect_delay * 2, settings_.first_reconnect_delay,
                  settings_.max_reconnect_delay);
   const double jitter = 0.5 + random_.NextUnit() / 2;
-  const auto delay = std::chrono::duration_cast<Duration>(
-      link.reconnect_delay * jitter);
+  const auto delay =
+      std::chrono::duration_cast<Duration>(link.reconnect_delay * jitter);
   link.reconnect_timer = context_.loop.RunAfter(delay, [this, instance] {
     Link& waiting = links_[instance];
     waiting.reconnect_timer = 0;
@@ -318,9 +316,8 @@
     return;
   }
   SendAcknowledge(*attempt, end.chunks + 1);
-  const bool whole =
-      !end.error_code.empty() ||
-      attempt->receiver.End(end.chunks) == ReceiveResult::kWhole;
+  const bool whole = !end.error_code.empty() ||
+                     attempt->receiver.End(end.chunks) == ReceiveResult::kWhole;
   AttemptObserver* observer = Remove(wire::FromWire(end.attempt));
   if (observer == nullptr) {
     return;
@@ -357,9 +354,8 @@
         found == attempts_.end() ? Outcome::kUnknown : Outcome::kNotRun;
     Remove(id);
     if (done) {
-      context_.loop.RunAfter(Duration(0), [outcome, done = std::move(done)] {
-        done(outcome);
-      });
+      context_.loop.RunAfter(
+          Duration(0), [outcome, done = std::move(done)] { done(outcome); });
     }
     return;
   }
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -18,7 +18,7 @@
 }
 
 std::string OfferKey(const BackendOffer& offer) {
-  return offer.kind == BackendKind::kEngine
+  return offer.kind == OfferKind::kEngine
              ? ModelKey(offer.base_model)
              : ServiceKey(offer.team, offer.service);
 }
--- a/src/membership/instance_directory_test.cc
+++ b/src/membership/instance_directory_test.cc
@@ -22,7 +22,7 @@
           region,
           region + "-1",
           state,
-          {BackendKind::kEngine, "base-1", "", ""}};
+          {OfferKind::kEngine, "base-1", "", ""}};
 }
 
 std::string Names(const std::vector<ServerCandidate>& servers) {
@@ -112,7 +112,7 @@
 // Guards against plain calls of one team reaching the service of another.
 TEST(InstanceDirectory, FindsPlainServicesByTeam) {
   InstanceRecord desk = Engine("p1");
-  desk.backend = {BackendKind::kPlain, "", "team", "booking"};
+  desk.backend = {OfferKind::kPlain, "", "team", "booking"};
   Apply(directory, 1, desk);
   const auto count = [&](const char* team, const char* service) {
     return directory.ServersForService(team, service, "sofia", kNow).size();
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -178,9 +178,9 @@
   const SuspectJudgement judgement =
       suspects_.Judge(static_cast<Fingerprint>(request.fingerprint), now);
   if (judgement.decision == SuspectDecision::kRefused) {
-    Refuse(work, {"crashes_server",
-                  "Requests with this content crash backend servers.",
-                  Duration(0)});
+    Refuse(work,
+           {"crashes_server",
+            "Requests with this content crash backend servers.", Duration(0)});
     return;
   }
   const Duration wait = ExpectedWait(request.urgent);
@@ -197,14 +197,14 @@
   queue_settings_.weights = request.objective == "batch_efficiency"
                                 ? policy::BatchWeights()
                                 : policy::StallWeights();
-  Queued queued{std::move(work)};
+  Queued queued;
+  queued.work = std::move(work);
   queued.run_alone = queued.work.request.run_alone ||
                      judgement.decision == SuspectDecision::kRunAlone;
   queued.adapter = KeyOf(queued.work.request.model);
   const bool urgent = queued.work.request.urgent;
-  popularity_.Record(
-      queued.adapter, now,
-      urgent ? queue_settings_.weights.urgent_record : 1.0);
+  popularity_.Record(queued.adapter, now,
+                     urgent ? queue_settings_.weights.urgent_record : 1.0);
   if (urgent) {
     urgent_arrivals_.Record(kAllAdapters, now);
   }
@@ -216,22 +216,19 @@
 }
 
 bool EngineBackend::IsResident(std::string_view model) const {
-  return std::any_of(
-      slots_.begin(), slots_.end(), [&](const SlotState& slot) {
-        return !slot.loading && slot.model == model;
-      });
+  return std::any_of(slots_.begin(), slots_.end(), [&](const SlotState& slot) {
+    return !slot.loading && slot.model == model;
+  });
 }
 
 void EngineBackend::SubmitWhileLeaving(Work work) {
-  Refuse(work,
-         {"leaving", "The backend server is leaving.", Duration(0)});
+  Refuse(work, {"leaving", "The backend server is leaving.", Duration(0)});
 }
 
 Outcome EngineBackend::Cancel(const AttemptId& attempt) {
-  const auto queued =
-      std::find_if(queue_.begin(), queue_.end(), [&](const Queued& entry) {
-        return entry.work.attempt == attempt;
-      });
+  const auto queued = std::find_if(
+      queue_.begin(), queue_.end(),
+      [&](const Queued& entry) { return entry.work.attempt == attempt; });
   if (queued != queue_.end()) {
     queue_.erase(queued);
     return Outcome::kNotRun;
@@ -291,15 +288,14 @@
     view.slots = slots;
     view.batch_places = batch_size_;
     view.running = static_cast<std::uint32_t>(running_.size());
-    view.alone_running =
-        std::any_of(running_.begin(), running_.end(), [](const auto& entry) {
-          return entry.second.request.run_alone;
-        });
+    view.alone_running = std::any_of(
+        running_.begin(), running_.end(),
+        [](const auto& entry) { return entry.second.request.run_alone; });
     view.urgent_rate = urgent_arrivals_.Rate(kAllAdapters, now);
     view.urgent_load_at = load_budget_.NextLoad(true, now);
     view.patient_load_at = load_budget_.NextLoad(false, now);
-    const policy::Step step = settings_.next_step(waiting, view, popularity_,
-                                                  queue_settings_, now);
+    const policy::Step step =
+        settings_.next_step(waiting, view, popularity_, queue_settings_, now);
     if (!ApplyStep(step, now)) {
       break;
     }
@@ -322,9 +318,9 @@
           std::next(queue_.begin(), static_cast<std::ptrdiff_t>(step.request));
       const Queued queued = std::move(*entry);
       queue_.erase(entry);
-      Refuse(queued.work, {"deadline_exceeded",
-                           "The deadline passed before it could start.",
-                           Duration(0)});
+      Refuse(queued.work,
+             {"deadline_exceeded", "The deadline passed before it could start.",
+              Duration(0)});
       return true;
     }
     case policy::StepKind::kHold:
@@ -377,10 +373,9 @@
 }
 
 void EngineBackend::StartLoad(const policy::Step& step, Time now) {
-  const auto waiting =
-      std::find_if(queue_.begin(), queue_.end(), [&](const Queued& queued) {
-        return queued.adapter == step.adapter;
-      });
+  const auto waiting = std::find_if(
+      queue_.begin(), queue_.end(),
+      [&](const Queued& queued) { return queued.adapter == step.adapter; });
   if (waiting == queue_.end()) {
     return;
   }
@@ -463,9 +458,8 @@
     }
     const Queued queued = std::move(*entry);
     entry = queue_.erase(entry);
-    Refuse(queued.work,
-           {"load_failed", "The adapter could not be loaded.",
-            policy::RetryAfter(std::chrono::seconds(1), random_)});
+    Refuse(queued.work, {"load_failed", "The adapter could not be loaded.",
+                         policy::RetryAfter(std::chrono::seconds(1), random_)});
   }
 }
 
@@ -518,7 +512,8 @@
   WorkEnd end = EndOf(result);
   end.load_stall = running.request.load_stall;
   end.queued = running.started - work.arrival;
-  (work.request.urgent ? counters_.urgent_stall_s : counters_.patient_stall_s) +=
+  (work.request.urgent ? counters_.urgent_stall_s
+                       : counters_.patient_stall_s) +=
       ToSeconds(end.load_stall);
   if (end.error_code.empty()) {
     ++counters_.completed;
@@ -611,8 +606,7 @@
   report.patient_queued = static_cast<std::int32_t>(QueuedCount(false));
   report.running = static_cast<std::int32_t>(running_.size());
   report.batch_size = static_cast<std::int32_t>(batch_size_);
-  report.load_wait_ms =
-      ToMilliseconds(load_budget_.NextLoad(true, now) - now);
+  report.load_wait_ms = ToMilliseconds(load_budget_.NextLoad(true, now) - now);
   report.expected_wait_ms = ToMilliseconds(ExpectedWait(true));
   if (!model.empty()) {
     report.__set_resident(IsResident(model));
--- a/src/sidecar/plain_backend.cc
+++ b/src/sidecar/plain_backend.cc
@@ -127,10 +127,10 @@
          response.body},
         now);
   } else if (end == HttpCallEnd::kConnectFailed) {
-    operations_.Complete(id,
-                         {kHttpUnavailable, "application/json",
-                          std::string(kNotReachedBody)},
-                         now);
+    operations_.Complete(
+        id,
+        {kHttpUnavailable, "application/json", std::string(kNotReachedBody)},
+        now);
   } else {
     ++counters_.operations_unknown;
     operations_.CompleteUnknown(id, now);
@@ -160,8 +160,8 @@
     case BeginDecision::kDone:
       if (result.answer) {
         ++counters_.operations_replayed;
-        SendAnswer(attempt, result.answer->status,
-                   result.answer->content_type, result.answer->body);
+        SendAnswer(attempt, result.answer->status, result.answer->content_type,
+                   result.answer->body);
         return;
       }
       end.error_code = "answer_lost";
@@ -190,9 +190,8 @@
 
 Outcome PlainBackend::Cancel(const AttemptId& attempt) {
   const auto queued =
-      std::find_if(queue_.begin(), queue_.end(), [&](const Work& work) {
-        return work.attempt == attempt;
-      });
+      std::find_if(queue_.begin(), queue_.end(),
+                   [&](const Work& work) { return work.attempt == attempt; });
   if (queued != queue_.end()) {
     queue_.erase(queued);
     return Outcome::kNotRun;
@@ -225,9 +224,9 @@
     const Work work = std::move(queue_.front());
     queue_.pop_front();
     if (work.deadline <= loop_.Now()) {
-      Refuse(work.attempt, {"deadline_exceeded",
-                            "The deadline passed before it could start.",
-                            Duration(0)});
+      Refuse(work.attempt,
+             {"deadline_exceeded", "The deadline passed before it could start.",
+              Duration(0)});
       continue;
     }
     RunCall(work);
@@ -238,12 +237,11 @@
   ++counters_.calls;
   const AttemptId attempt = work.attempt;
   const Time began = loop_.Now();
-  running_[attempt] =
-      http_.Fetch(settings_.server, ToHttp(work.request), work.deadline,
-                  [this, attempt, began](HttpCallEnd end,
-                                         const HttpResponse& response) {
-                    OnCallEnd(attempt, began, end, response);
-                  });
+  running_[attempt] = http_.Fetch(
+      settings_.server, ToHttp(work.request), work.deadline,
+      [this, attempt, began](HttpCallEnd end, const HttpResponse& response) {
+        OnCallEnd(attempt, began, end, response);
+      });
 }
 
 void PlainBackend::OnCallEnd(const AttemptId& attempt,
@@ -255,9 +253,9 @@
     SendAnswer(attempt, response.status,
                FindHeader(response.headers, "Content-Type"), response.body);
   } else if (end == HttpCallEnd::kConnectFailed) {
-    Refuse(attempt, {"backend_unreachable",
-                     "The backend server could not be reached.",
-                     policy::RetryAfter(std::chrono::seconds(1), random_)});
+    Refuse(attempt,
+           {"backend_unreachable", "The backend server could not be reached.",
+            policy::RetryAfter(std::chrono::seconds(1), random_)});
   } else {
     ++counters_.broken;
     WorkEnd work_end;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -19,9 +19,7 @@
 Sidecar::Sidecar(PeerContext& context,
                  const SidecarOptions& options,
                  const BackendFactory& make_backend)
-    : context_(context),
-      options_(options),
-      backend_(make_backend(*this)) {
+    : context_(context), options_(options), backend_(make_backend(*this)) {
   context_.fill_heartbeat = [this](wire::Heartbeat& heartbeat) {
     heartbeat.__set_report(Report(""));
   };
@@ -34,11 +32,11 @@
 }
 
 Status Sidecar::Start() {
-  auto listener = TcpListener::Listen(
-      context_.loop, options_.peer_address,
-      [this](std::unique_ptr<TcpConnection> connection) {
-        OnAccept(std::move(connection));
-      });
+  auto listener =
+      TcpListener::Listen(context_.loop, options_.peer_address,
+                          [this](std::unique_ptr<TcpConnection> connection) {
+                            OnAccept(std::move(connection));
+                          });
   if (!listener) {
     return tl::unexpected<Error>(listener.error());
   }
