testing: add stand-ins for the outside systems

One program, standin, with the kinds engine, plain, platform and weights. Faults are set by POST /_control; the engine has an execution log and counters, and its text is computed by expected_answer.h, so that a checker knows every whole answer.

http_server: a destroyed server without connections is freed at once, and one with connections stays reachable for the leak checker until the loop has closed them.

--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -49,7 +49,7 @@
 // An HTTP/1.1 server on one address. Streamed answers are sent in chunks; those
 // that HTTP/1.1 callers could not check for truncation (a status other than 200
 // and 206, or an HTTP/1.0 caller) are collected and sent with their length.
-// Destroying the server breaks its connections.
+// Destroying the server, which its handler must not do, breaks its connections.
 //
 // Thread safety: belongs to the loop's thread.
 class HttpServer {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -460,6 +460,7 @@
   }
 
   // Ends everything; deletes itself when the last connection is closed.
+  // Precondition: not called by the handler, which this destroys.
   void Orphan() {
     orphaned_ = true;
     BeginClosing();
@@ -473,7 +474,12 @@
     for (h2o_socket_t* socket : connections_) {
       shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
-    DeleteIfUnused();
+    if (connections_.empty()) {
+      delete this;
+      return;
+    }
+    // The process may end before the loop has closed the connections.
+    internal::KeepUntilExit(this);
   }
 
  private:
--- /dev/null
+++ b/testing/standins/engine.h
@@ -0,0 +1,195 @@
+#ifndef AMARANTHCOVE_TESTING_STANDINS_ENGINE_H_
+#define AMARANTHCOVE_TESTING_STANDINS_ENGINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/time.h"
+#include "amaranthcove/net/event_loop.h"
+#include "amaranthcove/net/http_client.h"
+#include "testing/standins/http_util.h"
+#include "testing/standins/prefix_cache.h"
+#include "testing/standins/standin.h"
+
+namespace amaranthcove::standins {
+
+struct EngineSettings {
+  std::string base_model = "base-1";
+  std::size_t batch_size = 8;
+  std::size_t slots = 4;
+  // Requests that wait for a batch place; further ones are answered 503.
+  std::size_t queue_limit = 8;
+  // Duration of one step, which gives one token to each stream in the batch.
+  Duration step = std::chrono::milliseconds(20);
+  // Added to a step for each different adapter in the batch after the first.
+  Duration step_per_adapter = std::chrono::microseconds(500);
+  // Prompt bytes that one step processes before a stream's first token; a hit
+  // in the prefix cache leaves one step.
+  std::size_t prefill_bytes_per_step = 512;
+  std::size_t prefix_cache_entries = 64;
+  bool checks_fencing = true;
+  Duration report_lag = std::chrono::milliseconds(500);
+  Duration restart_time = std::chrono::milliseconds(300);
+  // Without a store, a load takes 250 ms.
+  std::optional<Address> store;
+};
+
+// The model engine of section 10.1. The text it generates is in
+// expected_answer.h; a request without "max_tokens" gets 16 tokens.
+//
+// A stream that has finished can be resumed for 10 s. One whose connection
+// broke goes on for 5 s. A prompt that contains "CRASH" restarts the engine
+// when its first token is due: all connections break, all slots are empty and
+// the boot id changes.
+//
+// POST /_control takes any of these members:
+//   "restart": true;
+//   "fail_next_loads": N (502, after the load time);
+//   "delay_load_ms": N (added to each load);
+//   "ignore_final_marker": N (the next N streams end without it);
+//   "wrong_model": N (the next N chunks name another adapter);
+//   "hang": true or false (the whole engine stops; false lets it go on);
+//   "silence": true (open connections receive nothing more; new ones work).
+// GET /_log?after=N lists executions that have ended, oldest first, with times
+// in microseconds of the steady clock; GET /_stats counts.
+class Engine final : public StandIn {
+ public:
+  // Preconditions: `loop` and `client` outlive the engine.
+  Engine(EventLoop& loop, HttpClient& client, const EngineSettings& settings);
+  ~Engine() override;
+  Engine(const Engine&) = delete;
+  Engine& operator=(const Engine&) = delete;
+
+  void Handle(HttpRequest request,
+              std::unique_ptr<HttpResponder> responder) override;
+
+ private:
+  enum class StreamState { kQueued, kRunning, kFinished };
+
+  struct Stream {
+    std::string id;
+    std::string model;
+    std::string prompt;
+    std::string token_prefix;
+    std::size_t slot = 0;
+    int priority = 0;
+    std::int64_t max_tokens = 0;
+    std::int64_t produced = 0;
+    std::int64_t prefill_steps = 0;
+    bool is_chat = false;
+    bool wants_events = false;
+    bool lacks_final_marker = false;
+    StreamState state = StreamState::kQueued;
+    Time arrived;
+    Time started;
+    std::unique_ptr<HttpResponder> responder;  // Null while detached.
+    TimerId timer = 0;  // Cancels a detached stream, or forgets a finished one.
+  };
+
+  struct Slot {
+    std::string model;  // Empty if none is resident.
+    bool loading = false;
+  };
+
+  void Route(const HttpRequest& request,
+             std::unique_ptr<HttpResponder> responder);
+
+  // Commands.
+  bool AcceptsFence(const Json& command, HttpResponder& responder);
+  Slot* FreeSlot(const Json& command, HttpResponder& responder);
+  void LoadAdapter(const HttpRequest& request,
+                   std::unique_ptr<HttpResponder> responder);
+  void FetchWeights(std::size_t slot,
+                    const std::string& model,
+                    const std::shared_ptr<HttpResponder>& responder);
+  void FinishLoad(std::size_t slot,
+                  const std::string& model,
+                  Time begun,
+                  int store_status,
+                  const std::shared_ptr<HttpResponder>& responder);
+  void UnloadAdapter(const HttpRequest& request, HttpResponder& responder);
+
+  // Streams.
+  void Complete(const HttpRequest& request,
+                std::unique_ptr<HttpResponder> responder);
+  std::unique_ptr<Stream> NewStream(const HttpRequest& request,
+                                    HttpResponder& responder);
+  void Attach(Stream& stream, std::unique_ptr<HttpResponder> responder);
+  void Resume(const Target& target,
+              const std::string& id,
+              std::unique_ptr<HttpResponder> responder);
+  void CancelStream(const std::string& id, HttpResponder& responder);
+  void Enqueue(Stream& stream);
+  void Remove(Stream& stream, const char* end);
+  Stream* FindStream(const std::string& id);
+
+  // The batch.
+  void FillBatch();
+  void ScheduleStep();
+  void Step();
+  void ProduceToken(Stream& stream);
+  void Finish(Stream& stream);
+  std::string Event(const Stream& stream, std::int64_t number);
+  Json WholeAnswer(const Stream& stream) const;
+
+  // Faults and reports.
+  void Control(const HttpRequest& request, HttpResponder& responder);
+  void Restart();
+  void SetHang(bool hang);
+  void SilenceConnections();
+  void PublishReport();
+  void Log(const Stream& stream, const char* end);
+  Json State() const;
+  Json LogAfter(std::int64_t after) const;
+  Json Stats() const;
+  HttpHeaders BootHeader() const { return {{"x-boot-id", boot_id_}}; }
+  bool IsSlotInUse(std::size_t slot) const;
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  const EngineSettings settings_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+  std::string boot_id_;
+  bool restarting_ = false;
+  bool hangs_ = false;
+  std::int64_t fence_ = 0;  // Highest seen since the start.
+  std::vector<Slot> slots_;
+  PrefixCache prefix_cache_;
+  std::unordered_map<std::string, std::unique_ptr<Stream>> streams_;
+  std::vector<Stream*> queue_;  // Most urgent first, then oldest.
+  std::vector<Stream*> batch_;
+  TimerId step_timer_ = 0;
+  TimerId report_timer_ = 0;
+  Json report_;
+  std::vector<std::pair<HttpRequest, std::unique_ptr<HttpResponder>>> held_;
+  std::vector<std::unique_ptr<HttpResponder>> silenced_;
+
+  std::int64_t fail_next_loads_ = 0;
+  std::int64_t ignore_final_marker_ = 0;
+  std::int64_t wrong_model_ = 0;
+  Duration load_delay_ = Duration::zero();
+
+  std::deque<Json> log_;
+  std::int64_t log_end_ = 0;  // Number of entries ever logged.
+  std::int64_t steps_ = 0;
+  std::int64_t places_used_ = 0;
+  std::int64_t useful_places_ = 0;
+  std::int64_t loads_ = 0;
+  std::int64_t failed_loads_ = 0;
+  std::int64_t accepted_streams_ = 0;
+  std::int64_t restarts_ = 0;
+  std::int64_t crashes_ = 0;
+};
+
+}  // namespace amaranthcove::standins
+
+#endif  // AMARANTHCOVE_TESTING_STANDINS_ENGINE_H_
--- /dev/null
+++ b/testing/standins/weight_store.h
@@ -0,0 +1,75 @@
+#ifndef AMARANTHCOVE_TESTING_STANDINS_WEIGHT_STORE_H_
+#define AMARANTHCOVE_TESTING_STANDINS_WEIGHT_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+#include "amaranthcove/base/time.h"
+#include "amaranthcove/net/event_loop.h"
+#include "testing/standins/http_util.h"
+#include "testing/standins/standin.h"
+
+namespace amaranthcove::standins {
+
+struct WeightStoreSettings {
+  double loads_per_s = 3.0;  // Refill of the token bucket.
+  double burst = 2.0;        // Size of the token bucket.
+  // Loads served at once at full speed; more share that speed.
+  int full_speed_loads = 2;
+  Duration load_time = std::chrono::milliseconds(250);
+  // Requests in flight (waiting and served) at full speed; above it, every load
+  // is slower in proportion.
+  int in_flight_at_full_speed = 16;
+  int queue_limit = 64;  // Waiting requests; further ones are answered 429.
+};
+
+// The weight store of section 10.3: GET /v1/weights/TEAM/ADAPTER/VERSION.
+// POST /_control: {"fail_next":N} answers the next N loads 500 after their load
+// time. GET /_stats counts.
+class WeightStore final : public StandIn {
+ public:
+  // Preconditions: `loop` outlives the store.
+  WeightStore(EventLoop& loop, const WeightStoreSettings& settings);
+  ~WeightStore() override;
+  WeightStore(const WeightStore&) = delete;
+  WeightStore& operator=(const WeightStore&) = delete;
+
+  void Handle(HttpRequest request,
+              std::unique_ptr<HttpResponder> responder) override;
+
+ private:
+  struct Load {
+    std::string path;
+    std::unique_ptr<HttpResponder> responder;
+  };
+
+  void Enqueue(Load load);
+  void StartReadyLoads();
+  void RefillTokens(Time now);
+  Duration LoadTime() const;
+  void StartLoad(Load load, Time now);
+  void FinishLoad(Load& load);
+  void CountStart(Time now);
+  Json Stats() const;
+
+  EventLoop& loop_;
+  const WeightStoreSettings settings_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  double tokens_;
+  Time refilled_at_;
+  TimerId refill_timer_ = 0;
+  std::deque<Load> queue_;
+  int served_ = 0;  // Loads that have started and not finished.
+  std::deque<Time> starts_in_last_second_;
+  std::int64_t fail_next_ = 0;
+  std::int64_t loads_ = 0;
+  std::int64_t failures_ = 0;
+  std::int64_t rejections_ = 0;
+  std::size_t max_in_flight_ = 0;
+  std::size_t peak_loads_in_one_second_ = 0;
+};
+
+}  // namespace amaranthcove::standins
+
+#endif  // AMARANTHCOVE_TESTING_STANDINS_WEIGHT_STORE_H_
