--- /dev/null
+++ b/src/programs/amaranthctl/commands.cc
@@ -0,0 +1,153 @@
+#include "src/programs/amaranthctl/commands.h"
+
+#include <optional>
+#include <ostream>
+
+#include <boost/program_options.hpp>
+
+#include "amaranthcove/base/file.h"
+#include "amaranthcove/service_document/service_document.h"
+
+namespace amaranthcove {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::string_view kUsage =
+    "Usage: amaranthctl [OPTION] COMMAND ARGUMENT...\n"
+    "\n"
+    "Commands:\n"
+    "  check DOCUMENT   report every error of a service document\n"
+    "  diff OLD NEW     describe what an edit of a service document changes\n"
+    "\n"
+    "Exit code: 0 fine, 1 a document is refused, 2 wrong usage.\n"
+    "\n";
+
+struct Arguments {
+  bool help = false;
+  bool version = false;
+  std::vector<std::string> words;  // The command and its arguments.
+};
+
+options::options_description VisibleOptions() {
+  options::options_description visible("Options");
+  visible.add_options()("help", "print this text")("version",
+                                                   "print the version");
+  return visible;
+}
+
+// Throws options::error if `arguments` have unknown options.
+Arguments ParseArguments(const std::vector<std::string>& arguments) {
+  options::options_description all = VisibleOptions();
+  Arguments result;
+  all.add_options()("word",
+                    options::value<std::vector<std::string>>(&result.words));
+  options::positional_options_description positional;
+  positional.add("word", -1);
+  options::variables_map values;
+  options::store(options::command_line_parser(arguments)
+                     .options(all)
+                     .positional(positional)
+                     .run(),
+                 values);
+  options::notify(values);
+  result.help = values.count("help") > 0;
+  result.version = values.count("version") > 0;
+  return result;
+}
+
+int UsageError(std::ostream& err, std::string_view message) {
+  err << "amaranthctl: " << message << "\n"
+      << "Try \"amaranthctl --help\".\n";
+  return kExitUsage;
+}
+
+// Reads and parses `file`; reports its errors to `err`.
+std::optional<ServiceDocument> ReadDocument(const std::string& file,
+                                            std::ostream& err) {
+  const Result<std::string> text = ReadFile(file, kMaxServiceDocumentBytes);
+  if (!text) {
+    err << file << ": " << text.error().message << "\n";
+    return std::nullopt;
+  }
+  auto document = ParseServiceDocument(*text);
+  if (!document) {
+    err << FormatIniErrors(file, document.error());
+    return std::nullopt;
+  }
+  return std::move(*document);
+}
+
+int Check(const std::string& file, std::ostream& out, std::ostream& err) {
+  const std::optional<ServiceDocument> document = ReadDocument(file, err);
+  if (!document) {
+    return kExitRefused;
+  }
+  out << file << ": valid; team " << document->team
+      << ", kinds: " << document->kinds.size()
+      << ", adapters: " << document->adapters.size()
+      << ", aliases: " << document->aliases.size()
+      << ", plain services: " << document->plain_services.size() << "\n";
+  return kExitFine;
+}
+
+int Diff(const std::string& old_file,
+         const std::string& new_file,
+         std::ostream& out,
+         std::ostream& err) {
+  const std::optional<ServiceDocument> before = ReadDocument(old_file, err);
+  const std::optional<ServiceDocument> after = ReadDocument(new_file, err);
+  if (!before || !after) {
+    return kExitRefused;
+  }
+  const std::vector<std::string> changes =
+      DiffServiceDocuments(*before, *after);
+  if (changes.empty()) {
+    out << "Nothing changes.\n";
+  }
+  for (const std::string& change : changes) {
+    out << change << "\n";
+  }
+  return kExitFine;
+}
+
+int RunCommand(const std::vector<std::string>& words,
+               std::ostream& out,
+               std::ostream& err) {
+  if (words.empty()) {
+    return UsageError(err, "a command is needed");
+  }
+  if (words[0] == "check") {
+    return words.size() == 2 ? Check(words[1], out, err)
+                             : UsageError(err, "check takes one DOCUMENT");
+  }
+  if (words[0] == "diff") {
+    return words.size() == 3 ? Diff(words[1], words[2], out, err)
+                             : UsageError(err, "diff takes OLD and NEW");
+  }
+  return UsageError(err, "unknown command \"" + words[0] + "\"");
+}
+
+}  // namespace
+
+int RunAmaranthctl(const std::vector<std::string>& arguments,
+                   std::ostream& out,
+                   std::ostream& err) {
+  Arguments parsed;
+  try {
+    parsed = ParseArguments(arguments);
+  } catch (const options::error& error) {
+    return UsageError(err, error.what());
+  }
+  if (parsed.help) {
+    out << kUsage << VisibleOptions();
+    return kExitFine;
+  }
+  if (parsed.version) {
+    out << "amaranthctl " << AMARANTHCOVE_VERSION << "\n";
+    return kExitFine;
+  }
+  return RunCommand(parsed.words, out, err);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/programs/amaranthctl/commands_test.cc
@@ -0,0 +1,80 @@
+#include "src/programs/amaranthctl/commands.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+TEST_GROUP(Amaranthctl) {
+  std::string directory;
+  std::ostringstream out;
+  std::ostringstream err;
+
+  void setup() override {
+    std::string name =
+        (std::filesystem::temp_directory_path() / "amaranthctl.XXXXXX")
+            .string();
+    CHECK(mkdtemp(name.data()) != nullptr);
+    directory = name;
+  }
+
+  void teardown() override {
+    std::filesystem::remove_all(directory);
+  }
+
+  std::string Write(const std::string& name, const std::string& text) {
+    std::string file = directory + "/" + name;
+    std::ofstream(file) << text;
+    return file;
+  }
+
+  int Run(const std::vector<std::string>& arguments) {
+    out.str("");
+    err.str("");
+    return RunAmaranthctl(arguments, out, err);
+  }
+};
+
+// Guards against scripts that take a refused document for a valid one.
+TEST(Amaranthctl, ExitCodeTellsTheResult) {
+  const std::string text =
+      "[service]\nteam = t\nbase_model = b\nobjective = stalls\n"
+      "[kind k]\nurgency = urgent\ndeadline_ms = ";
+  const std::string good = Write("good.ini", text + "1\n");
+  const std::string other = Write("other.ini", text + "2\n");
+  const std::string bad = Write("bad.ini", text + "1s\n");
+  CHECK_EQUAL(kExitFine, Run({"check", good}));
+  CHECK_EQUAL(kExitRefused, Run({"check", bad}));
+  STRCMP_EQUAL((bad + ":7: [kind k] deadline_ms: \"1s\" is not an integer from "
+                      "1 to 86400000\n")
+                   .c_str(),
+               err.str().c_str());
+  CHECK_EQUAL(kExitRefused, Run({"check", directory + "/absent.ini"}));
+  CHECK_EQUAL(kExitFine, Run({"diff", good, other}));
+  STRCMP_EQUAL("The deadline of kind \"k\" changes from 1 ms to 2 ms.\n",
+               out.str().c_str());
+  CHECK_EQUAL(kExitFine, Run({"diff", good, good}));
+  CHECK_EQUAL(kExitRefused, Run({"diff", good, bad}));
+}
+
+// Guards against wrong usage that looks like success.
+TEST(Amaranthctl, RefusesWrongUsage) {
+  for (const std::vector<std::string>& arguments :
+       std::vector<std::vector<std::string>>{{},
+                                             {"check"},
+                                             {"check", "a", "b"},
+                                             {"diff", "a"},
+                                             {"other"},
+                                             {"--other"}}) {
+    CHECK_EQUAL(kExitUsage, Run(arguments));
+    CHECK(!err.str().empty());
+  }
+  CHECK_EQUAL(kExitFine, Run({"--help"}));
+  CHECK_EQUAL(kExitFine, Run({"--version"}));
+}
+
+}  // namespace amaranthcove
