--- a/src/ini/schema.cc
+++ b/src/ini/schema.cc
@@ -226,8 +226,11 @@
         hint = "wrong or missing unit; the key is \"" + known + "\"";
       }
     }
-    AddError(entry.key,
-             hint.empty() ? "unknown key; allowed are: " + allowed : hint);
+    // Not by AddError, whose search for the line would make a section with
+    // thousands of unknown keys take quadratic time.
+    errors_.push_back(
+        {entry.line, IniSectionTitle(section_), entry.key,
+         hint.empty() ? "unknown key; allowed are: " + allowed : hint});
   }
 }
 
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -1,5 +1,9 @@
 #include "amaranthcove/settings/settings.h"
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
 #include <CppUTest/TestHarness.h>
 
 namespace amaranthcove {
@@ -70,6 +74,24 @@
   STRCMP_EQUAL("f: [process] the section is missing\n", ErrorsOf("").c_str());
 }
 
+// Guards against a key file that is looked for in the working directory, which
+// differs between a shell and a service manager.
+TEST(Settings, KeyFileIsRelativeToTheSettingsFile) {
+  std::string directory =
+      (std::filesystem::temp_directory_path() / "settings.XXXXXX").string();
+  CHECK(mkdtemp(directory.data()) != nullptr);
+  const std::string file = directory + "/amaranthd.ini";
+  const std::string key(kMinClusterKeyBytes, 'k');
+  std::ofstream(file) << Process("sidecar")
+                      << "[sidecar]\nbackend_kind = plain\nteam = t\n"
+                         "backend_address = 127.0.0.1:1\nservice = s\n";
+  std::ofstream(directory + "/cluster.key") << key << "\n";
+  const auto settings = ReadSettings(file);
+  CHECK(settings.has_value());
+  CHECK(ReadClusterKey(settings->cluster_key_file).value_or("") == key);
+  std::filesystem::remove_all(directory);
+}
+
 // Guards against a handshake under an empty or truncated key.
 TEST(Settings, RefusesMissingAndShortClusterKeys) {
   CHECK(ReadClusterKey("/nonexistent").error().code == ErrorCode::kNotFound);
