--- a/include/amaranthcove/policy/popularity.h
+++ b/include/amaranthcove/policy/popularity.h
@@ -12,6 +12,19 @@
 // `Hash64` of "TEAM/ADAPTER@VERSION". 0 stands for "no adapter".
 using AdapterKey = std::uint64_t;
 
+// Exponentially decayed rate of one kind of event. A value type.
+struct DecayedRate {
+  Duration half_life = std::chrono::seconds(10);
+  double count = 0;
+  Time counted_at{};
+
+  // Adds `weight` events at `now`; `now` must not go back.
+  void Record(Time now, double weight = 1.0);
+
+  // Events per second.
+  double Rate(Time now) const;
+};
+
 struct PopularitySettings {
   Duration half_life = std::chrono::seconds(60);
   // Upper bound of the number of adapters that are remembered.
--- a/src/policy/popularity.cc
+++ b/src/policy/popularity.cc
@@ -19,6 +19,18 @@
 
 }  // namespace
 
+void DecayedRate::Record(Time now, double weight) {
+  const double halvings = ToSeconds(now - counted_at) / ToSeconds(half_life);
+  count = count * std::exp2(-halvings) + weight;
+  counted_at = now;
+}
+
+double DecayedRate::Rate(Time now) const {
+  const double halvings = ToSeconds(now - counted_at) / ToSeconds(half_life);
+  return count * std::exp2(-halvings) * std::numbers::ln2 /
+         ToSeconds(half_life);
+}
+
 PopularityTable::PopularityTable(PopularitySettings settings)
     : settings_(settings),
       decay_per_tick_(std::numbers::ln2 * ToSeconds(kTick) /
