--- a/src/base/address.cc
+++ b/src/base/address.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <utility>
 
 namespace amaranthcove {
 
@@ -22,9 +23,12 @@
   const char* end = port.data() + port.size();
   const auto [rest, error] = std::from_chars(port.data(), end, address.port);
   if (error != std::errc() || rest != end) {
-    return MakeError(
-        ErrorCode::kInvalidArgument,
-        "\"" + std::string(port) + "\" is not a port (0 to 65535)");
+    // Not by operator+, for which g++ 12 warns wrongly (-Wrestrict) when it
+    // optimises.
+    std::string message = "\"";
+    message += port;
+    message += "\" is not a port (0 to 65535)";
+    return MakeError(ErrorCode::kInvalidArgument, std::move(message));
   }
   return address;
 }
--- a/src/ini/ini.cc
+++ b/src/ini/ini.cc
@@ -216,11 +216,14 @@
   for (const IniError& error : errors) {
     text += file;
     if (error.line > 0) {
-      text += ":" + std::to_string(error.line);
+      text += ':';
+      text += std::to_string(error.line);
     }
     text += ": ";
     if (!error.section.empty()) {
-      text += "[" + error.section + "] ";
+      text += '[';
+      text += error.section;
+      text += "] ";
     }
     if (!error.key.empty()) {
       text += error.key + ": ";
--- a/src/ini/schema.cc
+++ b/src/ini/schema.cc
@@ -37,7 +37,12 @@
 }
 
 std::string Quoted(std::string_view text) {
-  return "\"" + std::string(text) + "\"";
+  // Not by operator+, for which g++ 12 warns wrongly (-Wrestrict) when it
+  // optimises.
+  std::string quoted = "\"";
+  quoted += text;
+  quoted += '"';
+  return quoted;
 }
 
 std::string FormatNumber(double number) {
--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -34,8 +34,8 @@
 class Logging::Implementation {
  public:
   explicit Implementation(LogLevel level) {
-    // log4cplus keeps at least one thread; its default is four, and no
-    // appender used here needs any.
+    // log4cplus starts four threads before `main` and keeps at least one of
+    // them; no appender used here needs any.
     log4cplus::setThreadPoolSize(0);
     const bool log_to_stderr = true;
     const bool flush_each_line = true;
--- a/src/service_document/diff.cc
+++ b/src/service_document/diff.cc
@@ -9,7 +9,12 @@
 using Sentences = std::vector<std::string>;
 
 std::string Quoted(std::string_view text) {
-  return "\"" + std::string(text) + "\"";
+  // Not by operator+, for which g++ 12 warns wrongly (-Wrestrict) when it
+  // optimises.
+  std::string quoted = "\"";
+  quoted += text;
+  quoted += '"';
+  return quoted;
 }
 
 template <typename T, std::size_t N>
