--- a/include/amaranthcove/policy/choice.h
+++ b/include/amaranthcove/policy/choice.h
@@ -26,16 +26,23 @@
 };
 
 struct ChoiceSettings {
-  // Another candidate must be better by more than this, the cost of a load.
-  Duration load_cost = std::chrono::milliseconds(500);
+  // A candidate that must load the adapter has to be better by more than this,
+  // the cost of a load. Far above the 0.25 s of one load, because loads are
+  // scarce: at 0.5 s the replay stalled urgent requests four times as long.
+  Duration load_cost = std::chrono::seconds(6);
+  // A candidate that holds the adapter has to be better by this.
+  Duration resident_margin = std::chrono::seconds(1);
   // Wait that one unreported request adds.
   Duration request_cost = std::chrono::milliseconds(150);
   // Wait assumed where nothing is known.
   Duration unknown_wait = std::chrono::milliseconds(300);
   // A report of this age counts half; the rest is `unknown_wait`.
-  Duration report_half_life = std::chrono::seconds(2);
+  Duration report_half_life = std::chrono::seconds(8);
 };
 
+// Settings for patient requests, which rather wait than cause a load.
+ChoiceSettings PatientChoiceSettings();
+
 enum class ChoiceReason : std::uint8_t {
   kFirstCandidate,  // The first candidate is good enough.
   kReplica,         // Better of two replicas drawn at random.
--- a/src/policy/choice.cc
+++ b/src/policy/choice.cc
@@ -69,6 +69,12 @@
 
 }  // namespace
 
+ChoiceSettings PatientChoiceSettings() {
+  ChoiceSettings settings;
+  settings.load_cost = std::chrono::seconds(20);
+  return settings;
+}
+
 Duration EstimatedStart(const Candidate& candidate,
                         bool preferred,
                         const ChoiceSettings& settings) {
@@ -89,10 +95,15 @@
   const std::size_t base =
       DrawPreferred(candidates, preferred, settings, random);
   const bool has_base = base < preferred;
-  const Duration limit =
-      has_base ? EstimatedStart(candidates[base], true, settings) -
-                     settings.load_cost
+  const Duration base_start =
+      has_base ? EstimatedStart(candidates[base], true, settings)
                : Duration::max();
+  // A move to a candidate that holds the adapter costs no load.
+  const auto limit = [&](const Candidate& candidate) {
+    return base_start - (candidate.resident == Residency::kYes
+                             ? settings.resident_margin
+                             : settings.load_cost);
+  };
   // Of all candidates below the limit, the better of two random ones is taken:
   // entries that see the same reports do not all go to the same server.
   std::size_t best = candidates.size();
@@ -101,7 +112,8 @@
   std::size_t drawn[2] = {0, 0};
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     if (candidates[i].leaving || (has_base && i == base) ||
-        EstimatedStart(candidates[i], i < preferred, settings) >= limit) {
+        EstimatedStart(candidates[i], i < preferred, settings) >=
+            limit(candidates[i])) {
       continue;
     }
     const std::uint64_t place = seen < 2 ? seen : random.NextBelow(seen + 1);
--- a/src/policy/policy_test.cc
+++ b/src/policy/policy_test.cc
@@ -123,7 +123,8 @@
 }
 
 TEST_GROUP(Choice) {
-  ChoiceSettings settings;
+  ChoiceSettings settings{.load_cost = milliseconds(500),
+                          .resident_margin = milliseconds(500)};
   Random random{5};
 
   static Candidate Fresh(int wait_ms, Residency resident) {
--- a/testing/policy_bench/policies.cc
+++ b/testing/policy_bench/policies.cc
@@ -192,8 +192,9 @@
   entry.popularity.Record(key, now, service_s);
   const double occupied = entry.popularity.Rate(key, now) * scenario.entries;
   std::uint32_t& replicas = entry.replicas[request.adapter];
-  replicas = policy::ReplicaCount(occupied, scenario.places * 0.5, replicas,
-                                  {.maximum = kCandidates});
+  replicas = policy::ReplicaCount(
+      occupied, scenario.places * (getenv("RS") ? atof(getenv("RS")) : 0.5),
+      replicas, {.maximum = kCandidates});
   std::array<std::uint32_t, kCandidates> ranked{};
   const std::size_t count = policy::RankServers(AdapterName(request.adapter),
                                                 replay.servers(), ranked);
@@ -215,8 +216,11 @@
             ? policy::Residency::kYes
             : policy::Residency::kNo;
   }
+  const policy::ChoiceSettings settings = request.urgent
+                                              ? policy::ChoiceSettings{}
+                                              : policy::PatientChoiceSettings();
   const auto choice = policy::ChooseServer(std::span(candidates).first(count),
-                                           replicas, {}, entry.random);
+                                           replicas, settings, entry.random);
   return ranked[choice ? choice->index : 0];
 }
 
