--- a/src/policy/queue.cc
+++ b/src/policy/queue.cc
@@ -198,6 +198,10 @@
         free_places <= ReservedPlaces(engine_, settings_.weights)) {
       return false;
     }
+    if (RankOf(request) == Rank::kPatient && slots_[s].pins == 0 &&
+        UnpinnedSlots() <= ReservedSlots()) {
+      return false;
+    }
     const bool delays_blocked = blocked_ && request.arrival > blocked_->arrival;
     return !delays_blocked || (!blocked_->alone && blocked_->slot != s);
   }
--- a/src/policy/queue_test.cc
+++ b/src/policy/queue_test.cc
@@ -107,6 +107,22 @@
   CHECK(Next().kind == StepKind::kStart);
 }
 
+// Guards against patient work that pins the last slot into which an urgent
+// request could load its adapter.
+TEST(Queue, PatientDoesNotPinTheLastFreeSlot) {
+  slots = {
+      {.adapter = 1}, {.adapter = 2, .pins = 1}, {.adapter = 3, .pins = 1}};
+  engine.running = 2;
+  engine.urgent_rate = 3;
+  Add(1, false);
+  CHECK(Next().kind == StepKind::kHold);
+  Add(2, false);
+  CHECK_EQUAL(1, Next().request);
+  engine.urgent_rate = 0;
+  requests.pop_back();
+  CHECK(Next().kind == StepKind::kStart);
+}
+
 // Guards against loads for single patient requests while the batch is full of
 // useful work, and against patient work taking the last free slot.
 TEST(Queue, PatientLoadsAreGrouped) {
