--- /dev/null
+++ b/src/streams/chunk_receiver.cc
@@ -0,0 +1,42 @@
+#include "amaranthcove/streams/chunk_receiver.h"
+
+namespace amaranthcove {
+
+ReceiveResult ChunkReceiver::Accept(std::int64_t sequence) {
+  if (state_ == State::kBroken) {
+    return ReceiveResult::kBroken;
+  }
+  // The caller has its whole response, so nothing can break it any more.
+  if (state_ == State::kWhole) {
+    return ReceiveResult::kIgnore;
+  }
+  if (sequence < 0 || sequence > next_sequence_) {
+    return Break();
+  }
+  if (sequence < next_sequence_) {
+    return ReceiveResult::kIgnore;
+  }
+  ++next_sequence_;
+  return ReceiveResult::kDeliver;
+}
+
+ReceiveResult ChunkReceiver::End(std::int64_t chunks) {
+  if (state_ == State::kBroken) {
+    return ReceiveResult::kBroken;
+  }
+  if (state_ == State::kWhole) {
+    return ReceiveResult::kIgnore;
+  }
+  if (chunks != next_sequence_) {
+    return Break();
+  }
+  state_ = State::kWhole;
+  return ReceiveResult::kWhole;
+}
+
+ReceiveResult ChunkReceiver::Break() {
+  state_ = State::kBroken;
+  return ReceiveResult::kBroken;
+}
+
+}  // namespace amaranthcove
