suspects: add request fingerprints and the quarantine table

The property test fails, as trials showed, when a second crash in company quarantines, when a full table evicts for a peer's update (updates then circulate for ever), when an entry outlives its expiry, when a peer's time span is not limited, and when a quarantine from a peer is not adopted.

--- /dev/null
+++ b/src/suspects/suspect_table.cc
@@ -0,0 +1,126 @@
+#include "amaranthcove/suspects/suspect_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace amaranthcove {
+
+SuspectJudgement SuspectTable::Judge(Fingerprint fingerprint, Time now) {
+  Expire(now);
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end() || found->second.cleared) {
+    return {SuspectDecision::kNormal, Duration::zero()};
+  }
+  if (!found->second.quarantined) {
+    return {SuspectDecision::kRunAlone, Duration::zero()};
+  }
+  return {SuspectDecision::kRefused, found->second.expires - now};
+}
+
+std::vector<SuspectUpdate> SuspectTable::ReportCrash(
+    std::span<const Fingerprint> batch,
+    Time now) {
+  Expire(now);
+  const std::set<Fingerprint> distinct(batch.begin(), batch.end());
+  std::vector<SuspectUpdate> updates;
+  for (const Fingerprint fingerprint : distinct) {
+    const auto found = entries_.find(fingerprint);
+    Entry entry = found == entries_.end() ? Entry{} : found->second;
+    if (entry.crashes < std::numeric_limits<std::int32_t>::max()) {
+      ++entry.crashes;
+    }
+    entry.cleared = false;
+    // A crash in company is no evidence that prolongs a quarantine.
+    if (!entry.quarantined || batch.size() == 1) {
+      entry.expires = now + limits_.max_age;
+    }
+    entry.quarantined = entry.quarantined || batch.size() == 1;
+    Store(fingerprint, entry);
+    updates.push_back(
+        {fingerprint, entry.crashes, entry.quarantined, entry.expires - now});
+  }
+  return updates;
+}
+
+void SuspectTable::ReportCompleted(Fingerprint fingerprint, Time now) {
+  Expire(now);
+  const auto found = entries_.find(fingerprint);
+  if (found != entries_.end() && !found->second.quarantined) {
+    found->second.cleared = true;
+  }
+}
+
+bool SuspectTable::Merge(const SuspectUpdate& update, Time now) {
+  Expire(now);
+  const Duration remaining = std::min(update.remaining, limits_.max_age);
+  if (remaining < limits_.min_merged_remaining || update.crashes < 1) {
+    return false;
+  }
+  const auto found = entries_.find(update.fingerprint);
+  if (found == entries_.end() && !HasRoomFor(update)) {
+    return false;
+  }
+  Entry entry = found == entries_.end() ? Entry{} : found->second;
+  const bool more_crashes = update.crashes > entry.crashes;
+  const bool new_quarantine = update.quarantined && !entry.quarantined;
+  if (!more_crashes && !new_quarantine) {
+    return false;
+  }
+  entry.cleared = false;
+  entry.crashes = std::max(entry.crashes, update.crashes);
+  // As for local crashes, only a quarantine prolongs a quarantine.
+  if (!entry.quarantined || update.quarantined) {
+    entry.expires = std::max(entry.expires, now + remaining);
+  }
+  entry.quarantined = entry.quarantined || update.quarantined;
+  Store(update.fingerprint, entry);
+  return true;
+}
+
+// Whether a peer's update may enter the table. In a full one it may only
+// replace a suspect by a quarantine: if entries that peers still hold were
+// dropped for it, both would be news again and circulate for ever.
+bool SuspectTable::HasRoomFor(const SuspectUpdate& update) const {
+  return entries_.size() < limits_.max_entries ||
+         (update.quarantined && !others_.empty());
+}
+
+void SuspectTable::Expire(Time now) {
+  for (Order* const order : {&quarantined_, &others_}) {
+    while (!order->empty() && order->begin()->first <= now) {
+      DropFirst(*order);
+    }
+  }
+}
+
+void SuspectTable::DropFirst(Order& order) {
+  entries_.erase(order.begin()->second);
+  order.erase(order.begin());
+}
+
+// Stores an entry. A full table first drops what expires first, quarantines
+// last, because forgetting one costs further crashes.
+void SuspectTable::Store(Fingerprint fingerprint, const Entry& entry) {
+  Remove(fingerprint);
+  if (entries_.size() >= limits_.max_entries) {
+    DropFirst(others_.empty() ? quarantined_ : others_);
+  }
+  Entry& stored = entries_.emplace(fingerprint, entry).first->second;
+  stored.position = OrderOf(entry).emplace(entry.expires, fingerprint);
+}
+
+void SuspectTable::Remove(Fingerprint fingerprint) {
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end()) {
+    return;
+  }
+  OrderOf(found->second).erase(found->second.position);
+  entries_.erase(found);
+}
+
+SuspectTable::Order& SuspectTable::OrderOf(const Entry& entry) {
+  return entry.quarantined ? quarantined_ : others_;
+}
+
+}  // namespace amaranthcove
