--- /dev/null
+++ b/src/platform_client/platform_answers_test.cc
@@ -0,0 +1,87 @@
+#include "src/platform_client/platform_answers.h"
+
+#include "amaranthcove/platform_client/call_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+TEST_GROUP(PlatformAnswers){};
+
+// Guards against a broken platform stopping the process or emptying its state.
+TEST(PlatformAnswers, RefusesWhatIsNotAnAnswer) {
+  for (const char* body : {"", "{", "[]", "null", "{}", R"({"revision":1})",
+                           R"({"revision":-1,"documents":[],"instances":[]})",
+                           R"({"revision":"1","documents":[],"instances":[]})",
+                           R"({"revision":1,"documents":{},"instances":{}})"}) {
+    CHECK_FALSE_TEXT(internal::ParseDocuments(body).has_value(), body);
+    CHECK_FALSE_TEXT(internal::ParseInstances(body).has_value(), body);
+    CHECK_FALSE_TEXT(internal::ParseDocument(body).has_value(), body);
+  }
+}
+
+// Guards against one bad item holding up the changes beside it.
+TEST(PlatformAnswers, LeavesOutBadItems) {
+  const auto documents = internal::ParseDocuments(R"({"revision":7,"documents":[
+      {"team":"a","revision":3,"removed":true}, {"team":"b"}, 5,
+      {"team":"","revision":1,"removed":false},
+      {"team":"c","revision":0,"removed":false}]})");
+  CHECK_EQUAL(7, documents->revision);
+  CHECK_EQUAL(1U, documents->items.size());
+  CHECK_EQUAL(4, documents->malformed_items);
+  CHECK(documents->items[0].removed);
+
+  const auto instances = internal::ParseInstances(R"({"revision":2,"instances":[
+      {"instance":"e","role":"sidecar","address":"127.0.0.1:1","region":"r",
+       "data_centre":"d","state":"leaving",
+       "backend":{"kind":"plain","team":"t","service":"s"}},
+      {"instance":"f","role":"sidecar","address":"127.0.0.1:1","state":"live"},
+      {"instance":"g","role":"entry","address":"nowhere","state":"live"},
+      {"instance":"h","role":"entry","address":"127.0.0.1:1","state":"new"}]})");
+  CHECK_EQUAL(1U, instances->items.size());
+  CHECK_EQUAL(3, instances->malformed_items);
+  const InstanceRecord expected{"e",
+                                InstanceRole::kSidecar,
+                                {"127.0.0.1", 1},
+                                "r",
+                                "d",
+                                InstanceState::kLeaving,
+                                {BackendKind::kPlain, "", "t", "s"}};
+  CHECK(instances->items[0] == expected);
+}
+
+// Guards against a team's name that reaches another path of the platform.
+TEST(PlatformAnswers, EncodesPathSegments) {
+  STRCMP_EQUAL("a-1_%2F%2E%2E%3F",
+               internal::EncodePathSegment("a-1_/..?").c_str());
+}
+
+TEST_GROUP(CallBudget){};
+
+// Guards against more than 5 calls within any second, however they are spread.
+TEST(CallBudget, NeverMoreThanFiveInASecond) {
+  const Time start{std::chrono::hours(1)};
+  CallBudget budget;
+  std::vector<Time> calls;
+  Time now = start;
+  for (int i = 0; i < 100; ++i) {
+    now = budget.NextAllowed(now + std::chrono::milliseconds(i % 7 * 40));
+    budget.Record(now);
+    calls.push_back(now);
+  }
+  for (std::size_t i = kMaxPlatformCallsPerSecond; i < calls.size(); ++i) {
+    CHECK(calls[i] - calls[i - kMaxPlatformCallsPerSecond] >=
+          std::chrono::seconds(1));
+  }
+  CHECK(calls[4] - calls[0] < std::chrono::seconds(1));
+}
+
+// Guards against retries in step, and against delays that grow without limit.
+TEST(CallBudget, RetryDelayHasFullJitterAndALimit) {
+  CHECK(RetryDelay(3, 0.0) == Duration::zero());
+  CHECK(RetryDelay(0, 0.5) == std::chrono::milliseconds(100));
+  CHECK(RetryDelay(1, 0.5) == std::chrono::milliseconds(200));
+  CHECK(RetryDelay(1000, 0.5) == std::chrono::milliseconds(2500));
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/platform_client/platform_client.cc
@@ -0,0 +1,264 @@
+#include "amaranthcove/platform_client/platform_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/platform_client/platform_answers.h"
+
+namespace amaranthcove {
+
+namespace {
+
+constexpr Duration kFetchLimit = std::chrono::seconds(5);
+constexpr int kOk = 200;
+
+}  // namespace
+
+PlatformClient::PlatformClient(EventLoop& loop,
+                               HttpClient& client,
+                               Options options,
+                               Callbacks callbacks)
+    : loop_(loop),
+      client_(client),
+      options_(std::move(options)),
+      callbacks_(std::move(callbacks)) {
+  documents_.path = "/v1/documents";
+  documents_.on_answer = &PlatformClient::OnDocuments;
+  instances_.path = "/v1/instances";
+  instances_.on_answer = &PlatformClient::OnInstances;
+}
+
+PlatformClient::~PlatformClient() {
+  Drop(documents_.task);
+  Drop(instances_.task);
+  Drop(fetch_);
+}
+
+void PlatformClient::WatchDocuments(bool watch) {
+  SetWatch(documents_, watch);
+}
+
+void PlatformClient::WatchInstances(bool watch) {
+  SetWatch(instances_, watch);
+}
+
+void PlatformClient::SetWatch(Watch& watch, bool active) {
+  if (watch.task.active == active) {
+    return;
+  }
+  if (active) {
+    ScheduleWatch(watch, Duration::zero());
+  } else {
+    Drop(watch.task);
+  }
+}
+
+void PlatformClient::ScheduleWatch(Watch& watch, Duration delay) {
+  Schedule(watch.task, delay, [this, &watch] { StartWatch(watch); });
+}
+
+void PlatformClient::StartWatch(Watch& watch) {
+  std::string path =
+      watch.path + "?after=" + std::to_string(watch.cursor) +
+      "&wait_ms=" + std::to_string(ToMilliseconds(options_.wait));
+  StartCall(
+      watch.task, std::move(path), options_.wait + options_.margin,
+      [this, &watch](const std::string& body) {
+        return (this->*watch.on_answer)(body);
+      },
+      [this, &watch](Duration delay) { ScheduleWatch(watch, delay); });
+}
+
+PlatformClient::Verdict PlatformClient::OnDocuments(const std::string& body) {
+  auto changes = internal::ParseDocuments(body);
+  if (!changes) {
+    ++counters_.malformed_answers;
+    return Verdict::kBad;
+  }
+  counters_.malformed_items += changes->malformed_items;
+  const Verdict verdict =
+      JudgeRevision(documents_, changes->revision, !changes->items.empty());
+  if (verdict != Verdict::kGood) {
+    return verdict;
+  }
+  documents_.cursor = changes->revision;
+  for (Document& document : changes->items) {
+    if (document.revision <= callbacks_.known_revision(document.team)) {
+      continue;
+    }
+    if (document.removed) {
+      ++counters_.documents;
+      callbacks_.on_document(std::move(document));
+    } else {
+      Announce(std::move(document.team), document.revision);
+    }
+  }
+  return verdict;
+}
+
+PlatformClient::Verdict PlatformClient::OnInstances(const std::string& body) {
+  const auto changes = internal::ParseInstances(body);
+  if (!changes) {
+    ++counters_.malformed_answers;
+    return Verdict::kBad;
+  }
+  counters_.malformed_items += changes->malformed_items;
+  const Verdict verdict =
+      JudgeRevision(instances_, changes->revision, !changes->items.empty());
+  if (verdict != Verdict::kGood) {
+    return verdict;
+  }
+  instances_.cursor = changes->revision;
+  if (!changes->items.empty()) {
+    callbacks_.on_instances(changes->revision, changes->items);
+  }
+  return verdict;
+}
+
+PlatformClient::Verdict PlatformClient::JudgeRevision(const Watch& watch,
+                                                      std::int64_t revision,
+                                                      bool has_changes) {
+  if (revision < watch.cursor) {
+    ++counters_.stale_answers;
+    return Verdict::kBad;
+  }
+  const bool waited = loop_.Now() - watch.task.started >= options_.wait / 2;
+  if (revision == watch.cursor && !has_changes && !waited) {
+    return Verdict::kHasty;
+  }
+  return Verdict::kGood;
+}
+
+void PlatformClient::Announce(std::string team, std::int64_t revision) {
+  const auto [found, is_new] = announced_.try_emplace(team, revision);
+  found->second = std::max(found->second, revision);
+  if (is_new) {
+    fetch_order_.push_back(std::move(team));
+  }
+  if (!fetch_.active) {
+    ScheduleFetch(Duration::zero());
+  }
+}
+
+void PlatformClient::ScheduleFetch(Duration delay) {
+  Schedule(fetch_, delay, [this] { StartFetch(); });
+}
+
+bool PlatformClient::IsFetched(const std::string& team) const {
+  return callbacks_.known_revision(team) >= announced_.find(team)->second;
+}
+
+void PlatformClient::StartFetch() {
+  // A peer may have sent what was announced in the meantime.
+  while (!fetch_order_.empty() && IsFetched(fetch_order_.front())) {
+    announced_.erase(fetch_order_.front());
+    fetch_order_.pop_front();
+  }
+  if (fetch_order_.empty()) {
+    Drop(fetch_);
+    return;
+  }
+  const std::string team = fetch_order_.front();
+  StartCall(
+      fetch_, "/v1/documents/" + internal::EncodePathSegment(team), kFetchLimit,
+      [this, team](const std::string& body) { return OnText(team, body); },
+      [this](Duration delay) {
+        RotateFetches();
+        ScheduleFetch(delay);
+      });
+}
+
+// One document that cannot be read must not hold up the others.
+void PlatformClient::RotateFetches() {
+  std::rotate(fetch_order_.begin(), fetch_order_.begin() + 1,
+              fetch_order_.end());
+}
+
+PlatformClient::Verdict PlatformClient::OnText(const std::string& team,
+                                               const std::string& body) {
+  Result<Document> document = internal::ParseDocument(body);
+  if (!document || document->team != team) {
+    ++counters_.malformed_answers;
+    return Verdict::kBad;
+  }
+  const bool as_announced = document->revision >= announced_.find(team)->second;
+  const bool newer = document->revision > callbacks_.known_revision(team);
+  if (newer) {
+    ++counters_.documents;
+    callbacks_.on_document(std::move(*document));
+  }
+  if (!as_announced) {
+    ++counters_.stale_answers;
+    return Verdict::kBad;
+  }
+  announced_.find(team)->second = 0;  // Done; `StartFetch` removes it.
+  return Verdict::kGood;
+}
+
+void PlatformClient::Schedule(Task& task,
+                              Duration delay,
+                              std::function<void()> start) {
+  task.active = true;
+  task.timer =
+      loop_.RunAfter(delay, [this, &task, start = std::move(start)]() mutable {
+        const Time now = loop_.Now();
+        const Time allowed = budget_.NextAllowed(now);
+        if (allowed > now) {
+          Schedule(task, allowed - now, std::move(start));
+          return;
+        }
+        task.timer = 0;
+        start();
+      });
+}
+
+void PlatformClient::StartCall(
+    Task& task,
+    std::string path,
+    Duration limit,
+    std::function<Verdict(const std::string& body)> on_answer,
+    std::function<void(Duration delay)> next) {
+  const Time now = loop_.Now();
+  budget_.Record(now);
+  ++counters_.calls;
+  task.started = now;
+  task.platform = platform_;
+  HttpRequest request{"GET", std::move(path), {}, ""};
+  task.call = client_.Fetch(
+      options_.platforms[platform_], std::move(request), now + limit,
+      [this, &task, on_answer = std::move(on_answer), next = std::move(next)](
+          HttpCallEnd end, const HttpResponse& response) {
+        task.call = 0;
+        Verdict verdict = Verdict::kBad;
+        if (end == HttpCallEnd::kComplete && response.status == kOk) {
+          verdict = on_answer(response.body);
+        } else {
+          ++counters_.failed_calls;
+        }
+        // A callback may have stopped this watch.
+        if (task.active && task.timer == 0 && task.call == 0) {
+          next(DelayAfter(task, verdict));
+        }
+      });
+}
+
+Duration PlatformClient::DelayAfter(Task& task, Verdict verdict) {
+  if (verdict == Verdict::kGood) {
+    task.failures = 0;
+    return Duration::zero();
+  }
+  // Calls that fail together must not skip an address together.
+  if (verdict == Verdict::kBad && task.platform == platform_) {
+    platform_ = (platform_ + 1) % options_.platforms.size();
+  }
+  const int failures = task.failures++;
+  return RetryDelay(failures, options_.random());
+}
+
+void PlatformClient::Drop(Task& task) {
+  loop_.Cancel(task.timer);
+  client_.Cancel(task.call);
+  task = {};
+}
+
+}  // namespace amaranthcove
