--- a/cmake/Component.cmake
+++ b/cmake/Component.cmake
@@ -4,6 +4,10 @@
   ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR})
 target_compile_options(amaranthcove_options INTERFACE
   -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Werror)
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+  # g++ 12 reports it wrongly for `"literal" + std::string` at -O3.
+  target_compile_options(amaranthcove_options INTERFACE -Wno-restrict)
+endif()
 if(AMARANTHCOVE_SANITIZE)
   target_compile_options(amaranthcove_options INTERFACE
     -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
--- a/src/platform_client/platform_answers.cc
+++ b/src/platform_client/platform_answers.cc
@@ -59,9 +59,9 @@
     {"gone", InstanceState::kGone},
 }};
 
-constexpr std::array<std::pair<std::string_view, BackendKind>, 2> kKinds{{
-    {"engine", BackendKind::kEngine},
-    {"plain", BackendKind::kPlain},
+constexpr std::array<std::pair<std::string_view, OfferKind>, 2> kKinds{{
+    {"engine", OfferKind::kEngine},
+    {"plain", OfferKind::kPlain},
 }};
 
 std::optional<Document> DocumentOf(const Json& item) {
