--- a/testing/policy_bench/main.cc
+++ b/testing/policy_bench/main.cc
@@ -1,4 +1,4 @@
-// policy_bench cost | replay [LENGTH_S]
+// policy_bench cost | replay [LENGTH_S [SEED_OFFSET]]
 // `cost` prints the cost of each decision; `replay` compares policies on
 // generated traces with fixed seeds.
 #include <algorithm>
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint64_t kSeeds[] = {11, 22, 33, 44};
+constexpr std::uint64_t kSeeds[] = {11, 22, 33, 44};  // Used for tuning.
 
 double Quantile(const std::vector<double>& sorted, double q) {
   if (sorted.empty()) {
@@ -85,11 +85,12 @@
   };
 }
 
-void Compare(const Scenario& scenario) {
+void Compare(const Scenario& scenario, std::uint64_t seed_offset) {
   const PolicyTable* const policies[] = {
       &kLeastLoaded, &kHashing, &kStaticShare, &kDemandShare, &kClairvoyant};
   std::vector<Figures> figures(std::size(policies));
-  for (const std::uint64_t seed : kSeeds) {
+  for (const std::uint64_t tuning_seed : kSeeds) {
+    const std::uint64_t seed = tuning_seed + seed_offset;
     const Trace trace = MakeTrace(scenario, seed);
     for (std::size_t p = 0; p < figures.size(); ++p) {
       figures[p].Add(Replay(scenario, trace, *policies[p], seed).Run());
@@ -115,7 +116,7 @@
   }
 }
 
-void CompareAll(double length_s) {
+void CompareAll(double length_s, std::uint64_t seed_offset) {
   Scenario stalls;
   stalls.name = "vratovrazka (stalls)";
   stalls.weights = policy::StallWeights();
@@ -127,7 +128,7 @@
   for (Scenario* scenario : {&stalls, &batch}) {
     scenario->length_s = length_s;
     scenario->shift_at_s = length_s / 2;
-    Compare(*scenario);
+    Compare(*scenario, seed_offset);
   }
 }
 
@@ -143,9 +144,12 @@
   }
   if (mode == "replay") {
     const double length_s = argc > 2 ? std::strtod(argv[2], nullptr) : 900;
-    amaranthcove::policy_bench::CompareAll(length_s);
+    const std::uint64_t seed_offset =
+        argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 0;
+    amaranthcove::policy_bench::CompareAll(length_s, seed_offset);
     return 0;
   }
-  std::fprintf(stderr, "usage: policy_bench cost | replay [LENGTH_S]\n");
+  std::fprintf(stderr,
+               "usage: policy_bench cost | replay [LENGTH_S [SEED_OFFSET]]\n");
   return 2;
 }
