--- a/testing/policy_bench/main.cc
+++ b/testing/policy_bench/main.cc
@@ -74,6 +74,7 @@
        [](F f) { return f.after_stall / std::max(f.steady_stall, 1e-9); }},
       {"loads/s", [](F f) { return f.loads / f.seconds; }},
       {"most loads in 10 s", [](F f) { return f.peak_loads_10s; }},
+      {"the same after 120 s", [](F f) { return f.steady_peak_10s; }},
       {"loads refused/seed", [](F f) { return f.refused_loads / kSeedCount; }},
       {"batch fullness (active), %",
        [](F f) { return 100 * f.busy_s / f.active_s; }},
--- a/testing/policy_bench/replay.cc
+++ b/testing/policy_bench/replay.cc
@@ -33,6 +33,7 @@
   loads += other.loads;
   refused_loads += other.refused_loads;
   peak_loads_10s = std::max(peak_loads_10s, other.peak_loads_10s);
+  steady_peak_10s = std::max(steady_peak_10s, other.steady_peak_10s);
   seconds += other.seconds;
   busy_s += other.busy_s;
   active_s += other.active_s;
@@ -132,8 +133,11 @@
     while (load_times_[i] - load_times_[first] > seconds(10)) {
       ++first;
     }
-    figures_.peak_loads_10s =
-        std::max(figures_.peak_loads_10s, static_cast<double>(i - first + 1));
+    const auto count = static_cast<double>(i - first + 1);
+    figures_.peak_loads_10s = std::max(figures_.peak_loads_10s, count);
+    if (load_times_[first] - trace_.requests.front().arrival > seconds(120)) {
+      figures_.steady_peak_10s = std::max(figures_.steady_peak_10s, count);
+    }
   }
   figures_.seconds = scenario_.length_s;
   figures_.all_s = scenario_.length_s * scenario_.engines * scenario_.places;
--- a/testing/policy_bench/replay.h
+++ b/testing/policy_bench/replay.h
@@ -72,7 +72,8 @@
   double after_stall = 0;   // Urgent, total from 60 s to 180 s after it.
   double loads = 0;
   double refused_loads = 0;
-  double peak_loads_10s = 0;  // Most loads asked for within 10 s.
+  double peak_loads_10s = 0;   // Most loads asked for within 10 s.
+  double steady_peak_10s = 0;  // The same after the first 120 s.
   double seconds = 0;
   double busy_s = 0;    // Place-seconds used.
   double active_s = 0;  // Place-seconds of engines that ran anything.
