--- a/include/amaranthcove/base/ids.h
+++ b/include/amaranthcove/base/ids.h
@@ -21,7 +21,8 @@
   Incarnation incarnation = 0;
   std::int64_t number = 0;
 
-  auto operator<=>(const AttemptId&) const = default;  // NOLINT(modernize-use-nullptr)
+  auto operator<=>(const AttemptId&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 // "INSTANCE/INCARNATION/NUMBER" for logs and dumps. Thread-safe.
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -34,7 +34,8 @@
   std::string data_centre;
   // Candidates looked at for each adapter beyond its replicas.
   std::size_t spare_candidates = 2;
-  policy::ChoiceSettings choice;
+  policy::ChoiceSettings urgent_choice;
+  policy::ChoiceSettings patient_choice = policy::PatientChoiceSettings();
   policy::ReplicaSettings replicas;
   ChooseServerFunction choose = &policy::ChooseServer;
 };
--- a/src/engine_client/engine_client.cc
+++ b/src/engine_client/engine_client.cc
@@ -184,8 +184,8 @@
                {{"Content-Type", "application/json"}},
                body.dump()},
               deadline,
-              [alive = alive_, done = std::move(done)](HttpCallEnd end,
-                                                       const HttpResponse& response) {
+              [alive = alive_, done = std::move(done)](
+                  HttpCallEnd end, const HttpResponse& response) {
                 if (*alive) {
                   done(end == HttpCallEnd::kComplete ? ParseLoadAnswer(response)
                                                      : LoadResult());
@@ -204,7 +204,8 @@
   const std::string id(stream_id);
   Remove(id);
   http_.Fetch(engine_, {"DELETE", "/v1/streams/" + id, {}, ""},
-              loop_.Now() + kCancelLimit, [](HttpCallEnd, const HttpResponse&) {});
+              loop_.Now() + kCancelLimit,
+              [](HttpCallEnd, const HttpResponse&) {});
 }
 
 void EngineClient::Remove(const std::string& stream_id) {
--- a/src/engine_client/generation.cc
+++ b/src/engine_client/generation.cc
@@ -135,7 +135,8 @@
     return;
   }
   if (end == HttpCallEnd::kConnectFailed && !sent_) {
-    Finish(GenerationResult{GenerationEnd::kNotRun, "engine_unreachable", 0, ""});
+    Finish(
+        GenerationResult{GenerationEnd::kNotRun, "engine_unreachable", 0, ""});
     return;
   }
   sent_ = true;
--- a/src/engine_client/sse_parser.cc
+++ b/src/engine_client/sse_parser.cc
@@ -46,8 +46,8 @@
     }
     return std::nullopt;
   }
-  std::string_view text =
-      std::string_view(buffer_).substr(consumed_, end - consumed_);
+  const std::string_view buffered = buffer_;
+  std::string_view text = buffered.substr(consumed_, end - consumed_);
   SseEvent event;
   while (!text.empty()) {
     const std::size_t line_end = text.find('\n');
--- a/src/entry/call_plan.cc
+++ b/src/entry/call_plan.cc
@@ -116,8 +116,8 @@
 
 PlanResult PlanPlainCall(const HttpRequest& request,
                          const Catalogue& catalogue) {
-  const std::string_view rest =
-      std::string_view(request.path).substr(kPlainPrefix.size());
+  std::string_view rest = request.path;
+  rest.remove_prefix(kPlainPrefix.size());
   const std::size_t team_end = rest.find('/');
   const std::string_view team = rest.substr(0, team_end);
   const std::string_view after_team =
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -108,8 +108,10 @@
          {"leaving", candidate.leaving},
          {"unreported", candidate.unreported}});
   }
-  const auto choice =
-      settings_.choose(candidates, replicas, settings_.choice, random_);
+  const auto choice = settings_.choose(
+      candidates, replicas,
+      plan.urgent ? settings_.urgent_choice : settings_.patient_choice,
+      random_);
   if (!choice) {
     return MakeError(ErrorCode::kUnavailable,
                      "Every backend server for the request is leaving.");
