--- a/include/amaranthcove/sidecar/engine_backend.h
+++ b/include/amaranthcove/sidecar/engine_backend.h
@@ -35,8 +35,12 @@
   std::size_t queue_limit = 256;
   policy::LoadBudgetSettings load_budget;
   NextStepFunction next_step = &policy::NextStep;
-  // Between looks at the engine's state.
+  // Between looks at the engine's state, and while it does not answer.
   Duration poll_interval = std::chrono::seconds(1);
+  Duration unreachable_poll_interval = std::chrono::milliseconds(50);
+  // Queued work is refused when the engine has not answered for this time, so
+  // that entries try other servers.
+  Duration unreachable_limit = std::chrono::milliseconds(500);
   Duration state_limit = std::chrono::seconds(1);
   // Time for one load; a load takes 0.25 s unless the weight store is crowded.
   Duration load_limit = std::chrono::seconds(20);
@@ -88,7 +92,7 @@
   wire::ServerReport Report(std::string_view model, Time now) const override;
   void OnSuspectReport(const wire::Suspect& suspect, Time now) override;
   std::size_t active() const override;
-  bool ready() const override { return !boot_id_.empty(); }
+  bool ready() const override { return reachable_; }
   nlohmann::json Dump(Time now) const override;
 
   const EngineBackendCounters& counters() const { return counters_; }
@@ -121,6 +125,8 @@
   };
 
   void Poll();
+  void OnUnreachable();
+  void RefuseQueue(const WorkRefusal& refusal);
   void OnState(const Result<EngineState>& state);
   void OnFirstState(const EngineState& state);
   void OnEngineRestart(const EngineState& state);
@@ -158,6 +164,10 @@
   EngineClient client_;
   EngineBackendCounters counters_;
 
+  // False until the engine has told its state, and again from a connection
+  // failure or restart until it has told its new state. Queued work waits.
+  bool reachable_ = false;
+  Time unreachable_since_;
   std::string boot_id_;
   std::string crashed_boot_;  // The last boot whose crash was reported.
   std::uint32_t batch_size_ = 0;
--- a/include/amaranthcove/suspects/suspect_table.h
+++ b/include/amaranthcove/suspects/suspect_table.h
@@ -51,8 +51,9 @@
   SuspectJudgement Judge(Fingerprint fingerprint, Time now);
 
   // Records the crash of a backend server. `batch` has one fingerprint for each
-  // request that was running on it. A request is quarantined only if it was the
-  // whole batch, be it a solo run or by chance; otherwise all become suspect.
+  // request that was running on it. A request is quarantined only if it was a
+  // suspect already and the whole batch; otherwise all become suspect. One
+  // crash alone proves nothing, because engines also restart by themselves.
   // Returns the updates for the peers, one for each fingerprint. A full table
   // drops what expires first, quarantines last.
   std::vector<SuspectUpdate> ReportCrash(std::span<const Fingerprint> batch,
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -27,6 +27,9 @@
 
 constexpr int kHttpOk = 200;
 
+// Code of a generation whose request was never sent.
+constexpr std::string_view kEngineUnreachable = "engine_unreachable";
+
 std::int64_t InitialFence() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count()
@@ -107,16 +110,39 @@
                          OnState(state);
                        });
   }
-  poll_timer_ = loop_.RunAfter(settings_.poll_interval, [this] {
-    poll_timer_ = 0;
-    Poll();
-  });
+  poll_timer_ = loop_.RunAfter(reachable_ ? settings_.poll_interval
+                                          : settings_.unreachable_poll_interval,
+                               [this] {
+                                 poll_timer_ = 0;
+                                 Poll();
+                               });
+}
+
+void EngineBackend::OnUnreachable() {
+  if (reachable_) {
+    reachable_ = false;
+    unreachable_since_ = loop_.Now();
+  }
+  if (loop_.Now() - unreachable_since_ > settings_.unreachable_limit) {
+    RefuseQueue({"backend_not_ready", "The engine does not answer.",
+                 kUnreadyRetryAfter});
+  }
+}
+
+void EngineBackend::RefuseQueue(const WorkRefusal& refusal) {
+  std::list<Queued> refused;
+  refused.swap(queue_);
+  for (const Queued& queued : refused) {
+    Refuse(queued.work, refusal);
+  }
 }
 
 void EngineBackend::OnState(const Result<EngineState>& state) {
   if (!state || state->base_model != settings_.base_model) {
+    OnUnreachable();
     return;
   }
+  reachable_ = true;
   if (boot_id_.empty()) {
     OnFirstState(*state);
   } else if (state->boot_id != boot_id_) {
@@ -174,8 +200,12 @@
     return;
   }
   const wire::Submit& request = work.request;
-  const SuspectJudgement judgement =
-      suspects_.Judge(static_cast<Fingerprint>(request.fingerprint), now);
+  const auto fingerprint = static_cast<Fingerprint>(request.fingerprint);
+  if (request.run_alone) {
+    // The entry knows of a crash elsewhere that was not reported here.
+    suspects_.Merge({fingerprint, 1, false, SuspectLimits().max_age}, now);
+  }
+  const SuspectJudgement judgement = suspects_.Judge(fingerprint, now);
   if (judgement.decision == SuspectDecision::kRefused) {
     Refuse(work,
            {"crashes_server",
@@ -494,6 +524,10 @@
   } else {
     FinishRunning(running, result);
   }
+  if (result.end == GenerationEnd::kEngineRestart ||
+      result.code == kEngineUnreachable) {
+    OnUnreachable();
+  }
   if (result.end != GenerationEnd::kWhole) {
     Poll();
   }
@@ -537,7 +571,7 @@
     slots_[running.slot].model.clear();
   }
   Queued request = std::move(running.request);
-  if (++request.start_refusals >= settings_.max_start_refusals) {
+  if (code != kEngineUnreachable && ++request.start_refusals >= settings_.max_start_refusals) {
     Refuse(request.work,
            {"engine_refused", "The engine refused to start it: " + code + ".",
             policy::RetryAfter(std::chrono::seconds(1), random_)});
--- a/src/suspects/suspect_table.cc
+++ b/src/suspects/suspect_table.cc
@@ -27,15 +27,17 @@
   for (const Fingerprint fingerprint : distinct) {
     const auto found = entries_.find(fingerprint);
     Entry entry = found == entries_.end() ? Entry{} : found->second;
+    const bool was_suspect = entry.crashes > 0 && !entry.cleared;
+    const bool is_culprit = was_suspect && batch.size() == 1;
     if (entry.crashes < std::numeric_limits<std::int32_t>::max()) {
       ++entry.crashes;
     }
     entry.cleared = false;
     // A crash in company is no evidence that prolongs a quarantine.
-    if (!entry.quarantined || batch.size() == 1) {
+    if (!entry.quarantined || is_culprit) {
       entry.expires = now + limits_.max_age;
     }
-    entry.quarantined = entry.quarantined || batch.size() == 1;
+    entry.quarantined = entry.quarantined || is_culprit;
     Store(fingerprint, entry);
     updates.push_back(
         {fingerprint, entry.crashes, entry.quarantined, entry.expires - now});
--- a/src/suspects/suspects_test.cc
+++ b/src/suspects/suspects_test.cc
@@ -39,6 +39,8 @@
 
   void Crash(std::size_t process, const std::vector<Fingerprint>& batch) {
     SuspectTable& table = tables.at(process);
+    const bool known =
+        table.Judge(batch[0], now).decision != SuspectDecision::kNormal;
     for (const auto& update : table.ReportCrash(batch, now)) {
       Push(process, update);
     }
@@ -47,6 +49,11 @@
                 SuspectDecision::kNormal);
       return;
     }
+    if (!known) {
+      RC_ASSERT(table.Judge(batch[0], now).decision ==
+                SuspectDecision::kRunAlone);
+      return;
+    }
     crashed_alone.insert(batch[0]);
     RC_ASSERT(table.Judge(batch[0], now).remaining == kSmall.max_age);
   }
@@ -112,6 +119,7 @@
       group.Deliver(0, false);
     }
     group.Crash(0, {0});
+    group.Crash(0, {0});
     while (!group.network.empty()) {
       group.Deliver(0, false);
     }
