Add a history check of concurrent runs under faults

Real processes on loopback serve seeded callers while a seeded plan of paired faults runs; checkers look at every answer, the executions of the plain servers, the engines' logs and the documents in force.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -2,6 +2,8 @@
 
 usage: run_tests.py FOLDER [PROGRAM...]
 
+Without names, a short history check with a fixed seed follows the programs.
+
 A line "PROGRAM GROUP.NAME: ..." of KNOWN-RED.txt names a test that is printed
 and not run. A program that ends without CppUTest's summary counts as a failure.
 """
@@ -14,6 +16,9 @@
 import sys
 
 PROGRAM_TIMEOUT_S = 900
+HISTORY_TIMEOUT_S = 600
+HISTORY_OPTIONS = ("--seed", "1", "--minutes", "0.6")
+HISTORY_SUMMARY = re.compile(r"^history: (\d+) passed, (\d+) failed$", re.MULTILINE)
 SUMMARY = re.compile(
     r"^(OK|Errors) \((?:(\d+) failures?, )?\d+ tests?, (\d+) ran", re.MULTILINE
 )
@@ -63,6 +68,33 @@
     return program.name, passed, failed, output
 
 
+def run_history(root, build):
+    command = [sys.executable, str(root / "testing/history/history_check.py")]
+    command += [*HISTORY_OPTIONS, "--build", str(build)]
+    try:
+        done = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            errors="replace",
+            timeout=HISTORY_TIMEOUT_S,
+            check=False,
+        )
+        output, code = done.stdout, done.returncode
+    except subprocess.TimeoutExpired as error:
+        output = (error.stdout or b"").decode(errors="replace")
+        output += f"\nno end within {HISTORY_TIMEOUT_S} s\n"
+        code = 1
+    match = HISTORY_SUMMARY.search(output)
+    if not match:
+        return 0, 1, output
+    failed = int(match.group(2))
+    if code != 0 and failed == 0:
+        failed = 1
+    return int(match.group(1)), failed, output
+
+
 def main():
     root = pathlib.Path(__file__).resolve().parent.parent
     folder = pathlib.Path(sys.argv[1]).resolve()
@@ -79,6 +111,13 @@
             print(f"{name}: {ok} passed, {bad} failed", flush=True)
             if bad:
                 print(output, flush=True)
+    if not names:
+        ok, bad, output = run_history(root, folder.parent)
+        passed += ok
+        failed += bad
+        print(f"history: {ok} passed, {bad} failed", flush=True)
+        if bad:
+            print(output, flush=True)
     for program, tests in red.items():
         for test in tests:
             print(f"known red, not run: {program} {test}")
