sidecar: keep work for a restarting engine, refuse it when the engine stays away

Found by engine_faults_test. A request that reached a sidecar during a 100 ms restart of its engine was refused at once (backend_not_ready) or after five tries 20 ms apart (engine_refused), and the entry's four attempts were over before the engine was back. A superseded sidecar refuses its queue instead of keeping it until the deadlines.

--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -194,8 +194,11 @@
 
 void EngineBackend::Submit(Work work) {
   const Time now = loop_.Now();
-  if (!ready()) {
-    Refuse(work, {"backend_not_ready", "The engine has not answered yet.",
+  // A restarting engine is back within the limit; its queue goes on growing.
+  const bool lost =
+      !reachable_ && now - unreachable_since_ > settings_.unreachable_limit;
+  if (boot_id_.empty() || lost) {
+    Refuse(work, {"backend_not_ready", "The engine does not answer.",
                   kUnreadyRetryAfter});
     return;
   }
@@ -467,6 +470,8 @@
     ++counters_.stale_fences;
     superseded_ = true;
     observer_.OnSuperseded();
+    RefuseQueue(
+        {"leaving", "The backend server has another sidecar.", Duration(0)});
   } else if (result.status == LoadStatus::kStaleFence) {
     // A later command of this incarnation overtook this one on another
     // connection. The engine has not loaded anything.
@@ -576,7 +581,8 @@
     slots_[running.slot].model.clear();
   }
   Queued request = std::move(running.request);
-  if (code != kEngineUnreachable && ++request.start_refusals >= settings_.max_start_refusals) {
+  if (code != kEngineUnreachable &&
+      ++request.start_refusals >= settings_.max_start_refusals) {
     Refuse(request.work,
            {"engine_refused", "The engine refused to start it: " + code + ".",
             policy::RetryAfter(std::chrono::seconds(1), random_)});
