--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -1015,6 +1015,16 @@
   this->platform_age_ms = val;
 __isset.platform_age_ms = true;
 }
+
+void Heartbeat::__set_instances_revision(const int64_t val) {
+  this->instances_revision = val;
+__isset.instances_revision = true;
+}
+
+void Heartbeat::__set_platform_reader(const std::string& val) {
+  this->platform_reader = val;
+__isset.platform_reader = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1083,6 +1093,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instances_revision);
+          this->__isset.instances_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->platform_reader);
+          this->__isset.platform_reader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1122,70 +1148,695 @@
     xfer += oprot->writeI64(this->platform_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.instances_revision) {
+    xfer += oprot->writeFieldBegin("instances_revision", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->instances_revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.platform_reader) {
+    xfer += oprot->writeFieldBegin("platform_reader", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->platform_reader);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Heartbeat &a, Heartbeat &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.is_reply, b.is_reply);
+  swap(a.documents_digest, b.documents_digest);
+  swap(a.report, b.report);
+  swap(a.platform_age_ms, b.platform_age_ms);
+  swap(a.instances_revision, b.instances_revision);
+  swap(a.platform_reader, b.platform_reader);
+  swap(a.__isset, b.__isset);
+}
+
+Heartbeat::Heartbeat(const Heartbeat& other12) {
+  sequence = other12.sequence;
+  is_reply = other12.is_reply;
+  documents_digest = other12.documents_digest;
+  report = other12.report;
+  platform_age_ms = other12.platform_age_ms;
+  instances_revision = other12.instances_revision;
+  platform_reader = other12.platform_reader;
+  __isset = other12.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other13) {
+  sequence = other13.sequence;
+  is_reply = other13.is_reply;
+  documents_digest = other13.documents_digest;
+  report = other13.report;
+  platform_age_ms = other13.platform_age_ms;
+  instances_revision = other13.instances_revision;
+  platform_reader = other13.platform_reader;
+  __isset = other13.__isset;
+  return *this;
+}
+void Heartbeat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Heartbeat(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "is_reply=" << to_string(is_reply);
+  out << ", " << "documents_digest=" << to_string(documents_digest);
+  out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
+  out << ", " << "platform_age_ms="; (__isset.platform_age_ms ? (out << to_string(platform_age_ms)) : (out << "<null>"));
+  out << ", " << "instances_revision="; (__isset.instances_revision ? (out << to_string(instances_revision)) : (out << "<null>"));
+  out << ", " << "platform_reader="; (__isset.platform_reader ? (out << to_string(platform_reader)) : (out << "<null>"));
+  out << ")";
+}
+
+
+DocumentsRequest::~DocumentsRequest() noexcept {
+}
+
+
+void DocumentsRequest::__set_known(const std::vector<DocumentRevision> & val) {
+  this->known = val;
+}
+
+void DocumentsRequest::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
+std::ostream& operator<<(std::ostream& out, const DocumentsRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DocumentsRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->known.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += this->known[_i18].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DocumentsRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DocumentsRequest");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<DocumentRevision> ::const_iterator _iter19;
+    for (_iter19 = this->known.begin(); _iter19 != this->known.end(); ++_iter19)
+    {
+      xfer += (*_iter19).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DocumentsRequest &a, DocumentsRequest &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.team, b.team);
+  swap(a.__isset, b.__isset);
+}
+
+DocumentsRequest::DocumentsRequest(const DocumentsRequest& other20) {
+  known = other20.known;
+  team = other20.team;
+  __isset = other20.__isset;
+}
+DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other21) {
+  known = other21.known;
+  team = other21.team;
+  __isset = other21.__isset;
+  return *this;
+}
+void DocumentsRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DocumentsRequest(";
+  out << "known=" << to_string(known);
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Document::~Document() noexcept {
+}
+
+
+void Document::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void Document::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Document::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void Document::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const Document& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Document::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Document::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Document");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Document &a, Document &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.revision, b.revision);
+  swap(a.removed, b.removed);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+Document::Document(const Document& other22) {
+  team = other22.team;
+  revision = other22.revision;
+  removed = other22.removed;
+  text = other22.text;
+  __isset = other22.__isset;
+}
+Document& Document::operator=(const Document& other23) {
+  team = other23.team;
+  revision = other23.revision;
+  removed = other23.removed;
+  text = other23.text;
+  __isset = other23.__isset;
+  return *this;
+}
+void Document::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Document(";
+  out << "team=" << to_string(team);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+DocumentAnnouncement::~DocumentAnnouncement() noexcept {
+}
+
+
+void DocumentAnnouncement::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void DocumentAnnouncement::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const DocumentAnnouncement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DocumentAnnouncement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DocumentAnnouncement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DocumentAnnouncement");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DocumentAnnouncement &a, DocumentAnnouncement &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+DocumentAnnouncement::DocumentAnnouncement(const DocumentAnnouncement& other24) {
+  team = other24.team;
+  revision = other24.revision;
+  __isset = other24.__isset;
+}
+DocumentAnnouncement& DocumentAnnouncement::operator=(const DocumentAnnouncement& other25) {
+  team = other25.team;
+  revision = other25.revision;
+  __isset = other25.__isset;
+  return *this;
+}
+void DocumentAnnouncement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DocumentAnnouncement(";
+  out << "team=" << to_string(team);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+InstanceRecord::~InstanceRecord() noexcept {
+}
+
+
+void InstanceRecord::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void InstanceRecord::__set_role(const std::string& val) {
+  this->role = val;
+}
+
+void InstanceRecord::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void InstanceRecord::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void InstanceRecord::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void InstanceRecord::__set_state(const std::string& val) {
+  this->state = val;
+}
+
+void InstanceRecord::__set_backend(const Backend& val) {
+  this->backend = val;
+__isset.backend = true;
+}
+std::ostream& operator<<(std::ostream& out, const InstanceRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t InstanceRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->backend.read(iprot);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t InstanceRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("InstanceRecord");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.backend) {
+    xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->backend.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Heartbeat &a, Heartbeat &b) {
+void swap(InstanceRecord &a, InstanceRecord &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.is_reply, b.is_reply);
-  swap(a.documents_digest, b.documents_digest);
-  swap(a.report, b.report);
-  swap(a.platform_age_ms, b.platform_age_ms);
+  swap(a.instance, b.instance);
+  swap(a.role, b.role);
+  swap(a.address, b.address);
+  swap(a.region, b.region);
+  swap(a.data_centre, b.data_centre);
+  swap(a.state, b.state);
+  swap(a.backend, b.backend);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other12) noexcept {
-  sequence = other12.sequence;
-  is_reply = other12.is_reply;
-  documents_digest = other12.documents_digest;
-  report = other12.report;
-  platform_age_ms = other12.platform_age_ms;
-  __isset = other12.__isset;
+InstanceRecord::InstanceRecord(const InstanceRecord& other26) {
+  instance = other26.instance;
+  role = other26.role;
+  address = other26.address;
+  region = other26.region;
+  data_centre = other26.data_centre;
+  state = other26.state;
+  backend = other26.backend;
+  __isset = other26.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other13) noexcept {
-  sequence = other13.sequence;
-  is_reply = other13.is_reply;
-  documents_digest = other13.documents_digest;
-  report = other13.report;
-  platform_age_ms = other13.platform_age_ms;
-  __isset = other13.__isset;
+InstanceRecord& InstanceRecord::operator=(const InstanceRecord& other27) {
+  instance = other27.instance;
+  role = other27.role;
+  address = other27.address;
+  region = other27.region;
+  data_centre = other27.data_centre;
+  state = other27.state;
+  backend = other27.backend;
+  __isset = other27.__isset;
   return *this;
 }
-void Heartbeat::printTo(std::ostream& out) const {
+void InstanceRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Heartbeat(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "is_reply=" << to_string(is_reply);
-  out << ", " << "documents_digest=" << to_string(documents_digest);
-  out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
-  out << ", " << "platform_age_ms="; (__isset.platform_age_ms ? (out << to_string(platform_age_ms)) : (out << "<null>"));
+  out << "InstanceRecord(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "backend="; (__isset.backend ? (out << to_string(backend)) : (out << "<null>"));
   out << ")";
 }
 
 
-DocumentsRequest::~DocumentsRequest() noexcept {
+InstancesRequest::~InstancesRequest() noexcept {
 }
 
 
-void DocumentsRequest::__set_known(const std::vector<DocumentRevision> & val) {
-  this->known = val;
-}
-
-void DocumentsRequest::__set_team(const std::string& val) {
-  this->team = val;
-__isset.team = true;
+void InstancesRequest::__set_after(const int64_t val) {
+  this->after = val;
 }
-std::ostream& operator<<(std::ostream& out, const DocumentsRequest& obj)
+std::ostream& operator<<(std::ostream& out, const InstancesRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t DocumentsRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t InstancesRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1207,29 +1858,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->known.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->known.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
-            {
-              xfer += this->known[_i18].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.known = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->team);
-          this->__isset.team = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1246,87 +1877,70 @@
   return xfer;
 }
 
-uint32_t DocumentsRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t InstancesRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DocumentsRequest");
+  xfer += oprot->writeStructBegin("InstancesRequest");
 
-  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<DocumentRevision> ::const_iterator _iter19;
-    for (_iter19 = this->known.begin(); _iter19 != this->known.end(); ++_iter19)
-    {
-      xfer += (*_iter19).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->after);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.team) {
-    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
-    xfer += oprot->writeString(this->team);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(DocumentsRequest &a, DocumentsRequest &b) {
+void swap(InstancesRequest &a, InstancesRequest &b) {
   using ::std::swap;
-  swap(a.known, b.known);
-  swap(a.team, b.team);
+  swap(a.after, b.after);
   swap(a.__isset, b.__isset);
 }
 
-DocumentsRequest::DocumentsRequest(const DocumentsRequest& other20) {
-  known = other20.known;
-  team = other20.team;
-  __isset = other20.__isset;
+InstancesRequest::InstancesRequest(const InstancesRequest& other28) noexcept {
+  after = other28.after;
+  __isset = other28.__isset;
 }
-DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other21) {
-  known = other21.known;
-  team = other21.team;
-  __isset = other21.__isset;
+InstancesRequest& InstancesRequest::operator=(const InstancesRequest& other29) noexcept {
+  after = other29.after;
+  __isset = other29.__isset;
   return *this;
 }
-void DocumentsRequest::printTo(std::ostream& out) const {
+void InstancesRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "DocumentsRequest(";
-  out << "known=" << to_string(known);
-  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
+  out << "InstancesRequest(";
+  out << "after=" << to_string(after);
   out << ")";
 }
 
 
-Document::~Document() noexcept {
+InstanceChanges::~InstanceChanges() noexcept {
 }
 
 
-void Document::__set_team(const std::string& val) {
-  this->team = val;
+void InstanceChanges::__set_after(const int64_t val) {
+  this->after = val;
 }
 
-void Document::__set_revision(const int64_t val) {
+void InstanceChanges::__set_revision(const int64_t val) {
   this->revision = val;
 }
 
-void Document::__set_removed(const bool val) {
-  this->removed = val;
+void InstanceChanges::__set_complete(const bool val) {
+  this->complete = val;
 }
 
-void Document::__set_text(const std::string& val) {
-  this->text = val;
+void InstanceChanges::__set_changes(const std::vector<InstanceRecord> & val) {
+  this->changes = val;
 }
-std::ostream& operator<<(std::ostream& out, const Document& obj)
+std::ostream& operator<<(std::ostream& out, const InstanceChanges& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Document::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t InstanceChanges::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1348,9 +1962,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->team);
-          this->__isset.team = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1365,16 +1979,28 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->removed);
-          this->__isset.removed = true;
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->text);
-          this->__isset.text = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->changes.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->changes[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1391,25 +2017,33 @@
   return xfer;
 }
 
-uint32_t Document::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t InstanceChanges::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Document");
+  xfer += oprot->writeStructBegin("InstanceChanges");
 
-  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->after);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->complete);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<InstanceRecord> ::const_iterator _iter35;
+    for (_iter35 = this->changes.begin(); _iter35 != this->changes.end(); ++_iter35)
+    {
+      xfer += (*_iter35).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1417,37 +2051,37 @@
   return xfer;
 }
 
-void swap(Document &a, Document &b) {
+void swap(InstanceChanges &a, InstanceChanges &b) {
   using ::std::swap;
-  swap(a.team, b.team);
+  swap(a.after, b.after);
   swap(a.revision, b.revision);
-  swap(a.removed, b.removed);
-  swap(a.text, b.text);
+  swap(a.complete, b.complete);
+  swap(a.changes, b.changes);
   swap(a.__isset, b.__isset);
 }
 
-Document::Document(const Document& other22) {
-  team = other22.team;
-  revision = other22.revision;
-  removed = other22.removed;
-  text = other22.text;
-  __isset = other22.__isset;
+InstanceChanges::InstanceChanges(const InstanceChanges& other36) {
+  after = other36.after;
+  revision = other36.revision;
+  complete = other36.complete;
+  changes = other36.changes;
+  __isset = other36.__isset;
 }
-Document& Document::operator=(const Document& other23) {
-  team = other23.team;
-  revision = other23.revision;
-  removed = other23.removed;
-  text = other23.text;
-  __isset = other23.__isset;
+InstanceChanges& InstanceChanges::operator=(const InstanceChanges& other37) {
+  after = other37.after;
+  revision = other37.revision;
+  complete = other37.complete;
+  changes = other37.changes;
+  __isset = other37.__isset;
   return *this;
 }
-void Document::printTo(std::ostream& out) const {
+void InstanceChanges::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Document(";
-  out << "team=" << to_string(team);
+  out << "InstanceChanges(";
+  out << "after=" << to_string(after);
   out << ", " << "revision=" << to_string(revision);
-  out << ", " << "removed=" << to_string(removed);
-  out << ", " << "text=" << to_string(text);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "changes=" << to_string(changes);
   out << ")";
 }
 
@@ -1833,49 +2467,49 @@
   swap(a.__isset, b.__isset);
 }
 
-Submit::Submit(const Submit& other24) {
-  attempt = other24.attempt;
-  team = other24.team;
-  model = other24.model;
-  service_name = other24.service_name;
-  method = other24.method;
-  path = other24.path;
-  body = other24.body;
-  content_type = other24.content_type;
-  streamed = other24.streamed;
-  urgent = other24.urgent;
-  remaining_ms = other24.remaining_ms;
-  operation_id = other24.operation_id;
-  fingerprint = other24.fingerprint;
-  run_alone = other24.run_alone;
-  request_id = other24.request_id;
-  low_water_mark = other24.low_water_mark;
-  heat = other24.heat;
-  document_revision = other24.document_revision;
-  objective = other24.objective;
-  __isset = other24.__isset;
+Submit::Submit(const Submit& other38) {
+  attempt = other38.attempt;
+  team = other38.team;
+  model = other38.model;
+  service_name = other38.service_name;
+  method = other38.method;
+  path = other38.path;
+  body = other38.body;
+  content_type = other38.content_type;
+  streamed = other38.streamed;
+  urgent = other38.urgent;
+  remaining_ms = other38.remaining_ms;
+  operation_id = other38.operation_id;
+  fingerprint = other38.fingerprint;
+  run_alone = other38.run_alone;
+  request_id = other38.request_id;
+  low_water_mark = other38.low_water_mark;
+  heat = other38.heat;
+  document_revision = other38.document_revision;
+  objective = other38.objective;
+  __isset = other38.__isset;
 }
-Submit& Submit::operator=(const Submit& other25) {
-  attempt = other25.attempt;
-  team = other25.team;
-  model = other25.model;
-  service_name = other25.service_name;
-  method = other25.method;
-  path = other25.path;
-  body = other25.body;
-  content_type = other25.content_type;
-  streamed = other25.streamed;
-  urgent = other25.urgent;
-  remaining_ms = other25.remaining_ms;
-  operation_id = other25.operation_id;
-  fingerprint = other25.fingerprint;
-  run_alone = other25.run_alone;
-  request_id = other25.request_id;
-  low_water_mark = other25.low_water_mark;
-  heat = other25.heat;
-  document_revision = other25.document_revision;
-  objective = other25.objective;
-  __isset = other25.__isset;
+Submit& Submit::operator=(const Submit& other39) {
+  attempt = other39.attempt;
+  team = other39.team;
+  model = other39.model;
+  service_name = other39.service_name;
+  method = other39.method;
+  path = other39.path;
+  body = other39.body;
+  content_type = other39.content_type;
+  streamed = other39.streamed;
+  urgent = other39.urgent;
+  remaining_ms = other39.remaining_ms;
+  operation_id = other39.operation_id;
+  fingerprint = other39.fingerprint;
+  run_alone = other39.run_alone;
+  request_id = other39.request_id;
+  low_water_mark = other39.low_water_mark;
+  heat = other39.heat;
+  document_revision = other39.document_revision;
+  objective = other39.objective;
+  __isset = other39.__isset;
   return *this;
 }
 void Submit::printTo(std::ostream& out) const {
@@ -1996,15 +2630,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Accepted::Accepted(const Accepted& other26) {
-  attempt = other26.attempt;
-  report = other26.report;
-  __isset = other26.__isset;
+Accepted::Accepted(const Accepted& other40) {
+  attempt = other40.attempt;
+  report = other40.report;
+  __isset = other40.__isset;
 }
-Accepted& Accepted::operator=(const Accepted& other27) {
-  attempt = other27.attempt;
-  report = other27.report;
-  __isset = other27.__isset;
+Accepted& Accepted::operator=(const Accepted& other41) {
+  attempt = other41.attempt;
+  report = other41.report;
+  __isset = other41.__isset;
   return *this;
 }
 void Accepted::printTo(std::ostream& out) const {
@@ -2159,21 +2793,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Refused::Refused(const Refused& other28) {
-  attempt = other28.attempt;
-  code = other28.code;
-  message = other28.message;
-  retry_after_ms = other28.retry_after_ms;
-  report = other28.report;
-  __isset = other28.__isset;
+Refused::Refused(const Refused& other42) {
+  attempt = other42.attempt;
+  code = other42.code;
+  message = other42.message;
+  retry_after_ms = other42.retry_after_ms;
+  report = other42.report;
+  __isset = other42.__isset;
 }
-Refused& Refused::operator=(const Refused& other29) {
-  attempt = other29.attempt;
-  code = other29.code;
-  message = other29.message;
-  retry_after_ms = other29.retry_after_ms;
-  report = other29.report;
-  __isset = other29.__isset;
+Refused& Refused::operator=(const Refused& other43) {
+  attempt = other43.attempt;
+  code = other43.code;
+  message = other43.message;
+  retry_after_ms = other43.retry_after_ms;
+  report = other43.report;
+  __isset = other43.__isset;
   return *this;
 }
 void Refused::printTo(std::ostream& out) const {
@@ -2335,21 +2969,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other30) {
-  attempt = other30.attempt;
-  sequence = other30.sequence;
-  data = other30.data;
-  status = other30.status;
-  content_type = other30.content_type;
-  __isset = other30.__isset;
-}
-Chunk& Chunk::operator=(const Chunk& other31) {
-  attempt = other31.attempt;
-  sequence = other31.sequence;
-  data = other31.data;
-  status = other31.status;
-  content_type = other31.content_type;
-  __isset = other31.__isset;
+Chunk::Chunk(const Chunk& other44) {
+  attempt = other44.attempt;
+  sequence = other44.sequence;
+  data = other44.data;
+  status = other44.status;
+  content_type = other44.content_type;
+  __isset = other44.__isset;
+}
+Chunk& Chunk::operator=(const Chunk& other45) {
+  attempt = other45.attempt;
+  sequence = other45.sequence;
+  data = other45.data;
+  status = other45.status;
+  content_type = other45.content_type;
+  __isset = other45.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -2575,29 +3209,29 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other32) {
-  attempt = other32.attempt;
-  chunks = other32.chunks;
-  error_code = other32.error_code;
-  message = other32.message;
-  outcome = other32.outcome;
-  report = other32.report;
-  load_stall_ms = other32.load_stall_ms;
-  queue_ms = other32.queue_ms;
-  engine_crashed = other32.engine_crashed;
-  __isset = other32.__isset;
-}
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other33) {
-  attempt = other33.attempt;
-  chunks = other33.chunks;
-  error_code = other33.error_code;
-  message = other33.message;
-  outcome = other33.outcome;
-  report = other33.report;
-  load_stall_ms = other33.load_stall_ms;
-  queue_ms = other33.queue_ms;
-  engine_crashed = other33.engine_crashed;
-  __isset = other33.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other46) {
+  attempt = other46.attempt;
+  chunks = other46.chunks;
+  error_code = other46.error_code;
+  message = other46.message;
+  outcome = other46.outcome;
+  report = other46.report;
+  load_stall_ms = other46.load_stall_ms;
+  queue_ms = other46.queue_ms;
+  engine_crashed = other46.engine_crashed;
+  __isset = other46.__isset;
+}
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other47) {
+  attempt = other47.attempt;
+  chunks = other47.chunks;
+  error_code = other47.error_code;
+  message = other47.message;
+  outcome = other47.outcome;
+  report = other47.report;
+  load_stall_ms = other47.load_stall_ms;
+  queue_ms = other47.queue_ms;
+  engine_crashed = other47.engine_crashed;
+  __isset = other47.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -2708,15 +3342,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acknowledge::Acknowledge(const Acknowledge& other34) {
-  attempt = other34.attempt;
-  next_sequence = other34.next_sequence;
-  __isset = other34.__isset;
+Acknowledge::Acknowledge(const Acknowledge& other48) {
+  attempt = other48.attempt;
+  next_sequence = other48.next_sequence;
+  __isset = other48.__isset;
 }
-Acknowledge& Acknowledge::operator=(const Acknowledge& other35) {
-  attempt = other35.attempt;
-  next_sequence = other35.next_sequence;
-  __isset = other35.__isset;
+Acknowledge& Acknowledge::operator=(const Acknowledge& other49) {
+  attempt = other49.attempt;
+  next_sequence = other49.next_sequence;
+  __isset = other49.__isset;
   return *this;
 }
 void Acknowledge::printTo(std::ostream& out) const {
@@ -2820,15 +3454,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Resume::Resume(const Resume& other36) {
-  attempt = other36.attempt;
-  next_sequence = other36.next_sequence;
-  __isset = other36.__isset;
+Resume::Resume(const Resume& other50) {
+  attempt = other50.attempt;
+  next_sequence = other50.next_sequence;
+  __isset = other50.__isset;
 }
-Resume& Resume::operator=(const Resume& other37) {
-  attempt = other37.attempt;
-  next_sequence = other37.next_sequence;
-  __isset = other37.__isset;
+Resume& Resume::operator=(const Resume& other51) {
+  attempt = other51.attempt;
+  next_sequence = other51.next_sequence;
+  __isset = other51.__isset;
   return *this;
 }
 void Resume::printTo(std::ostream& out) const {
@@ -2915,13 +3549,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other38) {
-  attempt = other38.attempt;
-  __isset = other38.__isset;
+Cancel::Cancel(const Cancel& other52) {
+  attempt = other52.attempt;
+  __isset = other52.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other39) {
-  attempt = other39.attempt;
-  __isset = other39.__isset;
+Cancel& Cancel::operator=(const Cancel& other53) {
+  attempt = other53.attempt;
+  __isset = other53.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -3024,15 +3658,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancelled::Cancelled(const Cancelled& other40) {
-  attempt = other40.attempt;
-  outcome = other40.outcome;
-  __isset = other40.__isset;
+Cancelled::Cancelled(const Cancelled& other54) {
+  attempt = other54.attempt;
+  outcome = other54.outcome;
+  __isset = other54.__isset;
 }
-Cancelled& Cancelled::operator=(const Cancelled& other41) {
-  attempt = other41.attempt;
-  outcome = other41.outcome;
-  __isset = other41.__isset;
+Cancelled& Cancelled::operator=(const Cancelled& other55) {
+  attempt = other55.attempt;
+  outcome = other55.outcome;
+  __isset = other55.__isset;
   return *this;
 }
 void Cancelled::printTo(std::ostream& out) const {
@@ -3153,17 +3787,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IssueOperation::IssueOperation(const IssueOperation& other42) {
-  call = other42.call;
-  team = other42.team;
-  service_name = other42.service_name;
-  __isset = other42.__isset;
+IssueOperation::IssueOperation(const IssueOperation& other56) {
+  call = other56.call;
+  team = other56.team;
+  service_name = other56.service_name;
+  __isset = other56.__isset;
 }
-IssueOperation& IssueOperation::operator=(const IssueOperation& other43) {
-  call = other43.call;
-  team = other43.team;
-  service_name = other43.service_name;
-  __isset = other43.__isset;
+IssueOperation& IssueOperation::operator=(const IssueOperation& other57) {
+  call = other57.call;
+  team = other57.team;
+  service_name = other57.service_name;
+  __isset = other57.__isset;
   return *this;
 }
 void IssueOperation::printTo(std::ostream& out) const {
@@ -3285,17 +3919,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationIssued::OperationIssued(const OperationIssued& other44) {
-  call = other44.call;
-  operation_id = other44.operation_id;
-  code = other44.code;
-  __isset = other44.__isset;
+OperationIssued::OperationIssued(const OperationIssued& other58) {
+  call = other58.call;
+  operation_id = other58.operation_id;
+  code = other58.code;
+  __isset = other58.__isset;
 }
-OperationIssued& OperationIssued::operator=(const OperationIssued& other45) {
-  call = other45.call;
-  operation_id = other45.operation_id;
-  code = other45.code;
-  __isset = other45.__isset;
+OperationIssued& OperationIssued::operator=(const OperationIssued& other59) {
+  call = other59.call;
+  operation_id = other59.operation_id;
+  code = other59.code;
+  __isset = other59.__isset;
   return *this;
 }
 void OperationIssued::printTo(std::ostream& out) const {
@@ -3400,15 +4034,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other46) {
-  call = other46.call;
-  model = other46.model;
-  __isset = other46.__isset;
+Query::Query(const Query& other60) {
+  call = other60.call;
+  model = other60.model;
+  __isset = other60.__isset;
 }
-Query& Query::operator=(const Query& other47) {
-  call = other47.call;
-  model = other47.model;
-  __isset = other47.__isset;
+Query& Query::operator=(const Query& other61) {
+  call = other61.call;
+  model = other61.model;
+  __isset = other61.__isset;
   return *this;
 }
 void Query::printTo(std::ostream& out) const {
@@ -3512,15 +4146,15 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other48) noexcept {
-  call = other48.call;
-  report = other48.report;
-  __isset = other48.__isset;
+QueryReply::QueryReply(const QueryReply& other62) noexcept {
+  call = other62.call;
+  report = other62.report;
+  __isset = other62.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other49) noexcept {
-  call = other49.call;
-  report = other49.report;
-  __isset = other49.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other63) noexcept {
+  call = other63.call;
+  report = other63.report;
+  __isset = other63.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
@@ -3607,13 +4241,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Leaving::Leaving(const Leaving& other50) {
-  instance = other50.instance;
-  __isset = other50.__isset;
+Leaving::Leaving(const Leaving& other64) {
+  instance = other64.instance;
+  __isset = other64.__isset;
 }
-Leaving& Leaving::operator=(const Leaving& other51) {
-  instance = other51.instance;
-  __isset = other51.__isset;
+Leaving& Leaving::operator=(const Leaving& other65) {
+  instance = other65.instance;
+  __isset = other65.__isset;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -3699,13 +4333,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other52) {
-  instance = other52.instance;
-  __isset = other52.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other66) {
+  instance = other66.instance;
+  __isset = other66.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other53) {
-  instance = other53.instance;
-  __isset = other53.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other67) {
+  instance = other67.instance;
+  __isset = other67.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -3842,19 +4476,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other54) noexcept {
-  fingerprint = other54.fingerprint;
-  crashes = other54.crashes;
-  quarantined = other54.quarantined;
-  remaining_ms = other54.remaining_ms;
-  __isset = other54.__isset;
+Suspect::Suspect(const Suspect& other68) noexcept {
+  fingerprint = other68.fingerprint;
+  crashes = other68.crashes;
+  quarantined = other68.quarantined;
+  remaining_ms = other68.remaining_ms;
+  __isset = other68.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other55) noexcept {
-  fingerprint = other55.fingerprint;
-  crashes = other55.crashes;
-  quarantined = other55.quarantined;
-  remaining_ms = other55.remaining_ms;
-  __isset = other55.__isset;
+Suspect& Suspect::operator=(const Suspect& other69) noexcept {
+  fingerprint = other69.fingerprint;
+  crashes = other69.crashes;
+  quarantined = other69.quarantined;
+  remaining_ms = other69.remaining_ms;
+  __isset = other69.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -3976,6 +4610,21 @@
   this->suspect = val;
 __isset.suspect = true;
 }
+
+void Frame::__set_document_announcement(const DocumentAnnouncement& val) {
+  this->document_announcement = val;
+__isset.document_announcement = true;
+}
+
+void Frame::__set_instances_request(const InstancesRequest& val) {
+  this->instances_request = val;
+__isset.instances_request = true;
+}
+
+void Frame::__set_instance_changes(const InstanceChanges& val) {
+  this->instance_changes = val;
+__isset.instance_changes = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -4172,6 +4821,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_announcement.read(iprot);
+          this->__isset.document_announcement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->instances_request.read(iprot);
+          this->__isset.instances_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->instance_changes.read(iprot);
+          this->__isset.instance_changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4294,6 +4967,21 @@
     xfer += this->suspect.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document_announcement) {
+    xfer += oprot->writeFieldBegin("document_announcement", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->document_announcement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.instances_request) {
+    xfer += oprot->writeFieldBegin("instances_request", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->instances_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.instance_changes) {
+    xfer += oprot->writeFieldBegin("instance_changes", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->instance_changes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4322,56 +5010,65 @@
   swap(a.leaving, b.leaving);
   swap(a.leaving_notice, b.leaving_notice);
   swap(a.suspect, b.suspect);
+  swap(a.document_announcement, b.document_announcement);
+  swap(a.instances_request, b.instances_request);
+  swap(a.instance_changes, b.instance_changes);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other56) {
-  hello = other56.hello;
-  proof = other56.proof;
-  heartbeat = other56.heartbeat;
-  documents_request = other56.documents_request;
-  document = other56.document;
-  submit = other56.submit;
-  accepted = other56.accepted;
-  refused = other56.refused;
-  chunk = other56.chunk;
-  answer_end = other56.answer_end;
-  acknowledge = other56.acknowledge;
-  resume = other56.resume;
-  cancel = other56.cancel;
-  cancelled = other56.cancelled;
-  issue_operation = other56.issue_operation;
-  operation_issued = other56.operation_issued;
-  query = other56.query;
-  query_reply = other56.query_reply;
-  leaving = other56.leaving;
-  leaving_notice = other56.leaving_notice;
-  suspect = other56.suspect;
-  __isset = other56.__isset;
-}
-Frame& Frame::operator=(const Frame& other57) {
-  hello = other57.hello;
-  proof = other57.proof;
-  heartbeat = other57.heartbeat;
-  documents_request = other57.documents_request;
-  document = other57.document;
-  submit = other57.submit;
-  accepted = other57.accepted;
-  refused = other57.refused;
-  chunk = other57.chunk;
-  answer_end = other57.answer_end;
-  acknowledge = other57.acknowledge;
-  resume = other57.resume;
-  cancel = other57.cancel;
-  cancelled = other57.cancelled;
-  issue_operation = other57.issue_operation;
-  operation_issued = other57.operation_issued;
-  query = other57.query;
-  query_reply = other57.query_reply;
-  leaving = other57.leaving;
-  leaving_notice = other57.leaving_notice;
-  suspect = other57.suspect;
-  __isset = other57.__isset;
+Frame::Frame(const Frame& other70) {
+  hello = other70.hello;
+  proof = other70.proof;
+  heartbeat = other70.heartbeat;
+  documents_request = other70.documents_request;
+  document = other70.document;
+  submit = other70.submit;
+  accepted = other70.accepted;
+  refused = other70.refused;
+  chunk = other70.chunk;
+  answer_end = other70.answer_end;
+  acknowledge = other70.acknowledge;
+  resume = other70.resume;
+  cancel = other70.cancel;
+  cancelled = other70.cancelled;
+  issue_operation = other70.issue_operation;
+  operation_issued = other70.operation_issued;
+  query = other70.query;
+  query_reply = other70.query_reply;
+  leaving = other70.leaving;
+  leaving_notice = other70.leaving_notice;
+  suspect = other70.suspect;
+  document_announcement = other70.document_announcement;
+  instances_request = other70.instances_request;
+  instance_changes = other70.instance_changes;
+  __isset = other70.__isset;
+}
+Frame& Frame::operator=(const Frame& other71) {
+  hello = other71.hello;
+  proof = other71.proof;
+  heartbeat = other71.heartbeat;
+  documents_request = other71.documents_request;
+  document = other71.document;
+  submit = other71.submit;
+  accepted = other71.accepted;
+  refused = other71.refused;
+  chunk = other71.chunk;
+  answer_end = other71.answer_end;
+  acknowledge = other71.acknowledge;
+  resume = other71.resume;
+  cancel = other71.cancel;
+  cancelled = other71.cancelled;
+  issue_operation = other71.issue_operation;
+  operation_issued = other71.operation_issued;
+  query = other71.query;
+  query_reply = other71.query_reply;
+  leaving = other71.leaving;
+  leaving_notice = other71.leaving_notice;
+  suspect = other71.suspect;
+  document_announcement = other71.document_announcement;
+  instances_request = other71.instances_request;
+  instance_changes = other71.instance_changes;
+  __isset = other71.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -4398,6 +5095,9 @@
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "leaving_notice="; (__isset.leaving_notice ? (out << to_string(leaving_notice)) : (out << "<null>"));
   out << ", " << "suspect="; (__isset.suspect ? (out << to_string(suspect)) : (out << "<null>"));
+  out << ", " << "document_announcement="; (__isset.document_announcement ? (out << to_string(document_announcement)) : (out << "<null>"));
+  out << ", " << "instances_request="; (__isset.instances_request ? (out << to_string(instances_request)) : (out << "<null>"));
+  out << ", " << "instance_changes="; (__isset.instance_changes ? (out << to_string(instance_changes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -39,6 +39,14 @@
 
 class Document;
 
+class DocumentAnnouncement;
+
+class InstanceRecord;
+
+class InstancesRequest;
+
+class InstanceChanges;
+
 class Submit;
 
 class Accepted;
@@ -482,24 +490,28 @@
 std::ostream& operator<<(std::ostream& out, const DocumentRevision& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : sequence(false), is_reply(false), documents_digest(false), report(false), platform_age_ms(false) {}
+  _Heartbeat__isset() : sequence(false), is_reply(false), documents_digest(false), report(false), platform_age_ms(false), instances_revision(false), platform_reader(false) {}
   bool sequence :1;
   bool is_reply :1;
   bool documents_digest :1;
   bool report :1;
   bool platform_age_ms :1;
+  bool instances_revision :1;
+  bool platform_reader :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
 
-  Heartbeat(const Heartbeat&) noexcept;
-  Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat(const Heartbeat&);
+  Heartbeat& operator=(const Heartbeat&);
   Heartbeat() noexcept
             : sequence(0),
               is_reply(0),
               documents_digest(0),
-              platform_age_ms(0) {
+              platform_age_ms(0),
+              instances_revision(0),
+              platform_reader() {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -508,6 +520,8 @@
   int64_t documents_digest;
   ServerReport report;
   int64_t platform_age_ms;
+  int64_t instances_revision;
+  std::string platform_reader;
 
   _Heartbeat__isset __isset;
 
@@ -521,6 +535,10 @@
 
   void __set_platform_age_ms(const int64_t val);
 
+  void __set_instances_revision(const int64_t val);
+
+  void __set_platform_reader(const std::string& val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -537,6 +555,14 @@
       return false;
     else if (__isset.platform_age_ms && !(platform_age_ms == rhs.platform_age_ms))
       return false;
+    if (__isset.instances_revision != rhs.__isset.instances_revision)
+      return false;
+    else if (__isset.instances_revision && !(instances_revision == rhs.instances_revision))
+      return false;
+    if (__isset.platform_reader != rhs.__isset.platform_reader)
+      return false;
+    else if (__isset.platform_reader && !(platform_reader == rhs.platform_reader))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -670,6 +696,248 @@
 
 std::ostream& operator<<(std::ostream& out, const Document& obj);
 
+typedef struct _DocumentAnnouncement__isset {
+  _DocumentAnnouncement__isset() : team(false), revision(false) {}
+  bool team :1;
+  bool revision :1;
+} _DocumentAnnouncement__isset;
+
+class DocumentAnnouncement : public virtual ::apache::thrift::TBase {
+ public:
+
+  DocumentAnnouncement(const DocumentAnnouncement&);
+  DocumentAnnouncement& operator=(const DocumentAnnouncement&);
+  DocumentAnnouncement() noexcept
+                       : team(),
+                         revision(0) {
+  }
+
+  virtual ~DocumentAnnouncement() noexcept;
+  std::string team;
+  int64_t revision;
+
+  _DocumentAnnouncement__isset __isset;
+
+  void __set_team(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const DocumentAnnouncement & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const DocumentAnnouncement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DocumentAnnouncement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DocumentAnnouncement &a, DocumentAnnouncement &b);
+
+std::ostream& operator<<(std::ostream& out, const DocumentAnnouncement& obj);
+
+typedef struct _InstanceRecord__isset {
+  _InstanceRecord__isset() : instance(false), role(false), address(false), region(false), data_centre(false), state(false), backend(false) {}
+  bool instance :1;
+  bool role :1;
+  bool address :1;
+  bool region :1;
+  bool data_centre :1;
+  bool state :1;
+  bool backend :1;
+} _InstanceRecord__isset;
+
+class InstanceRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  InstanceRecord(const InstanceRecord&);
+  InstanceRecord& operator=(const InstanceRecord&);
+  InstanceRecord() noexcept
+                 : instance(),
+                   role(),
+                   address(),
+                   region(),
+                   data_centre(),
+                   state() {
+  }
+
+  virtual ~InstanceRecord() noexcept;
+  std::string instance;
+  std::string role;
+  std::string address;
+  std::string region;
+  std::string data_centre;
+  std::string state;
+  Backend backend;
+
+  _InstanceRecord__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_region(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_state(const std::string& val);
+
+  void __set_backend(const Backend& val);
+
+  bool operator == (const InstanceRecord & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(region == rhs.region))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (__isset.backend != rhs.__isset.backend)
+      return false;
+    else if (__isset.backend && !(backend == rhs.backend))
+      return false;
+    return true;
+  }
+  bool operator != (const InstanceRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const InstanceRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(InstanceRecord &a, InstanceRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const InstanceRecord& obj);
+
+typedef struct _InstancesRequest__isset {
+  _InstancesRequest__isset() : after(false) {}
+  bool after :1;
+} _InstancesRequest__isset;
+
+class InstancesRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  InstancesRequest(const InstancesRequest&) noexcept;
+  InstancesRequest& operator=(const InstancesRequest&) noexcept;
+  InstancesRequest() noexcept
+                   : after(0) {
+  }
+
+  virtual ~InstancesRequest() noexcept;
+  int64_t after;
+
+  _InstancesRequest__isset __isset;
+
+  void __set_after(const int64_t val);
+
+  bool operator == (const InstancesRequest & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    return true;
+  }
+  bool operator != (const InstancesRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const InstancesRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(InstancesRequest &a, InstancesRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const InstancesRequest& obj);
+
+typedef struct _InstanceChanges__isset {
+  _InstanceChanges__isset() : after(false), revision(false), complete(false), changes(false) {}
+  bool after :1;
+  bool revision :1;
+  bool complete :1;
+  bool changes :1;
+} _InstanceChanges__isset;
+
+class InstanceChanges : public virtual ::apache::thrift::TBase {
+ public:
+
+  InstanceChanges(const InstanceChanges&);
+  InstanceChanges& operator=(const InstanceChanges&);
+  InstanceChanges() noexcept
+                  : after(0),
+                    revision(0),
+                    complete(0) {
+  }
+
+  virtual ~InstanceChanges() noexcept;
+  int64_t after;
+  int64_t revision;
+  bool complete;
+  std::vector<InstanceRecord>  changes;
+
+  _InstanceChanges__isset __isset;
+
+  void __set_after(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_changes(const std::vector<InstanceRecord> & val);
+
+  bool operator == (const InstanceChanges & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const InstanceChanges &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const InstanceChanges & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(InstanceChanges &a, InstanceChanges &b);
+
+std::ostream& operator<<(std::ostream& out, const InstanceChanges& obj);
+
 typedef struct _Submit__isset {
   _Submit__isset() : attempt(false), team(false), model(false), service_name(false), method(false), path(false), body(false), content_type(false), streamed(false), urgent(false), remaining_ms(false), operation_id(false), fingerprint(false), run_alone(false), request_id(false), low_water_mark(false), heat(false), document_revision(false), objective(false) {}
   bool attempt :1;
@@ -1679,7 +1947,7 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : hello(false), proof(false), heartbeat(false), documents_request(false), document(false), submit(false), accepted(false), refused(false), chunk(false), answer_end(false), acknowledge(false), resume(false), cancel(false), cancelled(false), issue_operation(false), operation_issued(false), query(false), query_reply(false), leaving(false), leaving_notice(false), suspect(false) {}
+  _Frame__isset() : hello(false), proof(false), heartbeat(false), documents_request(false), document(false), submit(false), accepted(false), refused(false), chunk(false), answer_end(false), acknowledge(false), resume(false), cancel(false), cancelled(false), issue_operation(false), operation_issued(false), query(false), query_reply(false), leaving(false), leaving_notice(false), suspect(false), document_announcement(false), instances_request(false), instance_changes(false) {}
   bool hello :1;
   bool proof :1;
   bool heartbeat :1;
@@ -1701,6 +1969,9 @@
   bool leaving :1;
   bool leaving_notice :1;
   bool suspect :1;
+  bool document_announcement :1;
+  bool instances_request :1;
+  bool instance_changes :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -1733,6 +2004,9 @@
   Leaving leaving;
   LeavingNotice leaving_notice;
   Suspect suspect;
+  DocumentAnnouncement document_announcement;
+  InstancesRequest instances_request;
+  InstanceChanges instance_changes;
 
   _Frame__isset __isset;
 
@@ -1778,6 +2052,12 @@
 
   void __set_suspect(const Suspect& val);
 
+  void __set_document_announcement(const DocumentAnnouncement& val);
+
+  void __set_instances_request(const InstancesRequest& val);
+
+  void __set_instance_changes(const InstanceChanges& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1864,6 +2144,18 @@
       return false;
     else if (__isset.suspect && !(suspect == rhs.suspect))
       return false;
+    if (__isset.document_announcement != rhs.__isset.document_announcement)
+      return false;
+    else if (__isset.document_announcement && !(document_announcement == rhs.document_announcement))
+      return false;
+    if (__isset.instances_request != rhs.__isset.instances_request)
+      return false;
+    else if (__isset.instances_request && !(instances_request == rhs.instances_request))
+      return false;
+    if (__isset.instance_changes != rhs.__isset.instance_changes)
+      return false;
+    else if (__isset.instance_changes && !(instance_changes == rhs.instance_changes))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/wire/wire.thrift
+++ b/src/wire/wire.thrift
@@ -57,6 +57,10 @@
   // Time since the sender's documents were confirmed by the platform, directly
   // or through its peers.
   5: optional i64 platform_age_ms
+  // The newest answer of the instance list that the sender has applied.
+  6: optional i64 instances_revision
+  // The entry whose watch of the platform `platform_age_ms` comes from.
+  7: optional string platform_reader
 }
 
 // Asks for every document that is newer than in `known`; only for `team`'s if
@@ -73,6 +77,36 @@
   4: string text
 }
 
+// The sender has this revision; a receiver that lacks it asks for the text.
+struct DocumentAnnouncement {
+  1: string team
+  2: i64 revision
+}
+
+struct InstanceRecord {
+  1: string instance
+  2: string role            // "entry" or "sidecar"
+  3: string address
+  4: string region
+  5: string data_centre
+  6: string state           // "live", "leaving" or "gone"
+  7: optional Backend backend
+}
+
+// Asks for the changes of the instance list after a revision.
+struct InstancesRequest {
+  1: i64 after
+}
+
+// The changes of the instance list from `after` to `revision`. If `complete`,
+// every instance of the list is included and others are gone.
+struct InstanceChanges {
+  1: i64 after
+  2: i64 revision
+  3: bool complete
+  4: list<InstanceRecord> changes
+}
+
 struct Submit {
   1: AttemptId attempt
   2: string team
@@ -214,4 +248,7 @@
   19: Leaving leaving
   20: LeavingNotice leaving_notice
   21: Suspect suspect
+  22: DocumentAnnouncement document_announcement
+  23: InstancesRequest instances_request
+  24: InstanceChanges instance_changes
 }
