--- a/include/amaranthcove/documents/document_store.h
+++ b/include/amaranthcove/documents/document_store.h
@@ -98,15 +98,21 @@
 
   // The revisions to tell a peer that asks for newer documents, by team and
   // ascending: the one in force (0 if none), then refused ones above it.
-  std::vector<KnownRevision> Revisions() const;
+  // A non-empty `only_team` leaves out every other team.
+  std::vector<KnownRevision> Revisions(std::string_view only_team = {}) const;
 
   // The documents that a peer lacks that knows `known` (in the form of
   // `Revisions`, in any order): the valid one if it is above the peer's lowest
   // revision and not among those the peer lists, then the refused one if it is
   // above all of the peer's. The portion ends before its texts exceed
-  // `max_bytes`, but has at least one document if any is lacking.
+  // `max_bytes`, but has at least one document if any is lacking. A non-empty
+  // `only_team` leaves out every other team.
   DocumentPortion NewerThan(std::span<const KnownRevision> known,
-                            std::size_t max_bytes) const;
+                            std::size_t max_bytes,
+                            std::string_view only_team = {}) const;
+
+  // Whether the revision was decided on, so that `Adopt` would find it stale.
+  bool Knows(std::string_view team, std::int64_t revision) const;
 
   // The state of a team, or null. Valid until the next call of `Adopt`.
   const DocumentState* Find(std::string_view team) const;
--- a/src/documents/document_store.cc
+++ b/src/documents/document_store.cc
@@ -111,10 +111,14 @@
   return valid ? AdoptResult::kAdopted : AdoptResult::kRefused;
 }
 
-std::vector<KnownRevision> DocumentStore::Revisions() const {
+std::vector<KnownRevision> DocumentStore::Revisions(
+    std::string_view only_team) const {
   std::vector<KnownRevision> revisions;
   revisions.reserve(states_.size());
   for (const auto& [team, state] : states_) {
+    if (!only_team.empty() && team != only_team) {
+      continue;
+    }
     revisions.push_back({team, state.in_force.revision});
     for (const std::int64_t refused : state.refused) {
       revisions.push_back({team, refused});
@@ -124,7 +128,8 @@
 }
 
 DocumentPortion DocumentStore::NewerThan(std::span<const KnownRevision> known,
-                                         std::size_t max_bytes) const {
+                                         std::size_t max_bytes,
+                                         std::string_view only_team) const {
   std::unordered_map<std::string_view, PeerKnowledge> peer;
   for (const KnownRevision& revision : known) {
     peer[revision.team].revisions.push_back(revision.revision);
@@ -140,6 +145,9 @@
     portion.documents.push_back(document);
   };
   for (const auto& [team, state] : states_) {
+    if (!only_team.empty() && team != only_team) {
+      continue;
+    }
     const PeerKnowledge& knowledge = peer[team];
     if (!portion.more && knowledge.Lacks(state.in_force)) {
       add(state.in_force);
@@ -151,6 +159,13 @@
   return portion;
 }
 
+bool DocumentStore::Knows(std::string_view team, std::int64_t revision) const {
+  const DocumentState* state = Find(team);
+  return state != nullptr &&
+         (revision <= state->in_force.revision ||
+          std::ranges::binary_search(state->refused, revision));
+}
+
 const DocumentState* DocumentStore::Find(std::string_view team) const {
   const auto found = states_.find(team);
   return found == states_.end() ? nullptr : &found->second;
