membership: changes of the list for peers, moved instances, replacements

The directory can hand on what a peer lacks: a delta, or the complete list if what the peer missed was forgotten. A gap is never applied. A list entry with a new address ends what the old process said about leaving: before, a coalesced answer left the replacement unused. A repeated live entry no longer overrides a later Hello.

--- a/include/amaranthcove/membership/peer_graph.h
+++ b/include/amaranthcove/membership/peer_graph.h
@@ -50,6 +50,14 @@
 std::vector<std::string_view> PeersFor(const EntryPlace& self,
                                        std::span<const EntryPlace> entries);
 
+// `PeersFor` over all of `entries`, then over those that can be reached: dead
+// peers that are still listed are kept, so that they are tried again, and are
+// replaced in the meantime. `reachable` is a part of `entries`.
+std::vector<std::string_view> PeersWithReplacements(
+    const EntryPlace& self,
+    std::span<const EntryPlace> entries,
+    std::span<const EntryPlace> reachable);
+
 // The linked peers to which an entry passes on a change that it adopted: all
 // but `source`, which sent it. `source` is empty if the platform did.
 std::vector<std::string_view> PushTargets(
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -43,8 +43,69 @@
              : InstanceState::kLive;
 }
 
+void ApplyRecord(Instance& instance,
+                 std::int64_t revision,
+                 const InstanceRecord& change) {
+  const bool repeated = instance.list_revision > 0 && instance.listed == change;
+  const bool moved = instance.list_revision > 0 &&
+                     instance.listed.address != change.address &&
+                     instance.record.address != change.address;
+  instance.list_revision = revision;
+  instance.listed = change;
+  if (repeated) {
+    // Where it runs was said later by the instance itself, if it differs.
+    if (change.state != InstanceState::kLive) {
+      instance.record.state = change.state;
+    }
+    return;
+  }
+  if (moved) {
+    ReplaceIncarnation(instance, 0);
+    instance.health = {};
+  }
+  instance.record = change;
+  if (instance.said_leaving && change.state == InstanceState::kLive) {
+    instance.record.state = InstanceState::kLeaving;
+  }
+}
+
 }  // namespace
 
+ApplyResult InstanceDirectory::ApplyChanges(const InstanceChanges& changes) {
+  if (changes.revision <= list_revision_) {
+    return ApplyResult::kNothingNew;
+  }
+  if (!changes.complete && changes.after > list_revision_) {
+    return ApplyResult::kGap;
+  }
+  ApplyList(changes.revision, changes.records);
+  if (!changes.complete) {
+    return ApplyResult::kApplied;
+  }
+  for (auto& [name, instance] : instances_) {
+    if (instance.list_revision > 0 &&
+        instance.list_revision < changes.revision) {
+      instance.list_revision = changes.revision;
+      instance.listed.state = InstanceState::kGone;
+      instance.record.state = InstanceState::kGone;
+    }
+  }
+  return ApplyResult::kApplied;
+}
+
+InstanceChanges InstanceDirectory::ChangesAfter(std::int64_t after) const {
+  InstanceChanges changes;
+  changes.after = after;
+  changes.revision = list_revision_;
+  changes.complete = after < forgotten_revision_;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.list_revision > (changes.complete ? 0 : after)) {
+      changes.records.push_back(instance.listed);
+    }
+  }
+  return changes;
+}
+
 bool InstanceDirectory::ApplyList(std::int64_t revision,
                                   std::span<const InstanceRecord> changes) {
   if (revision < list_revision_) {
@@ -57,11 +118,7 @@
     if (instance.list_revision >= revision) {
       continue;  // A repeated answer must not undo a later `Hello`.
     }
-    instance.list_revision = revision;
-    instance.record = change;
-    if (instance.said_leaving && change.state == InstanceState::kLive) {
-      instance.record.state = InstanceState::kLeaving;
-    }
+    ApplyRecord(instance, revision, change);
   }
   index_is_current_ = false;
   return true;
@@ -117,11 +174,28 @@
   }
 }
 
-void InstanceDirectory::ForgetGone() {
-  std::erase_if(instances_, [](const auto& item) {
-    return item.second.record.state == InstanceState::kGone;
-  });
-  index_is_current_ = false;
+void InstanceDirectory::ForgetGone(std::size_t keep) {
+  std::vector<std::int64_t> gone;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.record.state == InstanceState::kGone) {
+      gone.push_back(instance.list_revision);
+    }
+  }
+  std::ranges::sort(gone, std::greater());
+  // Instances of one list answer are kept or forgotten together.
+  const std::int64_t newest_forgotten = gone.size() > keep ? gone[keep] : -1;
+  const std::size_t forgotten =
+      std::erase_if(instances_, [&](const auto& item) {
+        const Instance& instance = item.second;
+        return instance.list_revision == 0
+                   ? instance.health.consecutive_failures >= kFailuresOfUnlisted
+                   : instance.record.state == InstanceState::kGone &&
+                         instance.list_revision <= newest_forgotten;
+      });
+  if (forgotten > 0) {
+    forgotten_revision_ = std::max(forgotten_revision_, newest_forgotten);
+    index_is_current_ = false;
+  }
 }
 
 std::vector<ServerCandidate> InstanceDirectory::ServersForModel(
--- a/src/membership/peer_graph.cc
+++ b/src/membership/peer_graph.cc
@@ -93,6 +93,22 @@
   return peers;
 }
 
+std::vector<std::string_view> PeersWithReplacements(
+    const EntryPlace& self,
+    std::span<const EntryPlace> entries,
+    std::span<const EntryPlace> reachable) {
+  std::vector<std::string_view> peers = PeersFor(self, entries);
+  if (reachable.size() == entries.size()) {
+    return peers;
+  }
+  for (const std::string_view peer : PeersFor(self, reachable)) {
+    if (std::ranges::find(peers, peer) == peers.end()) {
+      peers.push_back(peer);
+    }
+  }
+  return peers;
+}
+
 std::vector<std::string_view> PushTargets(
     std::span<const std::string_view> links,
     std::string_view source) {
