--- a/include/amaranthcove/ini/schema.h
+++ b/include/amaranthcove/ini/schema.h
@@ -71,7 +71,7 @@
   Address ReadAddress(std::string_view key, bool any_port);
 
   // As `ReadAddress` for a list of at least one address without port 0.
-  std::vector<Address> AddressList(std::string_view key);
+  std::vector<Address> AddressList(std::string_view key, bool required = true);
 
   // One of the words of `choices`, which must not be empty.
   template <typename T>
--- a/include/amaranthcove/settings/settings.h
+++ b/include/amaranthcove/settings/settings.h
@@ -55,6 +55,8 @@
   std::string cluster_key_file;
   LogLevel log_level = LogLevel::kInfo;
   std::vector<Address> platform;  // Entries only; tried in turn.
+  // Entries only; other entries, asked first while the platform is down.
+  std::vector<Address> peers;
   // How long a graceful shutdown may take; without a value, until all work is
   // done.
   std::optional<Duration> drain_limit;
--- a/src/ini/schema.cc
+++ b/src/ini/schema.cc
@@ -180,9 +180,10 @@
   return *address;
 }
 
-std::vector<Address> IniSectionReader::AddressList(std::string_view key) {
+std::vector<Address> IniSectionReader::AddressList(std::string_view key,
+                                                   bool required) {
   std::vector<Address> addresses;
-  for (const std::string& item : List(key, true)) {
+  for (const std::string& item : List(key, required)) {
     const Result<Address> address = ParseAddress(item);
     if (!address) {
       AddError(key, address.error().message + "; expected A.B.C.D:PORT");
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -45,7 +45,9 @@
       reader.Enum<LogLevel>("log_level", kLogLevels, LogLevel::kInfo);
   if (settings.role == Role::kEntry) {
     settings.platform = reader.AddressList("platform");
+    settings.peers = reader.AddressList("peers", false);
   } else {
+    reader.Forbid("peers", "only entries connect to first contacts");
     reader.Forbid("platform", "a sidecar does not read the platform");
   }
   if (reader.Has("drain_limit_ms")) {
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -29,10 +29,12 @@
 TEST(Settings, ReadsBothRoles) {
   const auto entry =
       ParseSettings(Process("entry") +
-                    "platform = 127.0.0.1:1, 127.0.0.1:2\n[entry]\n"
+                    "platform = 127.0.0.1:1, 127.0.0.1:2\n"
+                    "peers = 127.0.0.1:3\n[entry]\n"
                     "http_address = 127.0.0.1:8080\ndrain_ms = 7\n");
   CHECK(entry.has_value());
   STRCMP_EQUAL("127.0.0.1:2", FormatAddress(entry->platform.at(1)).c_str());
+  CHECK_EQUAL(3, entry->peers.at(0).port);
   CHECK(entry->entry->drain == std::chrono::milliseconds(7));
   CHECK(!entry->sidecar && !entry->drain_limit);
   const auto sidecar = ParseSettings(
