entry: announce documents, pass instances on, read the platform only if needed

Cause: every entry watched the instance list, 860 pending watches of 2,000 calls a second; nothing called OnPlatformConfirmed, so every entry began to read the documents, too; dead peers were tried each second. Entries now name on heartbeats the reader that confirmed their documents. An entry that hears none, or only readers that should stop before it, reads. A platform that lists less than the process knows confirms nothing. Instance changes travel like suspects, a missed revision is asked for. Links to peers use the probation of membership.

--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -29,6 +29,8 @@
   Address http_address;
   Address peer_address;
   std::vector<Address> platform;
+  // Entries to connect to while none is known or reachable.
+  std::vector<Address> peers;
   // How long the listener stays open after readiness was withdrawn.
   Duration drain = std::chrono::seconds(5);
   // Readiness does not wait longer than this for the first document.
@@ -88,6 +90,9 @@
   void OnInstances(std::int64_t revision,
                    std::span<const InstanceRecord> changes);
   void WatchPlatform();
+  bool ShouldWatchPlatform(Time now) const;
+  bool PlatformIsCurrent() const;
+  void CheckLeavingSidecars(Time now);
   void StopAccepting();
   void CheckDrained();
   std::string NewRequestId();
@@ -114,6 +119,7 @@
   std::uint64_t next_request_ = 1;
   Time started_;
   bool leaving_ = false;
+  bool reading_ = false;  // Watches the platform.
   bool accepting_ = true;
   std::function<void()> on_drained_;
   TimerId watch_timer_ = 0;
--- a/include/amaranthcove/entry/entry_mesh.h
+++ b/include/amaranthcove/entry/entry_mesh.h
@@ -7,12 +7,18 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include "amaranthcove/base/address.h"
 #include "amaranthcove/base/error.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/documents/document_fetches.h"
 #include "amaranthcove/documents/document_store.h"
 #include "amaranthcove/membership/instance_directory.h"
 #include "amaranthcove/net/tcp.h"
@@ -28,19 +34,25 @@
   // A peer reported a request that crashes backend servers.
   std::function<void(const wire::Suspect& suspect, const std::string& from)>
       on_suspect;
+  // Changes of the instance list that a peer sent were applied.
+  std::function<void()> on_instances;
 };
 
-// Links between entries, over which service documents and suspects spread:
-// changes are pushed at once; digests on heartbeats find what was missed.
+// Links between entries, over which service documents and suspects spread.
+// Suspects and removals are pushed at once. Texts are announced, and a receiver
+// that lacks the revision asks one announcer for it. Digests on heartbeats find
+// what was missed.
 //
 // Thread safety: belongs to the loop's thread.
 class EntryMesh {
  public:
+  // `first_contacts` are tried while there is no link to another entry.
   // Preconditions: `context`, `directory` and `documents` outlive the mesh;
   // `context.fill_heartbeat` is set by the mesh.
   EntryMesh(PeerContext& context,
-            const InstanceDirectory& directory,
+            InstanceDirectory& directory,
             const DocumentStore& documents,
+            std::vector<Address> first_contacts,
             MeshCallbacks callbacks);
   ~EntryMesh();
   EntryMesh(const EntryMesh&) = delete;
@@ -53,12 +65,28 @@
   // Called after changes of the directory, and now and then.
   void UpdateLinks();
 
-  // Sends a document or a suspect to all peers but `except`.
-  void PushDocument(const Document& document, const std::string& except);
+  // The process has decided on a revision: announces it, or pushes it if it is
+  // a removal, to all peers but `source`.
+  void SpreadDocument(const Document& document, const std::string& source);
+
+  // Sends a suspect to all peers but `except`.
   void PushSuspect(const wire::Suspect& suspect, const std::string& except);
 
-  // The platform answered this process now.
-  void OnPlatformConfirmed(Time now) { platform_confirmed_ = now; }
+  // The platform's list went from revision `after` to that of the directory.
+  void SpreadInstances(std::int64_t after);
+
+  // This process takes no new callers: peers choose others as readers and as
+  // peers.
+  void Leave();
+
+  // This process watches the platform, and its watches stand at `now`.
+  void OnPlatformConfirmed(Time now);
+
+  // When the platform last confirmed this process's documents through another
+  // reader; nothing if that was long ago. `outranking` leaves out readers that
+  // should stop before this process does: those that are not readers by the
+  // instance list and have a higher name.
+  std::optional<Time> HeardReader(bool outranking) const;
 
   // When the platform last confirmed this process's documents, directly or
   // through peers; nothing if never.
@@ -76,26 +104,68 @@
     std::unique_ptr<PeerConnection> connection;
     std::string instance;  // Empty until an accepted link is ready.
     bool outgoing = false;
+    bool first_contact = false;  // Connected by address only.
+    Address address;             // Of an outgoing link.
     Time last_request;
+    // Of the last heartbeat that differed, and this process's at that time.
+    std::optional<std::pair<std::int64_t, std::int64_t>> unequal_digests;
+    bool compared = false;      // A digest has been compared on this link.
+    bool got_document = false;  // Since the last request.
+    // Grows while requests bring nothing, as between releases that judge a
+    // document differently.
+    Duration request_interval{0};
   };
 
-  void Connect(const Instance& peer);
+  void Connect(const std::string& instance, const Address& address);
+  void ConnectFirstContacts();
+  void DropUnwanted(std::span<const std::string_view> wanted);
+  void PushInstances(std::int64_t after, const std::string& except);
+  wire::Frame LeavingFrame() const;
+  void OnReady(Link& link, const wire::Hello& remote);
+  void OnClosed(Link* link, PeerCloseReason reason);
+  void FillHeartbeat(wire::Heartbeat& heartbeat) const;
+  void OnConfirmation(const wire::Heartbeat& heartbeat, const Link& link);
+  bool IsListedReader(std::string_view instance) const;
+  void RequestInstances(Link& link);
+  void OnInstancesRequest(const wire::InstancesRequest& request, Link& link);
+  void OnInstanceChanges(const wire::InstanceChanges& changes, Link& link);
   void OnAccept(std::unique_ptr<TcpConnection> connection);
   PeerConnection::Callbacks CallbacksFor(Link* link);
   void OnFrame(Link& link, const wire::Frame& frame);
   void OnHeartbeat(Link& link, const wire::Heartbeat& heartbeat);
-  void OnClosed(Link* link);
+  void Drop(Link* link);
+  void OnAnnouncement(Link& link, const wire::DocumentAnnouncement& announced);
+  void Fetch(const DocumentFetch& fetch);
+  void ScheduleFetchTimer();
+  void CompareDigests(Link& link, std::int64_t digest);
   void RequestDocuments(Link& link);
+  Link* FindReady(std::string_view instance);
   void Push(const wire::Frame& frame, const std::string& except);
 
   PeerContext& context_;
-  const InstanceDirectory& directory_;
+  InstanceDirectory& directory_;
   const DocumentStore& documents_;
+  const std::vector<Address> first_contacts_;
   const MeshCallbacks callbacks_;
   std::unique_ptr<TcpListener> listener_;
   std::list<std::unique_ptr<Link>> links_;
   std::optional<Time> platform_confirmed_;
+  // By reader, when it last confirmed the documents that are known here.
+  std::map<std::string, Time, std::less<>> confirmations_;
+  std::set<std::string, std::less<>> listed_readers_;
+  std::map<Address, ServerHealth> contact_health_;
+  std::optional<Time> instances_requested_;
+  bool leaving_ = false;
+  DocumentFetches fetches_;
+  // The link with the last request for everything, which ends when the digests
+  // are equal or after a limit.
+  Link* synchronising_ = nullptr;
+  Time synchronising_since_;
   TimerId update_timer_ = 0;
+  TimerId fetch_timer_ = 0;
+  std::uint64_t announcements_sent_ = 0;
+  std::uint64_t texts_requested_ = 0;
+  std::uint64_t full_requests_ = 0;
 };
 
 // Conversion to the wire's document. Thread-safe.
--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -117,8 +117,15 @@
   void Broadcast(const wire::Frame& frame);
 
   // Tells `instance` that the instance list calls it leaving; connects for it.
+  // The notice is lost if the connection fails; the caller tries again.
   void NotifyLeaving(const std::string& instance, const Address& address);
 
+  // Connects to `instance` if it is not connected, to hear its `Hello`.
+  void Probe(const std::string& instance, const Address& address);
+
+  // Whether there is a connection to `instance` over which frames can be sent.
+  bool connected(const std::string& instance) const;
+
   std::size_t connections() const;
   std::size_t pending() const { return attempts_.size(); }
   nlohmann::json Dump() const;
--- a/include/amaranthcove/platform_client/platform_client.h
+++ b/include/amaranthcove/platform_client/platform_client.h
@@ -78,6 +78,17 @@
   void WatchDocuments(bool watch);
   void WatchInstances(bool watch);
 
+  // Whether both watches run and the last answer to each was neither a failure
+  // nor stale. A pending call does not change it.
+  bool current() const { return documents_.task.good && instances_.task.good; }
+
+  // The highest revision that the platform listed of a team's document; 0 if
+  // none.
+  std::int64_t listed_revision(std::string_view team) const;
+
+  // The revision of the last good answer of the instance list.
+  std::int64_t instances_revision() const { return instances_.cursor; }
+
   const Counters& counters() const { return counters_; }
 
  private:
@@ -86,6 +97,7 @@
   // A repeated call, of which at most one is waiting or running.
   struct Task {
     bool active = false;
+    bool good = false;  // The last answer since the start was usable.
     int failures = 0;
     Time started;              // Of the last call.
     std::size_t platform = 0;  // Its index in `Options::platforms`.
@@ -138,6 +150,7 @@
   Task fetch_;
   std::deque<std::string> fetch_order_;
   std::map<std::string, std::int64_t, std::less<>> announced_;
+  std::map<std::string, std::int64_t, std::less<>> listed_;
 };
 
 }  // namespace amaranthcove
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -171,6 +171,7 @@
     options.http_address = settings_.entry->http_address;
     options.peer_address = settings_.peer_address;
     options.platform = settings_.platform;
+    options.peers = settings_.peers;
     options.drain = settings_.entry->drain;
     options.choose = policy_.choose_server;
     entry_ = std::make_unique<Entry>(context_, *http_, options);
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -5,6 +5,7 @@
 
 #include "amaranthcove/log/log.h"
 #include "amaranthcove/membership/peer_graph.h"
+#include "amaranthcove/wire/instance_codec.h"
 #include "amaranthcove/wire/suspect_codec.h"
 
 namespace amaranthcove {
@@ -38,26 +39,6 @@
   return settings;
 }
 
-InstanceRecord RecordOf(const wire::Hello& hello) {
-  InstanceRecord record;
-  record.instance = hello.instance;
-  record.role =
-      hello.role == "entry" ? InstanceRole::kEntry : InstanceRole::kSidecar;
-  record.region = hello.region;
-  record.data_centre = hello.data_centre;
-  if (const auto address = ParseAddress(hello.peer_address)) {
-    record.address = *address;
-  }
-  if (hello.__isset.backend) {
-    record.backend.kind =
-        hello.backend.kind == "engine" ? OfferKind::kEngine : OfferKind::kPlain;
-    record.backend.base_model = hello.backend.base_model;
-    record.backend.team = hello.backend.team;
-    record.backend.service = hello.backend.service_name;
-  }
-  return record;
-}
-
 }  // namespace
 
 Entry::Entry(PeerContext& context,
@@ -71,6 +52,7 @@
       mesh_(mesh_context_,
             directory_,
             catalogue_.store(),
+            options.peers,
             {[this](const wire::Document& document, const std::string& from) {
                OnDocument({document.team, document.revision, document.removed,
                            document.text},
@@ -78,7 +60,8 @@
              },
              [this](const wire::Suspect& suspect, const std::string& from) {
                OnSuspect(suspect, from);
-             }}),
+             },
+             [this] { mesh_.UpdateLinks(); }}),
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
       call_context_{context.loop, catalogue_, directory_,    links_,
@@ -110,8 +93,9 @@
 SidecarEvents Entry::MakeSidecarEvents() {
   SidecarEvents events;
   events.on_hello = [this](const wire::Hello& hello) {
-    directory_.OnHello(RecordOf(hello), hello.incarnation);
-    directory_.OnHeard(hello.instance);
+    if (const auto record = wire::RecordOf(hello)) {
+      directory_.OnHello(*record, hello.incarnation);
+    }
   };
   events.on_connect_failed = [this](const std::string& instance) {
     directory_.OnConnectFailed(instance, context_.loop.Now());
@@ -158,25 +142,66 @@
     return tl::unexpected<Error>(server.error());
   }
   server_ = std::move(*server);
-  platform_.WatchInstances(true);
   WatchPlatform();
   return {};
 }
 
 void Entry::WatchPlatform() {
   const Time now = context_.loop.Now();
-  const std::vector<EntryPlace> entries = directory_.LiveEntries();
-  const EntryPlace self{context_.self.instance, context_.self.data_centre};
-  const Time heard = mesh_.platform_confirmed().value_or(started_);
-  // A fresh process reads at once, so that it does not wait for its peers.
-  const bool fresh = catalogue_.entries().empty();
-  platform_.WatchDocuments(fresh ||
-                           ShouldRead(self, entries, heard, now, read_jitter_));
-  directory_.ForgetGone();
+  reading_ = ShouldWatchPlatform(now);
+  platform_.WatchDocuments(reading_);
+  platform_.WatchInstances(reading_);
+  if (reading_ && PlatformIsCurrent()) {
+    mesh_.OnPlatformConfirmed(now);
+  }
+  directory_.ForgetGone(kKeptGone);
+  CheckLeavingSidecars(now);
   watch_timer_ =
       context_.loop.RunAfter(kWatchInterval, [this] { WatchPlatform(); });
 }
 
+bool Entry::ShouldWatchPlatform(Time now) const {
+  const std::vector<EntryPlace> entries = directory_.LiveEntries();
+  const EntryPlace self{context_.self.instance, context_.self.data_centre};
+  // A fresh process has heard of no reader and reads at once, so that it does
+  // not wait for its peers.
+  const auto heard = mesh_.HeardReader(reading_);
+  return !heard || ShouldRead(self, entries, *heard, now, read_jitter_);
+}
+
+// A platform that lists less than this process knows is stale: it confirms
+// nothing, although its answers arrive in time.
+bool Entry::PlatformIsCurrent() const {
+  if (!platform_.current() ||
+      platform_.instances_revision() < directory_.list_revision()) {
+    return false;
+  }
+  const auto& states = catalogue_.store().states();
+  return std::all_of(states.begin(), states.end(), [this](const auto& item) {
+    return platform_.listed_revision(item.first) >=
+           item.second.newest_revision();
+  });
+}
+
+// Tells sidecars that the list calls leaving, until they say so themselves; and
+// tries to reach those that said so while the list calls them live, because a
+// new incarnation is first noticed by its `Hello`. Only readers open
+// connections for it: hundreds of entries would do so for each restart.
+void Entry::CheckLeavingSidecars(Time now) {
+  for (const Instance* sidecar :
+       directory_.ConnectTargets(InstanceRole::kSidecar, now)) {
+    const InstanceRecord& record = sidecar->record;
+    const bool is_reachable = reading_ || links_.connected(record.instance);
+    if (!sidecar->said_leaving && is_reachable &&
+        sidecar->listed_as(InstanceState::kLeaving) && !sidecar->live()) {
+      links_.NotifyLeaving(record.instance, record.address);
+    } else if (sidecar->said_leaving &&
+               sidecar->listed_as(InstanceState::kLive)) {
+      links_.Probe(record.instance, record.address);
+    }
+  }
+}
+
 bool Entry::ready() const {
   const bool waited =
       context_.loop.Now() - started_ > options_.first_document_limit;
@@ -325,7 +350,7 @@
             " is invalid and refused: " +
             (errors.empty() ? std::string() : errors.front()));
   }
-  mesh_.PushDocument(copy, from);
+  mesh_.SpreadDocument(copy, from);
 }
 
 void Entry::OnSuspect(const wire::Suspect& suspect, const std::string& from) {
@@ -340,15 +365,12 @@
 
 void Entry::OnInstances(std::int64_t revision,
                         std::span<const InstanceRecord> changes) {
-  if (!directory_.ApplyList(revision, changes)) {
+  const std::int64_t before = directory_.list_revision();
+  if (!directory_.ApplyList(revision, changes) || revision == before) {
     return;
   }
-  for (const InstanceRecord& change : changes) {
-    if (change.role == InstanceRole::kSidecar &&
-        change.state == InstanceState::kLeaving) {
-      links_.NotifyLeaving(change.instance, change.address);
-    }
-  }
+  mesh_.SpreadInstances(before);
+  CheckLeavingSidecars(context_.loop.Now());
   mesh_.UpdateLinks();
 }
 
@@ -358,6 +380,7 @@
   }
   leaving_ = true;
   Log(LogLevel::kInfo, "entry", "leaving; readiness is withdrawn");
+  mesh_.Leave();
   drain_timer_ = context_.loop.RunAfter(options_.drain, [this] {
     drain_timer_ = 0;
     StopAccepting();
@@ -408,6 +431,8 @@
           {"documents", documents},
           {"instances", instances},
           {"instances_revision", directory_.list_revision()},
+          {"reads_platform", reading_},
+          {"platform_current", reading_ && PlatformIsCurrent()},
           {"mesh", mesh_.Dump()},
           {"sidecars", links_.Dump()},
           {"reports", chooser_.Dump(now)},
--- a/src/entry/entry_mesh.cc
+++ b/src/entry/entry_mesh.cc
@@ -1,10 +1,12 @@
 #include "amaranthcove/entry/entry_mesh.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
 #include "amaranthcove/membership/peer_graph.h"
+#include "amaranthcove/wire/instance_codec.h"
 
 namespace amaranthcove {
 
@@ -12,13 +14,37 @@
 
 constexpr Duration kUpdateInterval = std::chrono::seconds(1);
 
-// Between two requests for documents on one link, so that a peer with a
-// document that this process cannot adopt is not asked all the time.
-constexpr Duration kRequestInterval = std::chrono::milliseconds(500);
+// Between two requests for all documents on one link. Doubles while requests
+// bring nothing, so that a peer with a document that this process cannot adopt
+// is not asked all the time.
+constexpr Duration kFirstRequestInterval = std::chrono::milliseconds(500);
+constexpr Duration kLongestRequestInterval = std::chrono::seconds(60);
+
+// A request for all documents on another link waits this long for the answer
+// to the last one.
+constexpr Duration kSynchronisingLimit = std::chrono::seconds(2);
 
 // Texts in one answer to a request for documents.
 constexpr std::size_t kMaxPortionBytes = 1 << 20;
 
+// More changes of the instance list, as after a start, are not pushed but asked
+// for, because every link would carry all of them.
+constexpr std::size_t kMaxPushedInstances = 32;
+
+// What a reader confirmed longer ago says nothing any more.
+constexpr Duration kConfirmationMemory = std::chrono::minutes(1);
+
+}  // namespace
+
+namespace {
+
+wire::DocumentRevision ToWire(const KnownRevision& known) {
+  wire::DocumentRevision revision;
+  revision.team = known.team;
+  revision.revision = known.revision;
+  return revision;
+}
+
 }  // namespace
 
 wire::Document ToWire(const Document& document) {
@@ -31,23 +57,22 @@
 }
 
 EntryMesh::EntryMesh(PeerContext& context,
-                     const InstanceDirectory& directory,
+                     InstanceDirectory& directory,
                      const DocumentStore& documents,
+                     std::vector<Address> first_contacts,
                      MeshCallbacks callbacks)
     : context_(context),
       directory_(directory),
       documents_(documents),
+      first_contacts_(std::move(first_contacts)),
       callbacks_(std::move(callbacks)) {
   context_.fill_heartbeat = [this](wire::Heartbeat& heartbeat) {
-    heartbeat.documents_digest = static_cast<std::int64_t>(documents_.Digest());
-    if (platform_confirmed_) {
-      heartbeat.__set_platform_age_ms(
-          ToMilliseconds(context_.loop.Now() - *platform_confirmed_));
-    }
+    FillHeartbeat(heartbeat);
   };
 }
 
 EntryMesh::~EntryMesh() {
+  context_.loop.Cancel(fetch_timer_);
   context_.loop.Cancel(update_timer_);
 }
 
@@ -70,32 +95,85 @@
   context_.loop.Cancel(update_timer_);
   update_timer_ =
       context_.loop.RunAfter(kUpdateInterval, [this] { UpdateLinks(); });
+  const Time now = context_.loop.Now();
   const std::vector<EntryPlace> entries = directory_.LiveEntries();
-  const EntryPlace self{context_.self.instance, context_.self.data_centre};
-  const std::vector<std::string_view> wanted = PeersFor(self, entries);
-  std::erase_if(links_, [&](const auto& link) {
-    return link->outgoing && std::find(wanted.begin(), wanted.end(),
-                                       link->instance) == wanted.end();
+  std::vector<EntryPlace> reachable;
+  std::copy_if(
+      entries.begin(), entries.end(), std::back_inserter(reachable),
+      [&](const EntryPlace& entry) {
+        return directory_.Find(entry.instance)->health.consecutive_failures <
+               kFailuresBeforeProbation;
+      });
+  listed_readers_.clear();
+  for (const std::string_view reader : ReadersOf(entries)) {
+    listed_readers_.emplace(reader);
+  }
+  std::erase_if(confirmations_, [&](const auto& item) {
+    return now - item.second > kConfirmationMemory;
   });
+  const EntryPlace self{context_.self.instance, context_.self.data_centre};
+  const std::vector<std::string_view> wanted =
+      PeersWithReplacements(self, entries, reachable);
+  DropUnwanted(wanted);
   for (const std::string_view name : wanted) {
     const bool linked =
         std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
           return link->outgoing && link->instance == name;
         });
     const Instance* peer = directory_.Find(name);
-    if (!linked && peer != nullptr) {
-      Connect(*peer);
+    if (!linked && peer != nullptr && !OnProbation(peer->health, now)) {
+      Connect(peer->record.instance, peer->record.address);
+    }
+  }
+  if (ready_links() == 0) {
+    ConnectFirstContacts();
+  }
+}
+
+void EntryMesh::DropUnwanted(std::span<const std::string_view> wanted) {
+  const bool has_other =
+      std::any_of(links_.begin(), links_.end(), [](const auto& link) {
+        return !link->first_contact && link->connection->ready();
+      });
+  std::vector<Link*> unwanted;
+  for (const auto& link : links_) {
+    const Instance* peer = directory_.Find(link->instance);
+    const bool is_wanted =
+        link->first_contact
+            ? !has_other
+            : std::ranges::find(wanted, link->instance) != wanted.end() &&
+                  peer != nullptr && peer->record.address == link->address;
+    if (link->outgoing && !is_wanted) {
+      unwanted.push_back(link.get());
     }
   }
+  for (Link* link : unwanted) {
+    Drop(link);
+  }
 }
 
-void EntryMesh::Connect(const Instance& peer) {
+void EntryMesh::Connect(const std::string& instance, const Address& address) {
   links_.push_back(std::make_unique<Link>());
   Link* link = links_.back().get();
   link->outgoing = true;
-  link->instance = peer.record.instance;
-  link->connection = PeerConnection::Connect(context_, peer.record.address,
-                                             CallbacksFor(link));
+  link->first_contact = instance.empty();
+  link->instance = instance;
+  link->address = address;
+  link->connection =
+      PeerConnection::Connect(context_, address, CallbacksFor(link));
+}
+
+void EntryMesh::ConnectFirstContacts() {
+  const Time now = context_.loop.Now();
+  for (const Address& contact : first_contacts_) {
+    const bool linked =
+        std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
+          return link->first_contact && link->address == contact;
+        });
+    if (!linked && !OnProbation(contact_health_[contact], now)) {
+      Connect("", contact);
+    }
+  }
 }
 
 void EntryMesh::OnAccept(std::unique_ptr<TcpConnection> connection) {
@@ -106,16 +184,59 @@
 }
 
 PeerConnection::Callbacks EntryMesh::CallbacksFor(Link* link) {
-  return {[this, link](const wire::Hello& remote) {
-            link->instance = remote.instance;
-            RequestDocuments(*link);
-          },
+  return {[this, link](const wire::Hello& remote) { OnReady(*link, remote); },
           [this, link](const wire::Frame& frame) { OnFrame(*link, frame); },
-          [this, link](PeerCloseReason) { OnClosed(link); }};
+          [this, link](PeerCloseReason reason) { OnClosed(link, reason); }};
 }
 
-void EntryMesh::OnClosed(Link* link) {
+void EntryMesh::OnReady(Link& link, const wire::Hello& remote) {
+  link.instance = remote.instance;
+  if (link.first_contact) {
+    RecordSuccess(contact_health_[link.address]);
+  }
+  const auto record = wire::RecordOf(remote);
+  // Tools and a first contact that is this process are no peers.
+  const bool is_entry = record && record->role == InstanceRole::kEntry &&
+                        record->instance != context_.self.instance;
+  if (is_entry) {
+    directory_.OnHello(*record, remote.incarnation);
+  }
+  if (leaving_) {
+    link.connection->Send(LeavingFrame());
+  }
+  if (documents_.states().empty()) {
+    RequestDocuments(link);
+  }
+  if (directory_.list_revision() == 0) {
+    RequestInstances(link);
+  }
+}
+
+void EntryMesh::OnClosed(Link* link, PeerCloseReason reason) {
+  const Time now = context_.loop.Now();
+  if (link->first_contact) {
+    RecordFailure(contact_health_[link->address], now);
+  } else if (link->outgoing && reason == PeerCloseReason::kSilent) {
+    directory_.OnSilence(link->instance, now);
+  } else if (link->outgoing) {
+    directory_.OnConnectFailed(link->instance, now);
+  }
+  Drop(link);
+}
+
+void EntryMesh::Drop(Link* link) {
+  if (synchronising_ == link) {
+    synchronising_ = nullptr;
+  }
+  const std::string peer = link->instance;
   std::erase_if(links_, [&](const auto& entry) { return entry.get() == link; });
+  // Another link to the same peer is as good.
+  if (FindReady(peer) == nullptr) {
+    for (const DocumentFetch& fetch :
+         fetches_.OnPeerLost(peer, context_.loop.Now())) {
+      Fetch(fetch);
+    }
+  }
 }
 
 void EntryMesh::OnFrame(Link& link, const wire::Frame& frame) {
@@ -123,41 +244,207 @@
     OnHeartbeat(link, frame.heartbeat);
   } else if (frame.__isset.documents_request) {
     AnswerRequest(frame.documents_request, *link.connection);
+  } else if (frame.__isset.document_announcement) {
+    OnAnnouncement(link, frame.document_announcement);
   } else if (frame.__isset.document) {
+    link.got_document = true;
     callbacks_.on_document(frame.document, link.instance);
   } else if (frame.__isset.suspect) {
     callbacks_.on_suspect(frame.suspect, link.instance);
+  } else if (frame.__isset.instances_request) {
+    OnInstancesRequest(frame.instances_request, link);
+  } else if (frame.__isset.instance_changes) {
+    OnInstanceChanges(frame.instance_changes, link);
+  } else if (frame.__isset.leaving) {
+    directory_.OnLeaving(link.instance, link.connection->remote().incarnation);
   }
 }
 
 void EntryMesh::OnHeartbeat(Link& link, const wire::Heartbeat& heartbeat) {
-  const Time now = context_.loop.Now();
   const bool equal = heartbeat.documents_digest ==
                      static_cast<std::int64_t>(documents_.Digest());
-  if (!equal) {
-    RequestDocuments(link);
-  } else if (heartbeat.__isset.platform_age_ms &&
-             heartbeat.platform_age_ms >= 0) {
-    const Time confirmed =
-        now - std::chrono::milliseconds(heartbeat.platform_age_ms);
-    if (!platform_confirmed_ || *platform_confirmed_ < confirmed) {
-      platform_confirmed_ = confirmed;
+  if (heartbeat.__isset.instances_revision &&
+      heartbeat.instances_revision > directory_.list_revision()) {
+    RequestInstances(link);
+  }
+  CompareDigests(link, heartbeat.documents_digest);
+  if (equal && heartbeat.__isset.platform_age_ms &&
+      heartbeat.platform_age_ms >= 0) {
+    OnConfirmation(heartbeat, link);
+  }
+}
+
+void EntryMesh::OnConfirmation(const wire::Heartbeat& heartbeat,
+                               const Link& link) {
+  const std::string& reader = heartbeat.__isset.platform_reader
+                                  ? heartbeat.platform_reader
+                                  : link.instance;
+  if (reader == context_.self.instance) {
+    return;
+  }
+  const Time time = context_.loop.Now() -
+                    std::chrono::milliseconds(heartbeat.platform_age_ms);
+  Time& confirmed = confirmations_.try_emplace(reader, time).first->second;
+  confirmed = std::max(confirmed, time);
+  platform_confirmed_ = std::max(platform_confirmed_.value_or(time), time);
+}
+
+void EntryMesh::OnPlatformConfirmed(Time now) {
+  confirmations_[context_.self.instance] = now;
+  platform_confirmed_ = now;
+}
+
+bool EntryMesh::IsListedReader(std::string_view instance) const {
+  return listed_readers_.contains(instance);
+}
+
+std::optional<Time> EntryMesh::HeardReader(bool outranking) const {
+  std::optional<Time> heard;
+  for (const auto& [reader, time] : confirmations_) {
+    const bool counts = !outranking || IsListedReader(reader) ||
+                        reader < context_.self.instance;
+    if (reader != context_.self.instance && counts) {
+      heard = std::max(heard.value_or(time), time);
     }
   }
+  return heard;
+}
+
+// Passes on the confirmation of the reader that should go on reading, if it is
+// recent, so that the others hear of it and stop; else the newest.
+void EntryMesh::FillHeartbeat(wire::Heartbeat& heartbeat) const {
+  heartbeat.documents_digest = static_cast<std::int64_t>(documents_.Digest());
+  heartbeat.__set_instances_revision(directory_.list_revision());
+  const Time now = context_.loop.Now();
+  const std::string* best = nullptr;
+  Time best_time;
+  for (const auto& [reader, time] : confirmations_) {
+    const bool recent = now - time < kReaderSilence / 2;
+    const bool best_recent = now - best_time < kReaderSilence / 2;
+    const bool better = best == nullptr || (recent && !best_recent) ||
+                        (recent && best_recent && IsListedReader(reader) &&
+                         !IsListedReader(*best)) ||
+                        (!recent && !best_recent && time > best_time);
+    if (better) {
+      best = &reader;
+      best_time = time;
+    }
+  }
+  if (best != nullptr) {
+    heartbeat.__set_platform_age_ms(ToMilliseconds(now - best_time));
+    heartbeat.__set_platform_reader(*best);
+  }
+}
+
+void EntryMesh::RequestInstances(Link& link) {
+  const Time now = context_.loop.Now();
+  if (instances_requested_ &&
+      now - *instances_requested_ < kSynchronisingLimit) {
+    return;
+  }
+  instances_requested_ = now;
+  wire::InstancesRequest request;
+  request.after = directory_.list_revision();
+  wire::Frame frame;
+  frame.__set_instances_request(request);
+  link.connection->Send(frame);
+}
+
+void EntryMesh::OnInstancesRequest(const wire::InstancesRequest& request,
+                                   Link& link) {
+  if (directory_.list_revision() <= request.after) {
+    return;
+  }
+  wire::Frame frame;
+  frame.__set_instance_changes(
+      wire::ToWire(directory_.ChangesAfter(request.after)));
+  link.connection->Send(frame);
+}
+
+void EntryMesh::OnInstanceChanges(const wire::InstanceChanges& changes,
+                                  Link& link) {
+  const std::int64_t before = directory_.list_revision();
+  const ApplyResult result = directory_.ApplyChanges(wire::FromWire(changes));
+  if (result == ApplyResult::kGap) {
+    RequestInstances(link);
+  }
+  if (result != ApplyResult::kApplied) {
+    return;
+  }
+  instances_requested_.reset();
+  PushInstances(before, link.instance);
+  // May drop the link.
+  callbacks_.on_instances();
+}
+
+void EntryMesh::SpreadInstances(std::int64_t after) {
+  PushInstances(after, "");
+}
+
+void EntryMesh::PushInstances(std::int64_t after, const std::string& except) {
+  const InstanceChanges changes = directory_.ChangesAfter(after);
+  if (changes.complete || changes.records.size() > kMaxPushedInstances) {
+    return;  // Peers ask, each only once, when they see the revision.
+  }
+  wire::Frame frame;
+  frame.__set_instance_changes(wire::ToWire(changes));
+  Push(frame, except);
+}
+
+wire::Frame EntryMesh::LeavingFrame() const {
+  wire::Leaving leaving;
+  leaving.instance = context_.self.instance;
+  wire::Frame frame;
+  frame.__set_leaving(leaving);
+  return frame;
+}
+
+void EntryMesh::Leave() {
+  leaving_ = true;
+  Push(LeavingFrame(), "");
+}
+
+// While a change spreads, digests differ for a moment. Only a difference that
+// lasts from one heartbeat to the next asks for all revisions.
+void EntryMesh::CompareDigests(Link& link, std::int64_t digest) {
+  const auto own = static_cast<std::int64_t>(documents_.Digest());
+  const bool first = !std::exchange(link.compared, true);
+  if (digest == own) {
+    link.unequal_digests.reset();
+    link.request_interval = Duration(0);
+    if (synchronising_ == &link) {
+      synchronising_ = nullptr;
+    }
+    return;
+  }
+  const std::pair digests(digest, own);
+  const bool lasting = link.unequal_digests == digests;
+  link.unequal_digests = digests;
+  if (first || lasting || link.got_document) {
+    RequestDocuments(link);
+  }
 }
 
 void EntryMesh::RequestDocuments(Link& link) {
   const Time now = context_.loop.Now();
-  if (now - link.last_request < kRequestInterval) {
+  const bool other_link = synchronising_ != nullptr &&
+                          synchronising_ != &link &&
+                          now - synchronising_since_ < kSynchronisingLimit;
+  if (other_link || now - link.last_request < link.request_interval) {
     return;
   }
+  link.request_interval =
+      std::exchange(link.got_document, false)
+          ? kFirstRequestInterval
+          : std::clamp(link.request_interval * 2, kFirstRequestInterval,
+                       kLongestRequestInterval);
   link.last_request = now;
+  synchronising_ = &link;
+  synchronising_since_ = now;
+  ++full_requests_;
   wire::DocumentsRequest request;
   for (const KnownRevision& known : documents_.Revisions()) {
-    wire::DocumentRevision revision;
-    revision.team = known.team;
-    revision.revision = known.revision;
-    request.known.push_back(std::move(revision));
+    request.known.push_back(ToWire(known));
   }
   wire::Frame frame;
   frame.__set_documents_request(request);
@@ -170,22 +457,86 @@
   for (const wire::DocumentRevision& revision : request.known) {
     known.push_back({revision.team, revision.revision});
   }
-  const DocumentPortion portion = documents_.NewerThan(known, kMaxPortionBytes);
+  const DocumentPortion portion =
+      documents_.NewerThan(known, kMaxPortionBytes,
+                           request.__isset.team ? std::string_view(request.team)
+                                                : std::string_view());
   for (const Document& document : portion.documents) {
-    if (request.__isset.team && document.team != request.team) {
-      continue;
-    }
     wire::Frame frame;
     frame.__set_document(ToWire(document));
     connection.Send(frame);
   }
 }
 
-void EntryMesh::PushDocument(const Document& document,
-                             const std::string& except) {
+void EntryMesh::SpreadDocument(const Document& document,
+                               const std::string& source) {
+  fetches_.OnKnown(document.team, document.revision);
   wire::Frame frame;
-  frame.__set_document(ToWire(document));
-  Push(frame, except);
+  if (document.removed) {
+    frame.__set_document(ToWire(document));
+  } else {
+    // With 12 links, pushing is cheaper only for texts below about 20 bytes,
+    // which no valid document is (docs/decisions.md).
+    wire::DocumentAnnouncement announcement;
+    announcement.team = document.team;
+    announcement.revision = document.revision;
+    frame.__set_document_announcement(announcement);
+    ++announcements_sent_;
+  }
+  Push(frame, source);
+}
+
+void EntryMesh::OnAnnouncement(Link& link,
+                               const wire::DocumentAnnouncement& announced) {
+  if (announced.team.empty() ||
+      documents_.Knows(announced.team, announced.revision)) {
+    return;
+  }
+  const auto fetch = fetches_.OnAnnouncement(
+      announced.team, announced.revision, link.instance, context_.loop.Now());
+  if (fetch) {
+    Fetch(*fetch);
+  }
+}
+
+void EntryMesh::Fetch(const DocumentFetch& fetch) {
+  ScheduleFetchTimer();
+  Link* link = FindReady(fetch.peer);
+  if (link == nullptr) {
+    return;  // The next announcer is asked when this fetch is late.
+  }
+  ++texts_requested_;
+  wire::DocumentsRequest request;
+  request.__set_team(fetch.team);
+  for (const KnownRevision& known : documents_.Revisions(fetch.team)) {
+    request.known.push_back(ToWire(known));
+  }
+  wire::Frame frame;
+  frame.__set_documents_request(request);
+  link->connection->Send(frame);
+}
+
+void EntryMesh::ScheduleFetchTimer() {
+  context_.loop.Cancel(std::exchange(fetch_timer_, 0));
+  const auto next = fetches_.NextTimer();
+  if (!next) {
+    return;
+  }
+  fetch_timer_ = context_.loop.RunAt(*next, [this] {
+    fetch_timer_ = 0;
+    for (const DocumentFetch& fetch : fetches_.OnTimer(context_.loop.Now())) {
+      Fetch(fetch);
+    }
+    ScheduleFetchTimer();
+  });
+}
+
+EntryMesh::Link* EntryMesh::FindReady(std::string_view instance) {
+  const auto found =
+      std::find_if(links_.begin(), links_.end(), [&](const auto& link) {
+        return link->connection->ready() && link->instance == instance;
+      });
+  return found == links_.end() ? nullptr : found->get();
 }
 
 void EntryMesh::PushSuspect(const wire::Suspect& suspect,
@@ -222,7 +573,12 @@
   if (platform_confirmed_) {
     confirmed = ToMilliseconds(context_.loop.Now() - *platform_confirmed_);
   }
-  return {{"links", links}, {"platform_age_ms", confirmed}};
+  return {{"links", links},
+          {"platform_age_ms", confirmed},
+          {"fetches", fetches_.size()},
+          {"announcements_sent", announcements_sent_},
+          {"texts_requested", texts_requested_},
+          {"full_requests", full_requests_}};
 }
 
 }  // namespace amaranthcove
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -483,6 +483,16 @@
   link.leaving_notice = false;
 }
 
+void SidecarLinks::Probe(const std::string& instance, const Address& address) {
+  UseLink(instance, address);
+}
+
+bool SidecarLinks::connected(const std::string& instance) const {
+  const auto link = links_.find(instance);
+  return link != links_.end() && link->second.connection != nullptr &&
+         link->second.connection->ready();
+}
+
 void SidecarLinks::SweepIdleLinks() {
   const Time now = context_.loop.Now();
   std::erase_if(links_, [&](const auto& entry) {
--- a/src/platform_client/platform_client.cc
+++ b/src/platform_client/platform_client.cc
@@ -83,6 +83,8 @@
   }
   documents_.cursor = changes->revision;
   for (Document& document : changes->items) {
+    std::int64_t& listed = listed_[document.team];
+    listed = std::max(listed, document.revision);
     if (document.revision <= callbacks_.known_revision(document.team)) {
       continue;
     }
@@ -129,6 +131,11 @@
   return Verdict::kGood;
 }
 
+std::int64_t PlatformClient::listed_revision(std::string_view team) const {
+  const auto found = listed_.find(team);
+  return found == listed_.end() ? 0 : found->second;
+}
+
 void PlatformClient::Announce(std::string team, std::int64_t revision) {
   const auto [found, is_new] = announced_.try_emplace(team, revision);
   found->second = std::max(found->second, revision);
@@ -243,6 +250,7 @@
 }
 
 Duration PlatformClient::DelayAfter(Task& task, Verdict verdict) {
+  task.good = verdict != Verdict::kBad;
   if (verdict == Verdict::kGood) {
     task.failures = 0;
     return Duration::zero();
