--- a/include/amaranthcove/entry/call.h
+++ b/include/amaranthcove/entry/call.h
@@ -9,6 +9,7 @@
 
 #include "amaranthcove/entry/call_plan.h"
 #include "amaranthcove/entry/explain.h"
+#include "amaranthcove/entry/operation_issuer.h"
 #include "amaranthcove/entry/server_chooser.h"
 #include "amaranthcove/entry/sidecar_links.h"
 #include "amaranthcove/net/event_loop.h"
@@ -45,6 +46,7 @@
   const InstanceDirectory& directory;
   SidecarLinks& links;
   ServerChooser& chooser;
+  OperationIssuer& issuer;
   SuspectTable& suspects;
   policy::RetryBudget& retry_budget;
   policy::Random& random;
@@ -81,6 +83,7 @@
 
  private:
   void OfferOperation();
+  void AnswerWithOperation(const std::string& id);
   void Dispatch();
   void DispatchOperation();
   void Send(const std::string& instance, const Address& address);
--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -107,6 +107,7 @@
   EntryMesh mesh_;
   SidecarLinks links_;
   ServerChooser chooser_;
+  OperationIssuer issuer_;
   CallContext call_context_;
   PlatformClient platform_;
   std::unique_ptr<HttpServer> server_;
--- /dev/null
+++ b/include/amaranthcove/entry/operation_issuer.h
@@ -0,0 +1,41 @@
+#ifndef AMARANTHCOVE_ENTRY_OPERATION_ISSUER_H_
+#define AMARANTHCOVE_ENTRY_OPERATION_ISSUER_H_
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "amaranthcove/entry/call_plan.h"
+#include "amaranthcove/entry/server_chooser.h"
+#include "amaranthcove/entry/sidecar_links.h"
+#include "amaranthcove/net/event_loop.h"
+
+namespace amaranthcove {
+
+// Gets fresh operation ids for the plain service of a plan. A server that does
+// not issue one is passed over, because an id that nobody uses does no harm.
+//
+// Thread safety: belongs to the loop's thread.
+class OperationIssuer {
+ public:
+  // The id, or an empty string if no server issued one.
+  using Done = std::function<void(const std::string& id)>;
+
+  // Preconditions: the arguments outlive the object and its calls.
+  OperationIssuer(EventLoop& loop, SidecarLinks& links, ServerChooser& chooser)
+      : loop_(loop), links_(links), chooser_(chooser) {}
+
+  // Asks one server after the other. `done` is called once, not inside.
+  void Issue(const CallPlan& plan, Done done);
+
+ private:
+  void AskNext(const CallPlan& plan, std::set<std::string> asked, Done done);
+
+  EventLoop& loop_;
+  SidecarLinks& links_;
+  ServerChooser& chooser_;
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ENTRY_OPERATION_ISSUER_H_
--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -163,6 +163,7 @@
   void OnReady(const std::string& instance, const wire::Hello& remote);
   void OnClosed(const std::string& instance, PeerCloseReason reason);
   void Reconnect(const std::string& instance, Link& link);
+  void FailIssueCalls(const std::string& instance);
   void LoseAttempts(const std::string& instance, bool only_unsent);
   void OnFrame(const std::string& instance, const wire::Frame& frame);
   void OnChunk(const wire::Chunk& chunk);
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -21,8 +21,6 @@
 // Time for the sidecar to confirm a cancel.
 constexpr Duration kCancelLimit = std::chrono::milliseconds(500);
 
-constexpr Duration kIssueLimit = std::chrono::seconds(2);
-
 // A caller that reads slower than this many bytes are produced is cut off.
 constexpr std::size_t kMaxBufferedBytes = 4 << 20;
 
@@ -87,37 +85,32 @@
 }
 
 void Call::OfferOperation() {
-  const auto server =
-      context_.chooser.Choose(plan_, tried_, context_.loop.Now());
-  if (!server) {
-    Fail({503, "no_backend_server", server.error().message, Outcome::kNotRun,
+  context_.issuer.Issue(plan_, [this, alive = alive_](const std::string& id) {
+    if (*alive) {
+      AnswerWithOperation(id);
+    }
+  });
+}
+
+void Call::AnswerWithOperation(const std::string& id) {
+  Explain("operation_offered", {{"operation_id", id}});
+  if (id.empty()) {
+    Fail({503, "no_backend_server",
+          "No backend server issued an operation id for this call.",
+          Outcome::kNotRun,
           policy::RetryAfter(std::chrono::seconds(1), context_.random)});
     return;
   }
-  context_.links.IssueOperation(
-      server->instance, server->address, plan_.team, plan_.service, kIssueLimit,
-      [this, alive = alive_](const std::string& id) {
-        if (!*alive) {
-          return;
-        }
-        ApiError error{kPreconditionRequired, "operation_id_required",
-                       "This call must not be repeated. Send it with the "
-                       "Idempotency-Key of this answer.",
-                       Outcome::kNotRun};
-        if (id.empty()) {
-          error.message =
-              "This call must not be repeated. Get an operation id from "
-              "/v1/operations and send it as Idempotency-Key.";
-        }
-        Explain("operation_offered", {{"operation_id", id}});
-        HttpResponse response = ErrorResponse(error, request_id_);
-        if (!id.empty()) {
-          response.headers.push_back({"Idempotency-Key", id});
-        }
-        ++context_.counters.failed_not_run;
-        responder_->Send(std::move(response));
-        Done();
-      });
+  HttpResponse response =
+      ErrorResponse({kPreconditionRequired, "operation_id_required",
+                     "This call must not be repeated. Send it with the "
+                     "Idempotency-Key of this answer.",
+                     Outcome::kNotRun},
+                    request_id_);
+  response.headers.push_back({"Idempotency-Key", id});
+  ++context_.counters.failed_not_run;
+  responder_->Send(std::move(response));
+  Done();
 }
 
 void Call::DispatchOperation() {
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kWatchInterval = std::chrono::seconds(1);
-constexpr Duration kIssueLimit = std::chrono::seconds(2);
 constexpr std::size_t kMaxBodyBytes = 2 << 20;
 
 // Heartbeats between entries carry digests of documents, so their interval
@@ -81,9 +80,10 @@
              }}),
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
-      call_context_{context.loop, catalogue_, directory_,    links_,
-                    chooser_,     suspects_,  retry_budget_, random_,
-                    explain_,     counters_},
+      issuer_(context.loop, links_, chooser_),
+      call_context_{context.loop, catalogue_, directory_, links_,
+                    chooser_,     issuer_,    suspects_,  retry_budget_,
+                    random_,      explain_,   counters_},
       platform_(
           context.loop,
           http,
@@ -252,29 +252,23 @@
            "No service document in force offers this service.");
     return;
   }
-  const auto server = chooser_.Choose(plan, {}, context_.loop.Now());
-  if (!server) {
-    refuse(503, "no_backend_server", server.error().message);
-    return;
-  }
-  links_.IssueOperation(
-      server->instance, server->address, plan.team, plan.service, kIssueLimit,
-      [responder = std::shared_ptr<HttpResponder>(std::move(responder)),
-       request_id](const std::string& id) {
-        if (id.empty()) {
-          responder->Send(
-              ErrorResponse({503, "no_backend_server",
-                             "No backend server issued an operation id.",
-                             Outcome::kNotRun, std::chrono::seconds(1)},
-                            request_id));
-          return;
-        }
-        const nlohmann::json answer = {{"operation_id", id}};
-        responder->Send({200,
-                         {{"Content-Type", "application/json"},
-                          {"X-Request-Id", request_id}},
-                         answer.dump()});
-      });
+  issuer_.Issue(plan, [responder =
+                           std::shared_ptr<HttpResponder>(std::move(responder)),
+                       request_id](const std::string& id) {
+    if (id.empty()) {
+      responder->Send(
+          ErrorResponse({503, "no_backend_server",
+                         "No backend server issued an operation id.",
+                         Outcome::kNotRun, std::chrono::seconds(1)},
+                        request_id));
+      return;
+    }
+    const nlohmann::json answer = {{"operation_id", id}};
+    responder->Send(
+        {200,
+         {{"Content-Type", "application/json"}, {"X-Request-Id", request_id}},
+         answer.dump()});
+  });
 }
 
 void Entry::StartCall(HttpRequest request,
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -191,6 +191,7 @@
   }
   if (never_ready) {
     LoseAttempts(instance, true);
+    FailIssueCalls(instance);
   }
   Reconnect(instance, links_[instance]);
 }
@@ -250,6 +251,18 @@
   }
 }
 
+void SidecarLinks::FailIssueCalls(const std::string& instance) {
+  std::vector<std::int64_t> failed;
+  for (const auto& [number, call] : issue_calls_) {
+    if (call.instance == instance) {
+      failed.push_back(number);
+    }
+  }
+  for (const std::int64_t number : failed) {
+    FinishIssue(number, "");
+  }
+}
+
 void SidecarLinks::OnFrame(const std::string& instance,
                            const wire::Frame& frame) {
   if (frame.__isset.chunk) {
