--- a/include/amaranthcove/daemon/daemon.h
+++ b/include/amaranthcove/daemon/daemon.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHCOVE_DAEMON_DAEMON_H_
 #define AMARANTHCOVE_DAEMON_DAEMON_H_
 
+#include <cstddef>
 #include <string>
 
 #include "amaranthcove/entry/server_chooser.h"
@@ -15,6 +16,8 @@
 struct DaemonPolicy {
   NextStepFunction next_step = &policy::NextStep;
   ChooseServerFunction choose_server = &policy::ChooseServer;
+  // Candidates offered to `choose_server` beyond the replicas.
+  std::size_t spare_candidates = kDefaultSpareCandidates;
 };
 
 // Runs one process in the role of its settings until SIGTERM or SIGINT and the
--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -36,6 +36,7 @@
   std::size_t max_calls = 20000;  // In progress; more are refused.
   std::size_t explain_records = 2000;
   ChooseServerFunction choose = &policy::ChooseServer;
+  std::size_t spare_candidates = kDefaultSpareCandidates;
 };
 
 // The entry role: the HTTP API for callers, and everything that an entry knows:
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHCOVE_ENTRY_SERVER_CHOOSER_H_
 #define AMARANTHCOVE_ENTRY_SERVER_CHOOSER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -29,11 +30,13 @@
                                       const policy::ChoiceSettings&,
                                       policy::Random&);
 
+inline constexpr std::size_t kDefaultSpareCandidates = 2;
+
 struct ServerChooserSettings {
   std::string region;
   std::string data_centre;
   // Candidates looked at for each adapter beyond its replicas.
-  std::size_t spare_candidates = 2;
+  std::size_t spare_candidates = kDefaultSpareCandidates;
   policy::ChoiceSettings urgent_choice;
   policy::ChoiceSettings patient_choice = policy::PatientChoiceSettings();
   policy::ReplicaSettings replicas;
--- a/include/amaranthcove/policy/choice.h
+++ b/include/amaranthcove/policy/choice.h
@@ -23,6 +23,8 @@
   Duration report_age = Duration::max();  // `max()`: nothing was reported.
   // Requests sent by this entry since the last report.
   std::uint32_t unreported = 0;
+  // Queued and running requests, as last reported.
+  std::uint32_t load = 0;
 };
 
 struct ChoiceSettings {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -173,6 +173,7 @@
     options.platform = settings_.platform;
     options.drain = settings_.entry->drain;
     options.choose = policy_.choose_server;
+    options.spare_candidates = policy_.spare_candidates;
     entry_ = std::make_unique<Entry>(context_, *http_, options);
     entry_->OnDrained([this] { OnDrained(); });
     return entry_->Start();
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -353,7 +353,10 @@
   }
   HttpResponse response;
   response.status = status_;
-  response.headers = {{"X-Request-Id", request_id_}};
+  response.headers = {
+      {"X-Request-Id", request_id_},
+      {"X-Load-Stall-Ms", std::to_string(end.load_stall_ms)},
+      {"X-Queue-Ms", std::to_string(end.queue_ms)}};
   if (!content_type_.empty()) {
     response.headers.push_back({"Content-Type", content_type_});
   }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -35,6 +35,7 @@
   settings.region = context.self.region;
   settings.data_centre = context.self.data_centre;
   settings.choose = options.choose;
+  settings.spare_candidates = options.spare_candidates;
   return settings;
 }
 
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Most candidates that are looked at for one request.
-constexpr std::size_t kMaxCandidates = 10;
+constexpr std::size_t kMaxCandidates = 16;
 
 // Residency facts above which all are forgotten; they are learnt again from
 // the next answers. 35,000 adapters on two engines each stay below.
@@ -169,6 +169,9 @@
   }
   candidate.report_age = now - state.reported_at;
   candidate.leaving = state.report.leaving;
+  candidate.load = static_cast<std::uint32_t>(
+      std::max(0, state.report.urgent_queued + state.report.patient_queued +
+                      state.report.running));
   candidate.expected_wait =
       std::chrono::milliseconds(state.report.expected_wait_ms);
   candidate.load_wait = std::chrono::milliseconds(state.report.load_wait_ms);
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -607,6 +607,14 @@
   report.batch_size = static_cast<std::int32_t>(batch_size_);
   report.load_wait_ms = ToMilliseconds(load_budget_.NextLoad(true, now) - now);
   report.expected_wait_ms = ToMilliseconds(ExpectedWait(true));
+  report.__set_patient_wait_ms(ToMilliseconds(ExpectedWait(false)));
+  report.__isset.resident_models = true;
+  for (const SlotState& slot : slots_) {
+    if (!slot.model.empty()) {
+      report.resident_models.push_back(
+          static_cast<std::int64_t>(Hash64(slot.model)));
+    }
+  }
   if (!model.empty()) {
     report.__set_resident(IsResident(model));
   }
--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -680,6 +680,16 @@
 void ServerReport::__set_expected_wait_ms(const int64_t val) {
   this->expected_wait_ms = val;
 }
+
+void ServerReport::__set_patient_wait_ms(const int64_t val) {
+  this->patient_wait_ms = val;
+__isset.patient_wait_ms = true;
+}
+
+void ServerReport::__set_resident_models(const std::vector<int64_t> & val) {
+  this->resident_models = val;
+__isset.resident_models = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerReport& obj)
 {
   obj.printTo(out);
@@ -772,6 +782,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->patient_wait_ms);
+          this->__isset.patient_wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->resident_models.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->resident_models.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += iprot->readI64(this->resident_models[_i12]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.resident_models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -822,6 +860,24 @@
   xfer += oprot->writeI64(this->expected_wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.patient_wait_ms) {
+    xfer += oprot->writeFieldBegin("patient_wait_ms", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->patient_wait_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resident_models) {
+    xfer += oprot->writeFieldBegin("resident_models", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->resident_models.size()));
+      std::vector<int64_t> ::const_iterator _iter13;
+      for (_iter13 = this->resident_models.begin(); _iter13 != this->resident_models.end(); ++_iter13)
+      {
+        xfer += oprot->writeI64((*_iter13));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -837,30 +893,36 @@
   swap(a.leaving, b.leaving);
   swap(a.resident, b.resident);
   swap(a.expected_wait_ms, b.expected_wait_ms);
+  swap(a.patient_wait_ms, b.patient_wait_ms);
+  swap(a.resident_models, b.resident_models);
   swap(a.__isset, b.__isset);
 }
 
-ServerReport::ServerReport(const ServerReport& other8) noexcept {
-  urgent_queued = other8.urgent_queued;
-  patient_queued = other8.patient_queued;
-  running = other8.running;
-  batch_size = other8.batch_size;
-  load_wait_ms = other8.load_wait_ms;
-  leaving = other8.leaving;
-  resident = other8.resident;
-  expected_wait_ms = other8.expected_wait_ms;
-  __isset = other8.__isset;
-}
-ServerReport& ServerReport::operator=(const ServerReport& other9) noexcept {
-  urgent_queued = other9.urgent_queued;
-  patient_queued = other9.patient_queued;
-  running = other9.running;
-  batch_size = other9.batch_size;
-  load_wait_ms = other9.load_wait_ms;
-  leaving = other9.leaving;
-  resident = other9.resident;
-  expected_wait_ms = other9.expected_wait_ms;
-  __isset = other9.__isset;
+ServerReport::ServerReport(const ServerReport& other14) {
+  urgent_queued = other14.urgent_queued;
+  patient_queued = other14.patient_queued;
+  running = other14.running;
+  batch_size = other14.batch_size;
+  load_wait_ms = other14.load_wait_ms;
+  leaving = other14.leaving;
+  resident = other14.resident;
+  expected_wait_ms = other14.expected_wait_ms;
+  patient_wait_ms = other14.patient_wait_ms;
+  resident_models = other14.resident_models;
+  __isset = other14.__isset;
+}
+ServerReport& ServerReport::operator=(const ServerReport& other15) {
+  urgent_queued = other15.urgent_queued;
+  patient_queued = other15.patient_queued;
+  running = other15.running;
+  batch_size = other15.batch_size;
+  load_wait_ms = other15.load_wait_ms;
+  leaving = other15.leaving;
+  resident = other15.resident;
+  expected_wait_ms = other15.expected_wait_ms;
+  patient_wait_ms = other15.patient_wait_ms;
+  resident_models = other15.resident_models;
+  __isset = other15.__isset;
   return *this;
 }
 void ServerReport::printTo(std::ostream& out) const {
@@ -874,6 +936,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "resident="; (__isset.resident ? (out << to_string(resident)) : (out << "<null>"));
   out << ", " << "expected_wait_ms=" << to_string(expected_wait_ms);
+  out << ", " << "patient_wait_ms="; (__isset.patient_wait_ms ? (out << to_string(patient_wait_ms)) : (out << "<null>"));
+  out << ", " << "resident_models="; (__isset.resident_models ? (out << to_string(resident_models)) : (out << "<null>"));
   out << ")";
 }
 
@@ -970,15 +1034,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentRevision::DocumentRevision(const DocumentRevision& other10) {
-  team = other10.team;
-  revision = other10.revision;
-  __isset = other10.__isset;
+DocumentRevision::DocumentRevision(const DocumentRevision& other16) {
+  team = other16.team;
+  revision = other16.revision;
+  __isset = other16.__isset;
 }
-DocumentRevision& DocumentRevision::operator=(const DocumentRevision& other11) {
-  team = other11.team;
-  revision = other11.revision;
-  __isset = other11.__isset;
+DocumentRevision& DocumentRevision::operator=(const DocumentRevision& other17) {
+  team = other17.team;
+  revision = other17.revision;
+  __isset = other17.__isset;
   return *this;
 }
 void DocumentRevision::printTo(std::ostream& out) const {
@@ -1137,21 +1201,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other12) noexcept {
-  sequence = other12.sequence;
-  is_reply = other12.is_reply;
-  documents_digest = other12.documents_digest;
-  report = other12.report;
-  platform_age_ms = other12.platform_age_ms;
-  __isset = other12.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other13) noexcept {
-  sequence = other13.sequence;
-  is_reply = other13.is_reply;
-  documents_digest = other13.documents_digest;
-  report = other13.report;
-  platform_age_ms = other13.platform_age_ms;
-  __isset = other13.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other18) {
+  sequence = other18.sequence;
+  is_reply = other18.is_reply;
+  documents_digest = other18.documents_digest;
+  report = other18.report;
+  platform_age_ms = other18.platform_age_ms;
+  __isset = other18.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other19) {
+  sequence = other19.sequence;
+  is_reply = other19.is_reply;
+  documents_digest = other19.documents_digest;
+  report = other19.report;
+  platform_age_ms = other19.platform_age_ms;
+  __isset = other19.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1210,14 +1274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->known.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->known.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->known[_i18].read(iprot);
+              xfer += this->known[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1254,10 +1318,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<DocumentRevision> ::const_iterator _iter19;
-    for (_iter19 = this->known.begin(); _iter19 != this->known.end(); ++_iter19)
+    std::vector<DocumentRevision> ::const_iterator _iter25;
+    for (_iter25 = this->known.begin(); _iter25 != this->known.end(); ++_iter25)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1280,15 +1344,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentsRequest::DocumentsRequest(const DocumentsRequest& other20) {
-  known = other20.known;
-  team = other20.team;
-  __isset = other20.__isset;
+DocumentsRequest::DocumentsRequest(const DocumentsRequest& other26) {
+  known = other26.known;
+  team = other26.team;
+  __isset = other26.__isset;
 }
-DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other21) {
-  known = other21.known;
-  team = other21.team;
-  __isset = other21.__isset;
+DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other27) {
+  known = other27.known;
+  team = other27.team;
+  __isset = other27.__isset;
   return *this;
 }
 void DocumentsRequest::printTo(std::ostream& out) const {
@@ -1426,19 +1490,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Document::Document(const Document& other22) {
-  team = other22.team;
-  revision = other22.revision;
-  removed = other22.removed;
-  text = other22.text;
-  __isset = other22.__isset;
+Document::Document(const Document& other28) {
+  team = other28.team;
+  revision = other28.revision;
+  removed = other28.removed;
+  text = other28.text;
+  __isset = other28.__isset;
 }
-Document& Document::operator=(const Document& other23) {
-  team = other23.team;
-  revision = other23.revision;
-  removed = other23.removed;
-  text = other23.text;
-  __isset = other23.__isset;
+Document& Document::operator=(const Document& other29) {
+  team = other29.team;
+  revision = other29.revision;
+  removed = other29.removed;
+  text = other29.text;
+  __isset = other29.__isset;
   return *this;
 }
 void Document::printTo(std::ostream& out) const {
@@ -1833,49 +1897,49 @@
   swap(a.__isset, b.__isset);
 }
 
-Submit::Submit(const Submit& other24) {
-  attempt = other24.attempt;
-  team = other24.team;
-  model = other24.model;
-  service_name = other24.service_name;
-  method = other24.method;
-  path = other24.path;
-  body = other24.body;
-  content_type = other24.content_type;
-  streamed = other24.streamed;
-  urgent = other24.urgent;
-  remaining_ms = other24.remaining_ms;
-  operation_id = other24.operation_id;
-  fingerprint = other24.fingerprint;
-  run_alone = other24.run_alone;
-  request_id = other24.request_id;
-  low_water_mark = other24.low_water_mark;
-  heat = other24.heat;
-  document_revision = other24.document_revision;
-  objective = other24.objective;
-  __isset = other24.__isset;
-}
-Submit& Submit::operator=(const Submit& other25) {
-  attempt = other25.attempt;
-  team = other25.team;
-  model = other25.model;
-  service_name = other25.service_name;
-  method = other25.method;
-  path = other25.path;
-  body = other25.body;
-  content_type = other25.content_type;
-  streamed = other25.streamed;
-  urgent = other25.urgent;
-  remaining_ms = other25.remaining_ms;
-  operation_id = other25.operation_id;
-  fingerprint = other25.fingerprint;
-  run_alone = other25.run_alone;
-  request_id = other25.request_id;
-  low_water_mark = other25.low_water_mark;
-  heat = other25.heat;
-  document_revision = other25.document_revision;
-  objective = other25.objective;
-  __isset = other25.__isset;
+Submit::Submit(const Submit& other30) {
+  attempt = other30.attempt;
+  team = other30.team;
+  model = other30.model;
+  service_name = other30.service_name;
+  method = other30.method;
+  path = other30.path;
+  body = other30.body;
+  content_type = other30.content_type;
+  streamed = other30.streamed;
+  urgent = other30.urgent;
+  remaining_ms = other30.remaining_ms;
+  operation_id = other30.operation_id;
+  fingerprint = other30.fingerprint;
+  run_alone = other30.run_alone;
+  request_id = other30.request_id;
+  low_water_mark = other30.low_water_mark;
+  heat = other30.heat;
+  document_revision = other30.document_revision;
+  objective = other30.objective;
+  __isset = other30.__isset;
+}
+Submit& Submit::operator=(const Submit& other31) {
+  attempt = other31.attempt;
+  team = other31.team;
+  model = other31.model;
+  service_name = other31.service_name;
+  method = other31.method;
+  path = other31.path;
+  body = other31.body;
+  content_type = other31.content_type;
+  streamed = other31.streamed;
+  urgent = other31.urgent;
+  remaining_ms = other31.remaining_ms;
+  operation_id = other31.operation_id;
+  fingerprint = other31.fingerprint;
+  run_alone = other31.run_alone;
+  request_id = other31.request_id;
+  low_water_mark = other31.low_water_mark;
+  heat = other31.heat;
+  document_revision = other31.document_revision;
+  objective = other31.objective;
+  __isset = other31.__isset;
   return *this;
 }
 void Submit::printTo(std::ostream& out) const {
@@ -1996,15 +2060,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Accepted::Accepted(const Accepted& other26) {
-  attempt = other26.attempt;
-  report = other26.report;
-  __isset = other26.__isset;
+Accepted::Accepted(const Accepted& other32) {
+  attempt = other32.attempt;
+  report = other32.report;
+  __isset = other32.__isset;
 }
-Accepted& Accepted::operator=(const Accepted& other27) {
-  attempt = other27.attempt;
-  report = other27.report;
-  __isset = other27.__isset;
+Accepted& Accepted::operator=(const Accepted& other33) {
+  attempt = other33.attempt;
+  report = other33.report;
+  __isset = other33.__isset;
   return *this;
 }
 void Accepted::printTo(std::ostream& out) const {
@@ -2159,21 +2223,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Refused::Refused(const Refused& other28) {
-  attempt = other28.attempt;
-  code = other28.code;
-  message = other28.message;
-  retry_after_ms = other28.retry_after_ms;
-  report = other28.report;
-  __isset = other28.__isset;
+Refused::Refused(const Refused& other34) {
+  attempt = other34.attempt;
+  code = other34.code;
+  message = other34.message;
+  retry_after_ms = other34.retry_after_ms;
+  report = other34.report;
+  __isset = other34.__isset;
 }
-Refused& Refused::operator=(const Refused& other29) {
-  attempt = other29.attempt;
-  code = other29.code;
-  message = other29.message;
-  retry_after_ms = other29.retry_after_ms;
-  report = other29.report;
-  __isset = other29.__isset;
+Refused& Refused::operator=(const Refused& other35) {
+  attempt = other35.attempt;
+  code = other35.code;
+  message = other35.message;
+  retry_after_ms = other35.retry_after_ms;
+  report = other35.report;
+  __isset = other35.__isset;
   return *this;
 }
 void Refused::printTo(std::ostream& out) const {
@@ -2335,21 +2399,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other30) {
-  attempt = other30.attempt;
-  sequence = other30.sequence;
-  data = other30.data;
-  status = other30.status;
-  content_type = other30.content_type;
-  __isset = other30.__isset;
+Chunk::Chunk(const Chunk& other36) {
+  attempt = other36.attempt;
+  sequence = other36.sequence;
+  data = other36.data;
+  status = other36.status;
+  content_type = other36.content_type;
+  __isset = other36.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other31) {
-  attempt = other31.attempt;
-  sequence = other31.sequence;
-  data = other31.data;
-  status = other31.status;
-  content_type = other31.content_type;
-  __isset = other31.__isset;
+Chunk& Chunk::operator=(const Chunk& other37) {
+  attempt = other37.attempt;
+  sequence = other37.sequence;
+  data = other37.data;
+  status = other37.status;
+  content_type = other37.content_type;
+  __isset = other37.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -2575,29 +2639,29 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other32) {
-  attempt = other32.attempt;
-  chunks = other32.chunks;
-  error_code = other32.error_code;
-  message = other32.message;
-  outcome = other32.outcome;
-  report = other32.report;
-  load_stall_ms = other32.load_stall_ms;
-  queue_ms = other32.queue_ms;
-  engine_crashed = other32.engine_crashed;
-  __isset = other32.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other38) {
+  attempt = other38.attempt;
+  chunks = other38.chunks;
+  error_code = other38.error_code;
+  message = other38.message;
+  outcome = other38.outcome;
+  report = other38.report;
+  load_stall_ms = other38.load_stall_ms;
+  queue_ms = other38.queue_ms;
+  engine_crashed = other38.engine_crashed;
+  __isset = other38.__isset;
 }
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other33) {
-  attempt = other33.attempt;
-  chunks = other33.chunks;
-  error_code = other33.error_code;
-  message = other33.message;
-  outcome = other33.outcome;
-  report = other33.report;
-  load_stall_ms = other33.load_stall_ms;
-  queue_ms = other33.queue_ms;
-  engine_crashed = other33.engine_crashed;
-  __isset = other33.__isset;
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other39) {
+  attempt = other39.attempt;
+  chunks = other39.chunks;
+  error_code = other39.error_code;
+  message = other39.message;
+  outcome = other39.outcome;
+  report = other39.report;
+  load_stall_ms = other39.load_stall_ms;
+  queue_ms = other39.queue_ms;
+  engine_crashed = other39.engine_crashed;
+  __isset = other39.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -2708,15 +2772,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acknowledge::Acknowledge(const Acknowledge& other34) {
-  attempt = other34.attempt;
-  next_sequence = other34.next_sequence;
-  __isset = other34.__isset;
+Acknowledge::Acknowledge(const Acknowledge& other40) {
+  attempt = other40.attempt;
+  next_sequence = other40.next_sequence;
+  __isset = other40.__isset;
 }
-Acknowledge& Acknowledge::operator=(const Acknowledge& other35) {
-  attempt = other35.attempt;
-  next_sequence = other35.next_sequence;
-  __isset = other35.__isset;
+Acknowledge& Acknowledge::operator=(const Acknowledge& other41) {
+  attempt = other41.attempt;
+  next_sequence = other41.next_sequence;
+  __isset = other41.__isset;
   return *this;
 }
 void Acknowledge::printTo(std::ostream& out) const {
@@ -2820,15 +2884,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Resume::Resume(const Resume& other36) {
-  attempt = other36.attempt;
-  next_sequence = other36.next_sequence;
-  __isset = other36.__isset;
+Resume::Resume(const Resume& other42) {
+  attempt = other42.attempt;
+  next_sequence = other42.next_sequence;
+  __isset = other42.__isset;
 }
-Resume& Resume::operator=(const Resume& other37) {
-  attempt = other37.attempt;
-  next_sequence = other37.next_sequence;
-  __isset = other37.__isset;
+Resume& Resume::operator=(const Resume& other43) {
+  attempt = other43.attempt;
+  next_sequence = other43.next_sequence;
+  __isset = other43.__isset;
   return *this;
 }
 void Resume::printTo(std::ostream& out) const {
@@ -2915,13 +2979,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other38) {
-  attempt = other38.attempt;
-  __isset = other38.__isset;
+Cancel::Cancel(const Cancel& other44) {
+  attempt = other44.attempt;
+  __isset = other44.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other39) {
-  attempt = other39.attempt;
-  __isset = other39.__isset;
+Cancel& Cancel::operator=(const Cancel& other45) {
+  attempt = other45.attempt;
+  __isset = other45.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -3024,15 +3088,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancelled::Cancelled(const Cancelled& other40) {
-  attempt = other40.attempt;
-  outcome = other40.outcome;
-  __isset = other40.__isset;
+Cancelled::Cancelled(const Cancelled& other46) {
+  attempt = other46.attempt;
+  outcome = other46.outcome;
+  __isset = other46.__isset;
 }
-Cancelled& Cancelled::operator=(const Cancelled& other41) {
-  attempt = other41.attempt;
-  outcome = other41.outcome;
-  __isset = other41.__isset;
+Cancelled& Cancelled::operator=(const Cancelled& other47) {
+  attempt = other47.attempt;
+  outcome = other47.outcome;
+  __isset = other47.__isset;
   return *this;
 }
 void Cancelled::printTo(std::ostream& out) const {
@@ -3153,17 +3217,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IssueOperation::IssueOperation(const IssueOperation& other42) {
-  call = other42.call;
-  team = other42.team;
-  service_name = other42.service_name;
-  __isset = other42.__isset;
+IssueOperation::IssueOperation(const IssueOperation& other48) {
+  call = other48.call;
+  team = other48.team;
+  service_name = other48.service_name;
+  __isset = other48.__isset;
 }
-IssueOperation& IssueOperation::operator=(const IssueOperation& other43) {
-  call = other43.call;
-  team = other43.team;
-  service_name = other43.service_name;
-  __isset = other43.__isset;
+IssueOperation& IssueOperation::operator=(const IssueOperation& other49) {
+  call = other49.call;
+  team = other49.team;
+  service_name = other49.service_name;
+  __isset = other49.__isset;
   return *this;
 }
 void IssueOperation::printTo(std::ostream& out) const {
@@ -3285,17 +3349,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationIssued::OperationIssued(const OperationIssued& other44) {
-  call = other44.call;
-  operation_id = other44.operation_id;
-  code = other44.code;
-  __isset = other44.__isset;
+OperationIssued::OperationIssued(const OperationIssued& other50) {
+  call = other50.call;
+  operation_id = other50.operation_id;
+  code = other50.code;
+  __isset = other50.__isset;
 }
-OperationIssued& OperationIssued::operator=(const OperationIssued& other45) {
-  call = other45.call;
-  operation_id = other45.operation_id;
-  code = other45.code;
-  __isset = other45.__isset;
+OperationIssued& OperationIssued::operator=(const OperationIssued& other51) {
+  call = other51.call;
+  operation_id = other51.operation_id;
+  code = other51.code;
+  __isset = other51.__isset;
   return *this;
 }
 void OperationIssued::printTo(std::ostream& out) const {
@@ -3400,15 +3464,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other46) {
-  call = other46.call;
-  model = other46.model;
-  __isset = other46.__isset;
+Query::Query(const Query& other52) {
+  call = other52.call;
+  model = other52.model;
+  __isset = other52.__isset;
 }
-Query& Query::operator=(const Query& other47) {
-  call = other47.call;
-  model = other47.model;
-  __isset = other47.__isset;
+Query& Query::operator=(const Query& other53) {
+  call = other53.call;
+  model = other53.model;
+  __isset = other53.__isset;
   return *this;
 }
 void Query::printTo(std::ostream& out) const {
@@ -3512,15 +3576,15 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other48) noexcept {
-  call = other48.call;
-  report = other48.report;
-  __isset = other48.__isset;
+QueryReply::QueryReply(const QueryReply& other54) {
+  call = other54.call;
+  report = other54.report;
+  __isset = other54.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other49) noexcept {
-  call = other49.call;
-  report = other49.report;
-  __isset = other49.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other55) {
+  call = other55.call;
+  report = other55.report;
+  __isset = other55.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
@@ -3607,13 +3671,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Leaving::Leaving(const Leaving& other50) {
-  instance = other50.instance;
-  __isset = other50.__isset;
+Leaving::Leaving(const Leaving& other56) {
+  instance = other56.instance;
+  __isset = other56.__isset;
 }
-Leaving& Leaving::operator=(const Leaving& other51) {
-  instance = other51.instance;
-  __isset = other51.__isset;
+Leaving& Leaving::operator=(const Leaving& other57) {
+  instance = other57.instance;
+  __isset = other57.__isset;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -3699,13 +3763,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other52) {
-  instance = other52.instance;
-  __isset = other52.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other58) {
+  instance = other58.instance;
+  __isset = other58.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other53) {
-  instance = other53.instance;
-  __isset = other53.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other59) {
+  instance = other59.instance;
+  __isset = other59.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -3842,19 +3906,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other54) noexcept {
-  fingerprint = other54.fingerprint;
-  crashes = other54.crashes;
-  quarantined = other54.quarantined;
-  remaining_ms = other54.remaining_ms;
-  __isset = other54.__isset;
+Suspect::Suspect(const Suspect& other60) noexcept {
+  fingerprint = other60.fingerprint;
+  crashes = other60.crashes;
+  quarantined = other60.quarantined;
+  remaining_ms = other60.remaining_ms;
+  __isset = other60.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other55) noexcept {
-  fingerprint = other55.fingerprint;
-  crashes = other55.crashes;
-  quarantined = other55.quarantined;
-  remaining_ms = other55.remaining_ms;
-  __isset = other55.__isset;
+Suspect& Suspect::operator=(const Suspect& other61) noexcept {
+  fingerprint = other61.fingerprint;
+  crashes = other61.crashes;
+  quarantined = other61.quarantined;
+  remaining_ms = other61.remaining_ms;
+  __isset = other61.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -4325,53 +4389,53 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other56) {
-  hello = other56.hello;
-  proof = other56.proof;
-  heartbeat = other56.heartbeat;
-  documents_request = other56.documents_request;
-  document = other56.document;
-  submit = other56.submit;
-  accepted = other56.accepted;
-  refused = other56.refused;
-  chunk = other56.chunk;
-  answer_end = other56.answer_end;
-  acknowledge = other56.acknowledge;
-  resume = other56.resume;
-  cancel = other56.cancel;
-  cancelled = other56.cancelled;
-  issue_operation = other56.issue_operation;
-  operation_issued = other56.operation_issued;
-  query = other56.query;
-  query_reply = other56.query_reply;
-  leaving = other56.leaving;
-  leaving_notice = other56.leaving_notice;
-  suspect = other56.suspect;
-  __isset = other56.__isset;
-}
-Frame& Frame::operator=(const Frame& other57) {
-  hello = other57.hello;
-  proof = other57.proof;
-  heartbeat = other57.heartbeat;
-  documents_request = other57.documents_request;
-  document = other57.document;
-  submit = other57.submit;
-  accepted = other57.accepted;
-  refused = other57.refused;
-  chunk = other57.chunk;
-  answer_end = other57.answer_end;
-  acknowledge = other57.acknowledge;
-  resume = other57.resume;
-  cancel = other57.cancel;
-  cancelled = other57.cancelled;
-  issue_operation = other57.issue_operation;
-  operation_issued = other57.operation_issued;
-  query = other57.query;
-  query_reply = other57.query_reply;
-  leaving = other57.leaving;
-  leaving_notice = other57.leaving_notice;
-  suspect = other57.suspect;
-  __isset = other57.__isset;
+Frame::Frame(const Frame& other62) {
+  hello = other62.hello;
+  proof = other62.proof;
+  heartbeat = other62.heartbeat;
+  documents_request = other62.documents_request;
+  document = other62.document;
+  submit = other62.submit;
+  accepted = other62.accepted;
+  refused = other62.refused;
+  chunk = other62.chunk;
+  answer_end = other62.answer_end;
+  acknowledge = other62.acknowledge;
+  resume = other62.resume;
+  cancel = other62.cancel;
+  cancelled = other62.cancelled;
+  issue_operation = other62.issue_operation;
+  operation_issued = other62.operation_issued;
+  query = other62.query;
+  query_reply = other62.query_reply;
+  leaving = other62.leaving;
+  leaving_notice = other62.leaving_notice;
+  suspect = other62.suspect;
+  __isset = other62.__isset;
+}
+Frame& Frame::operator=(const Frame& other63) {
+  hello = other63.hello;
+  proof = other63.proof;
+  heartbeat = other63.heartbeat;
+  documents_request = other63.documents_request;
+  document = other63.document;
+  submit = other63.submit;
+  accepted = other63.accepted;
+  refused = other63.refused;
+  chunk = other63.chunk;
+  answer_end = other63.answer_end;
+  acknowledge = other63.acknowledge;
+  resume = other63.resume;
+  cancel = other63.cancel;
+  cancelled = other63.cancelled;
+  issue_operation = other63.issue_operation;
+  operation_issued = other63.operation_issued;
+  query = other63.query;
+  query_reply = other63.query_reply;
+  leaving = other63.leaving;
+  leaving_notice = other63.leaving_notice;
+  suspect = other63.suspect;
+  __isset = other63.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -338,7 +338,7 @@
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
 typedef struct _ServerReport__isset {
-  _ServerReport__isset() : urgent_queued(false), patient_queued(false), running(false), batch_size(false), load_wait_ms(false), leaving(false), resident(false), expected_wait_ms(false) {}
+  _ServerReport__isset() : urgent_queued(false), patient_queued(false), running(false), batch_size(false), load_wait_ms(false), leaving(false), resident(false), expected_wait_ms(false), patient_wait_ms(false), resident_models(false) {}
   bool urgent_queued :1;
   bool patient_queued :1;
   bool running :1;
@@ -347,13 +347,15 @@
   bool leaving :1;
   bool resident :1;
   bool expected_wait_ms :1;
+  bool patient_wait_ms :1;
+  bool resident_models :1;
 } _ServerReport__isset;
 
 class ServerReport : public virtual ::apache::thrift::TBase {
  public:
 
-  ServerReport(const ServerReport&) noexcept;
-  ServerReport& operator=(const ServerReport&) noexcept;
+  ServerReport(const ServerReport&);
+  ServerReport& operator=(const ServerReport&);
   ServerReport() noexcept
                : urgent_queued(0),
                  patient_queued(0),
@@ -362,7 +364,8 @@
                  load_wait_ms(0),
                  leaving(0),
                  resident(0),
-                 expected_wait_ms(0) {
+                 expected_wait_ms(0),
+                 patient_wait_ms(0) {
   }
 
   virtual ~ServerReport() noexcept;
@@ -374,6 +377,8 @@
   bool leaving;
   bool resident;
   int64_t expected_wait_ms;
+  int64_t patient_wait_ms;
+  std::vector<int64_t>  resident_models;
 
   _ServerReport__isset __isset;
 
@@ -393,6 +398,10 @@
 
   void __set_expected_wait_ms(const int64_t val);
 
+  void __set_patient_wait_ms(const int64_t val);
+
+  void __set_resident_models(const std::vector<int64_t> & val);
+
   bool operator == (const ServerReport & rhs) const
   {
     if (!(urgent_queued == rhs.urgent_queued))
@@ -413,6 +422,14 @@
       return false;
     if (!(expected_wait_ms == rhs.expected_wait_ms))
       return false;
+    if (__isset.patient_wait_ms != rhs.__isset.patient_wait_ms)
+      return false;
+    else if (__isset.patient_wait_ms && !(patient_wait_ms == rhs.patient_wait_ms))
+      return false;
+    if (__isset.resident_models != rhs.__isset.resident_models)
+      return false;
+    else if (__isset.resident_models && !(resident_models == rhs.resident_models))
+      return false;
     return true;
   }
   bool operator != (const ServerReport &rhs) const {
@@ -493,8 +510,8 @@
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
 
-  Heartbeat(const Heartbeat&) noexcept;
-  Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat(const Heartbeat&);
+  Heartbeat& operator=(const Heartbeat&);
   Heartbeat() noexcept
             : sequence(0),
               is_reply(0),
@@ -1488,8 +1505,8 @@
 class QueryReply : public virtual ::apache::thrift::TBase {
  public:
 
-  QueryReply(const QueryReply&) noexcept;
-  QueryReply& operator=(const QueryReply&) noexcept;
+  QueryReply(const QueryReply&);
+  QueryReply& operator=(const QueryReply&);
   QueryReply() noexcept
              : call(0) {
   }
--- a/src/wire/wire.thrift
+++ b/src/wire/wire.thrift
@@ -42,6 +42,9 @@
   6: bool leaving
   7: optional bool resident // the asked adapter is in a slot
   8: i64 expected_wait_ms   // expected wait of an urgent request
+  9: optional i64 patient_wait_ms // expected wait of a patient request
+  // Hashes of the models in all slots; tells also what has been evicted.
+  10: optional list<i64> resident_models
 }
 
 struct DocumentRevision {
--- a/testing/policy_bench/policies.cc
+++ b/testing/policy_bench/policies.cc
@@ -193,8 +193,7 @@
   const double occupied = entry.popularity.Rate(key, now) * scenario.entries;
   std::uint32_t& replicas = entry.replicas[request.adapter];
   replicas = policy::ReplicaCount(
-      occupied, scenario.places * (getenv("RS") ? atof(getenv("RS")) : 0.5),
-      replicas, {.maximum = kCandidates});
+      occupied, scenario.places * 0.5, replicas, {.maximum = kCandidates});
   std::array<std::uint32_t, kCandidates> ranked{};
   const std::size_t count = policy::RankServers(AdapterName(request.adapter),
                                                 replay.servers(), ranked);
--- a/testing/standins/standins_test.cc
+++ b/testing/standins/standins_test.cc
@@ -138,6 +138,17 @@
   CHECK(rest.response.body.starts_with("id: 19\n"));
 }
 
+// Guards against a resumed request without events that is answered with events,
+// as section 10.1 of the design does not allow.
+TEST(StandIns, EngineResumesWholeAnswers) {
+  ServeEngine();
+  LoadModel();
+  const Answer whole = Fetch(Completion("a", false));
+  const Answer again = Get("/v1/streams/sa?from=0");
+  CHECK_EQUAL(200, again.response.status);
+  CHECK(whole.response.body == again.response.body);
+}
+
 // Guards against an engine that accepts commands and requests it must refuse.
 TEST(StandIns, EngineRefusesStaleNumbers) {
   ServeEngine();
