policy: load rates follow the store beyond the static share

With the real store stand-in, loads took longer than 0.5 s whenever three sidecars asked at once, so the sidecars' rates fell to 0.4 to 0.8 of their share while at most 3 loads were in flight, and recovered by 5% a load. A load now counts as slow from 2 s, recovery is 25% a load, and the rate grows to 3 times the share while loads take at most 0.5 s.

--- a/include/amaranthcove/policy/load_budget.h
+++ b/include/amaranthcove/policy/load_budget.h
@@ -16,9 +16,19 @@
   // Loads that urgent work may be in debt. With 3, the excess of a cold start
   // of 12 engines is 60 loads, below the 64 that the store queues.
   double urgent_borrow = 3.0;
-  Duration slow_load = std::chrono::milliseconds(500);
+  // A load that took longer halves the rate. The store itself makes loads wait
+  // when a few sidecars ask at once: with 0.5 s, the rates fell to between 0.4
+  // and 0.8 of the share while the store had 3 loads in flight at most.
+  Duration slow_load = std::chrono::seconds(2);
+  // A load within this time shows that the store has capacity left.
+  Duration fast_load = std::chrono::milliseconds(500);
   double minimum_factor = 1.0 / 16;
-  double increase_per_load = 0.05;
+  // Demand is uneven: with no more than the share, an engine waited for loads
+  // while the store used 1.7 of its 3 loads per second.
+  double maximum_factor = 3.0;
+  // Applied to a rate above the share by a load that is neither fast nor slow.
+  double decrease = 0.8;
+  double increase_per_load = 0.25;
   // A share by demand falls back to the static share after this time.
   Duration share_lifetime = std::chrono::seconds(10);
 };
@@ -49,7 +59,9 @@
   // Pays for one load; false if the budget does not allow it yet.
   bool Take(bool urgent, Time now);
 
-  // A load took `took`: over `slow_load` halves the rate, else it grows slowly.
+  // A load took `took`: over `slow_load` halves the rate. Within `fast_load`
+  // the rate grows, up to `maximum_factor` times the share; between the two, a
+  // rate below the share grows and one above it shrinks.
   void OnLoaded(Duration took, Time now);
 
   // The store refused a load: halves the rate and stays quiet for
--- a/src/policy/load_budget.cc
+++ b/src/policy/load_budget.cc
@@ -85,8 +85,15 @@
 
 void LoadBudget::OnLoaded(Duration took, Time now) {
   Settle(now);
+  if (took <= settings_.fast_load) {
+    factor_ = std::min(settings_.maximum_factor,
+                       factor_ + settings_.increase_per_load);
+    return;
+  }
   if (took <= settings_.slow_load) {
-    factor_ = std::min(1.0, factor_ + settings_.increase_per_load);
+    factor_ = factor_ > 1
+                  ? std::max(1.0, factor_ * settings_.decrease)
+                  : std::min(1.0, factor_ + settings_.increase_per_load);
     return;
   }
   // Loads that started before the last halving say nothing about the new rate.
--- a/src/policy/policy_test.cc
+++ b/src/policy/policy_test.cc
@@ -219,7 +219,9 @@
 // Guards against load storms on a slow or refusing store, and against a share
 // by demand that outlives the messages that carried it.
 TEST(LoadBudget, AdaptsToTheStore) {
-  LoadBudget budget({.engines = 3}, kStart, random);
+  LoadBudget budget(
+      {.engines = 3, .slow_load = milliseconds(500), .maximum_factor = 1},
+      kStart, random);
   budget.OnLoaded(milliseconds(900), kStart + seconds(1));
   DOUBLES_EQUAL(0.5, budget.Rate(kStart + seconds(1)), 1e-9);
   budget.OnLoaded(milliseconds(950), kStart + seconds(1));
@@ -235,6 +237,20 @@
   DOUBLES_EQUAL(1.0, budget.Rate(kStart + seconds(60)), 1e-9);
 }
 
+// Guards against a store that stays idle while one engine needs more than its
+// share, and against a rate that stays above the share once loads queue.
+TEST(LoadBudget, UsesWhatOthersLeave) {
+  LoadBudget budget({.engines = 3}, kStart, random);
+  for (int i = 0; i < 20; ++i) {
+    budget.OnLoaded(milliseconds(250), kStart + seconds(1));
+  }
+  DOUBLES_EQUAL(3.0, budget.Rate(kStart + seconds(1)), 1e-9);
+  for (int i = 0; i < 10; ++i) {
+    budget.OnLoaded(milliseconds(900), kStart + seconds(2));
+  }
+  DOUBLES_EQUAL(1.0, budget.Rate(kStart + seconds(2)), 1e-9);
+}
+
 TEST_GROUP(Admission) {
   Random random{9};
 };
