entry, sidecar: use all that reports say; trials of report transport

The entry knew residency only of models it had asked for, from facts of any age, used the urgent wait for patient requests, and counted requests instead of occupied places for replicas. It now reads the resident models and the patient wait from the last report and counts places.

The sidecar's load wait includes loads that already wait and the wait for a slot. Stalls are counted after engine restarts, too. Popularity tables are compacted every minute.

--- a/include/amaranthcove/entry/call.h
+++ b/include/amaranthcove/entry/call.h
@@ -50,6 +50,7 @@
   policy::Random& random;
   ExplainLog& explain;
   CallCounters& counters;
+  Duration ask_wait{0};  // See `ReportTrial`.
 };
 
 // One request of a caller, from its plan to the end of its answer: chooses a
@@ -82,6 +83,7 @@
  private:
   void OfferOperation();
   void Dispatch();
+  void AskCandidates();
   void DispatchOperation();
   void Send(const std::string& instance, const Address& address);
   wire::Submit MakeSubmit();
@@ -108,9 +110,11 @@
   TimerId retry_timer_ = 0;
   std::optional<AttemptId> attempt_;
   std::string server_;  // Of the current attempt.
+  Time sent_at_;        // The current attempt.
   std::set<std::string> tried_;
   int attempts_ = 0;
   int replans_ = 0;
+  bool asked_ = false;         // Reports of the candidates were asked for.
   bool may_have_run_ = false;  // Some attempt's outcome is unknown.
   bool started_ = false;       // Bytes of a streamed answer were sent.
   int status_ = 0;
--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -37,6 +37,7 @@
   std::size_t explain_records = 2000;
   ChooseServerFunction choose = &policy::ChooseServer;
   std::size_t spare_candidates = kDefaultSpareCandidates;
+  ReportTrial report_trial;
 };
 
 // The entry role: the HTTP API for callers, and everything that an entry knows:
@@ -89,6 +90,7 @@
   void OnInstances(std::int64_t revision,
                    std::span<const InstanceRecord> changes);
   void WatchPlatform();
+  void PollReports();
   void StopAccepting();
   void CheckDrained();
   std::string NewRequestId();
@@ -114,10 +116,12 @@
   std::unordered_map<std::string, std::unique_ptr<Call>> calls_;
   std::uint64_t next_request_ = 1;
   Time started_;
+  Time compacted_;
   bool leaving_ = false;
   bool accepting_ = true;
   std::function<void()> on_drained_;
   TimerId watch_timer_ = 0;
+  TimerId poll_timer_ = 0;
   TimerId drain_timer_ = 0;
   Duration read_jitter_;
 };
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
@@ -32,6 +33,16 @@
 
 inline constexpr std::size_t kDefaultSpareCandidates = 2;
 
+// Other ways to get reports, for experiments. By default, reports arrive with
+// answers and heartbeats only.
+struct ReportTrial {
+  // Entries ask all connected sidecars this often; 0: never.
+  Duration poll_interval{0};
+  // Entries ask the candidates of each model request and wait this long for
+  // their replies before they choose; 0: they choose at once.
+  Duration ask_wait{0};
+};
+
 struct ServerChooserSettings {
   std::string region;
   std::string data_centre;
@@ -70,15 +81,23 @@
                               const std::set<std::string>& excluded,
                               Time now);
 
+  // The engines that `Choose` looks at for `plan`, best placed first.
+  std::vector<std::string> CandidateNames(const CallPlan& plan, Time now);
+
   // An attempt was sent to `instance`; its next report includes it.
   void OnSent(const std::string& instance);
 
-  // A sidecar reported its state; `model` is the one that `resident` is about.
+  // A sidecar reported its state.
   void OnReport(const std::string& instance,
-                std::string_view model,
                 const wire::ServerReport& report,
                 Time now);
 
+  // A request as in `plan` was answered; it ran for `took`.
+  void OnServed(const CallPlan& plan, Duration took);
+
+  // Gives memory of adapters back that are no longer asked for.
+  void Compact(Time now);
+
   // Requests per second for the adapter of `plan` at this entry.
   double Heat(const CallPlan& plan, Time now) const;
 
@@ -96,19 +115,29 @@
   Result<ChosenServer> ChooseEngine(const CallPlan& plan,
                                     const std::vector<ServerCandidate>& servers,
                                     Time now);
+  // Indices of the best placed of `servers`, best first.
+  std::vector<std::uint32_t> RankEngines(
+      const CallPlan& plan,
+      const std::vector<ServerCandidate>& servers,
+      std::uint32_t replicas) const;
   Result<ChosenServer> ChoosePlain(const std::vector<ServerCandidate>& servers);
   policy::Candidate CandidateOf(const std::string& instance,
                                 std::uint64_t adapter,
+                                bool urgent,
                                 Time now) const;
   std::uint32_t Replicas(const CallPlan& plan, Time now);
 
   const InstanceDirectory& directory_;
   const ServerChooserSettings settings_;
   policy::Random random_;
-  policy::PopularityTable popularity_;
+  policy::PopularityTable popularity_;  // Requests per second.
+  // Occupied batch places. Shorter memory than for `popularity_`, so that an
+  // adapter that becomes hot gets its replicas within seconds.
+  policy::PopularityTable occupancy_{{.half_life = std::chrono::seconds(15)}};
+  // Moving averages of run times, for `occupancy_`.
+  double urgent_service_s_ = 1.0;
+  double patient_service_s_ = 1.0;
   std::unordered_map<std::string, ServerState> servers_;
-  // By adapter and instance: what the last report said about residency.
-  std::unordered_map<std::uint64_t, bool> residency_;
   std::unordered_map<std::uint64_t, std::uint32_t> replicas_;  // Above 1.
 };
 
--- a/include/amaranthcove/sidecar/engine_backend.h
+++ b/include/amaranthcove/sidecar/engine_backend.h
@@ -118,6 +118,7 @@
     std::string model;  // Empty: holds nothing that may be used.
     bool loading = false;
     std::uint32_t pins = 0;
+    Time commanded;  // When the last load began or ended.
   };
 
   void Poll();
@@ -144,10 +145,14 @@
   std::vector<policy::Slot> PolicySlots(Time now) const;
   std::vector<policy::WaitingRequest> WaitingRequests() const;
   Duration ExpectedWait(bool urgent) const;
+  // For an urgent load that is asked for now, without its duration.
+  Duration ExpectedLoadWait(Time now) const;
   std::uint32_t QueuedCount(bool urgent) const;
   std::int64_t NextFence() { return ++fence_; }
   bool IsResident(std::string_view model) const;
   void MarkStalled(const std::string& model, Time now);
+  // Begins the stall of queued requests whose adapter is not resident.
+  void MarkNotResident();
   void MarkLoaded(const std::string& model, Time now);
   void Unpin(std::size_t slot);
 
@@ -177,8 +182,10 @@
   SuspectTable suspects_;
   double mean_service_s_ = 1.0;  // Moving average of a request's run time.
 
+  Time compacted_;
   TimerId poll_timer_ = 0;
   TimerId pump_timer_ = 0;
+  Time poll_began_;
   bool polling_ = false;
 };
 
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -146,6 +146,12 @@
       return;
     }
   }
+  if (context_.ask_wait > Duration(0) && plan_.kind == CallKind::kModel &&
+      !asked_) {
+    AskCandidates();
+    return;
+  }
+  asked_ = false;
   auto server = context_.chooser.Choose(plan_, tried_, now);
   if (!server && !tried_.empty()) {
     // Every server was tried; one may have recovered.
@@ -161,12 +167,25 @@
   Send(server->instance, server->address);
 }
 
+void Call::AskCandidates() {
+  asked_ = true;
+  for (const std::string& name :
+       context_.chooser.CandidateNames(plan_, context_.loop.Now())) {
+    context_.links.AskForReport(name, plan_.model);
+  }
+  retry_timer_ = context_.loop.RunAfter(context_.ask_wait, [this] {
+    retry_timer_ = 0;
+    Dispatch();
+  });
+}
+
 void Call::Send(const std::string& instance, const Address& address) {
   ++attempts_;
   ++context_.counters.attempts;
   server_ = instance;
   tried_.insert(instance);
   attempt_ = context_.links.NewAttempt();
+  sent_at_ = context_.loop.Now();
   context_.chooser.OnSent(instance);
   context_.links.Submit(instance, address, MakeSubmit(), deadline_, this);
 }
@@ -240,8 +259,7 @@
 
 void Call::OnEnd(const wire::AnswerEnd& end) {
   attempt_.reset();
-  context_.chooser.OnReport(server_, plan_.model, end.report,
-                            context_.loop.Now());
+  context_.chooser.OnReport(server_, end.report, context_.loop.Now());
   Explain("answer_end", {{"instance", server_},
                          {"code", end.error_code},
                          {"outcome", end.outcome},
@@ -252,6 +270,11 @@
                 : context_.counters.patient_stall_s) +=
       ToSeconds(std::chrono::milliseconds(end.load_stall_ms));
   if (end.error_code.empty()) {
+    if (plan_.kind == CallKind::kModel) {
+      context_.chooser.OnServed(plan_,
+                                context_.loop.Now() - sent_at_ -
+                                    std::chrono::milliseconds(end.queue_ms));
+    }
     FinishWhole(end);
     return;
   }
@@ -267,8 +290,7 @@
 
 void Call::OnRefused(const wire::Refused& refused) {
   attempt_.reset();
-  context_.chooser.OnReport(server_, plan_.model, refused.report,
-                            context_.loop.Now());
+  context_.chooser.OnReport(server_, refused.report, context_.loop.Now());
   Explain("refused", {{"instance", server_}, {"code", refused.code}});
   const auto retry_after = std::chrono::milliseconds(refused.retry_after_ms);
   RetryOrFail({StatusOfCode(refused.code), refused.code, refused.message,
@@ -353,10 +375,9 @@
   }
   HttpResponse response;
   response.status = status_;
-  response.headers = {
-      {"X-Request-Id", request_id_},
-      {"X-Load-Stall-Ms", std::to_string(end.load_stall_ms)},
-      {"X-Queue-Ms", std::to_string(end.queue_ms)}};
+  response.headers = {{"X-Request-Id", request_id_},
+                      {"X-Load-Stall-Ms", std::to_string(end.load_stall_ms)},
+                      {"X-Queue-Ms", std::to_string(end.queue_ms)}};
   if (!content_type_.empty()) {
     response.headers.push_back({"Content-Type", content_type_});
   }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kWatchInterval = std::chrono::seconds(1);
+// Between looks at the popularity tables for adapters to forget.
+constexpr Duration kCompactInterval = std::chrono::minutes(1);
 constexpr Duration kIssueLimit = std::chrono::seconds(2);
 constexpr std::size_t kMaxBodyBytes = 2 << 20;
 
@@ -82,9 +84,17 @@
              }}),
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
-      call_context_{context.loop, catalogue_, directory_,    links_,
-                    chooser_,     suspects_,  retry_budget_, random_,
-                    explain_,     counters_},
+      call_context_{context.loop,
+                    catalogue_,
+                    directory_,
+                    links_,
+                    chooser_,
+                    suspects_,
+                    retry_budget_,
+                    random_,
+                    explain_,
+                    counters_,
+                    options.report_trial.ask_wait},
       platform_(
           context.loop,
           http,
@@ -105,6 +115,7 @@
 
 Entry::~Entry() {
   context_.loop.Cancel(watch_timer_);
+  context_.loop.Cancel(poll_timer_);
   context_.loop.Cancel(drain_timer_);
 }
 
@@ -126,7 +137,7 @@
   };
   events.on_report = [this](const std::string& instance,
                             const wire::ServerReport& report) {
-    chooser_.OnReport(instance, "", report, context_.loop.Now());
+    chooser_.OnReport(instance, report, context_.loop.Now());
   };
   events.on_document = [this](const wire::Document& document) {
     OnDocument(
@@ -161,6 +172,9 @@
   server_ = std::move(*server);
   platform_.WatchInstances(true);
   WatchPlatform();
+  if (options_.report_trial.poll_interval > Duration(0)) {
+    PollReports();
+  }
   return {};
 }
 
@@ -174,10 +188,22 @@
   platform_.WatchDocuments(fresh ||
                            ShouldRead(self, entries, heard, now, read_jitter_));
   directory_.ForgetGone();
+  if (now - compacted_ >= kCompactInterval) {
+    compacted_ = now;
+    chooser_.Compact(now);
+  }
   watch_timer_ =
       context_.loop.RunAfter(kWatchInterval, [this] { WatchPlatform(); });
 }
 
+void Entry::PollReports() {
+  wire::Frame frame;
+  frame.__set_query(wire::Query());
+  links_.Broadcast(frame);
+  poll_timer_ = context_.loop.RunAfter(options_.report_trial.poll_interval,
+                                       [this] { PollReports(); });
+}
+
 bool Entry::ready() const {
   const bool waited =
       context_.loop.Now() - started_ > options_.first_document_limit;
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -1,7 +1,6 @@
 #include "amaranthcove/entry/server_chooser.h"
 
 #include <algorithm>
-#include <array>
 #include <vector>
 
 #include "amaranthcove/base/hash.h"
@@ -13,16 +12,22 @@
 // Most candidates that are looked at for one request.
 constexpr std::size_t kMaxCandidates = 16;
 
-// Residency facts above which all are forgotten; they are learnt again from
-// the next answers. 35,000 adapters on two engines each stay below.
-constexpr std::size_t kMaxResidencyFacts = 1 << 17;
-
-// Requests per second that one engine should spend on one adapter, in batch
-// places: more than this share of a batch makes others wait.
+// Share of a batch that one adapter may occupy; with more it makes others wait.
 constexpr double kBatchShare = 0.5;
 
-std::uint64_t ResidencyKey(std::uint64_t adapter, std::string_view instance) {
-  return Hash64(instance, adapter);
+// Weight of the newest run time in its moving average.
+constexpr double kServiceTimeWeight = 0.1;
+
+policy::Residency ResidencyOf(const wire::ServerReport& report,
+                              std::uint64_t adapter) {
+  if (!report.__isset.resident_models) {
+    return policy::Residency::kUnknown;
+  }
+  const auto& models = report.resident_models;
+  const bool found =
+      std::find(models.begin(), models.end(),
+                static_cast<std::int64_t>(adapter)) != models.end();
+  return found ? policy::Residency::kYes : policy::Residency::kNo;
 }
 
 std::uint64_t AdapterKeyOf(const CallPlan& plan) {
@@ -39,9 +44,21 @@
 void ServerChooser::RecordRequest(const CallPlan& plan, Time now) {
   if (plan.kind == CallKind::kModel) {
     popularity_.Record(AdapterKeyOf(plan), now);
+    occupancy_.Record(AdapterKeyOf(plan), now,
+                      plan.urgent ? urgent_service_s_ : patient_service_s_);
   }
 }
 
+void ServerChooser::OnServed(const CallPlan& plan, Duration took) {
+  double& mean = plan.urgent ? urgent_service_s_ : patient_service_s_;
+  mean += kServiceTimeWeight * (ToSeconds(took) - mean);
+}
+
+void ServerChooser::Compact(Time now) {
+  popularity_.Compact(now);
+  occupancy_.Compact(now);
+}
+
 double ServerChooser::Heat(const CallPlan& plan, Time now) const {
   return popularity_.Rate(AdapterKeyOf(plan), now);
 }
@@ -73,10 +90,10 @@
   return is_model ? ChooseEngine(plan, servers, now) : ChoosePlain(servers);
 }
 
-Result<ChosenServer> ServerChooser::ChooseEngine(
+std::vector<std::uint32_t> ServerChooser::RankEngines(
     const CallPlan& plan,
     const std::vector<ServerCandidate>& servers,
-    Time now) {
+    std::uint32_t replicas) const {
   std::vector<policy::PlacementServer> placement;
   placement.reserve(servers.size());
   for (const ServerCandidate& server : servers) {
@@ -84,18 +101,36 @@
                          server.same_region ? policy::Distance::kSameRegion
                                             : policy::Distance::kOtherRegion});
   }
+  std::vector<std::uint32_t> best(
+      std::min(kMaxCandidates, replicas + settings_.spare_candidates));
+  best.resize(policy::RankServers(plan.model, placement, best));
+  return best;
+}
+
+std::vector<std::string> ServerChooser::CandidateNames(const CallPlan& plan,
+                                                       Time now) {
+  const std::vector<ServerCandidate> servers =
+      directory_.ServersForModel(plan.base_model, settings_.region, now);
+  std::vector<std::string> names;
+  for (const std::uint32_t index :
+       RankEngines(plan, servers, Replicas(plan, now))) {
+    names.push_back(servers[index].instance->record.instance);
+  }
+  return names;
+}
+
+Result<ChosenServer> ServerChooser::ChooseEngine(
+    const CallPlan& plan,
+    const std::vector<ServerCandidate>& servers,
+    Time now) {
   const std::uint32_t replicas = Replicas(plan, now);
-  std::array<std::uint32_t, kMaxCandidates> best{};
-  const std::size_t wanted =
-      std::min(kMaxCandidates, replicas + settings_.spare_candidates);
-  const std::size_t count =
-      policy::RankServers(plan.model, placement, std::span(best).first(wanted));
+  const std::vector<std::uint32_t> best = RankEngines(plan, servers, replicas);
   const std::uint64_t adapter = AdapterKeyOf(plan);
   std::vector<policy::Candidate> candidates;
   nlohmann::json described = nlohmann::json::array();
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::string& name = servers[best[i]].instance->record.instance;
-    candidates.push_back(CandidateOf(name, adapter, now));
+  for (const std::uint32_t index : best) {
+    const std::string& name = servers[index].instance->record.instance;
+    candidates.push_back(CandidateOf(name, adapter, plan.urgent, now));
     const policy::Candidate& candidate = candidates.back();
     described.push_back(
         {{"instance", name},
@@ -156,6 +191,7 @@
 
 policy::Candidate ServerChooser::CandidateOf(const std::string& instance,
                                              std::uint64_t adapter,
+                                             bool urgent,
                                              Time now) const {
   policy::Candidate candidate;
   const auto found = servers_.find(instance);
@@ -172,14 +208,12 @@
   candidate.load = static_cast<std::uint32_t>(
       std::max(0, state.report.urgent_queued + state.report.patient_queued +
                       state.report.running));
+  const bool patient_wait = !urgent && state.report.__isset.patient_wait_ms;
   candidate.expected_wait =
-      std::chrono::milliseconds(state.report.expected_wait_ms);
+      std::chrono::milliseconds(patient_wait ? state.report.patient_wait_ms
+                                             : state.report.expected_wait_ms);
   candidate.load_wait = std::chrono::milliseconds(state.report.load_wait_ms);
-  const auto resident = residency_.find(ResidencyKey(adapter, instance));
-  if (resident != residency_.end()) {
-    candidate.resident =
-        resident->second ? policy::Residency::kYes : policy::Residency::kNo;
-  }
+  candidate.resident = ResidencyOf(state.report, adapter);
   return candidate;
 }
 
@@ -198,7 +232,7 @@
     return current;
   }
   const std::uint32_t replicas =
-      policy::ReplicaCount(popularity_.Rate(adapter, now) * entries,
+      policy::ReplicaCount(occupancy_.Rate(adapter, now) * entries,
                            places * kBatchShare, current, settings_.replicas);
   if (replicas > 1) {
     replicas_[adapter] = replicas;
@@ -213,7 +247,6 @@
 }
 
 void ServerChooser::OnReport(const std::string& instance,
-                             std::string_view model,
                              const wire::ServerReport& report,
                              Time now) {
   ServerState& state = servers_[instance];
@@ -221,13 +254,6 @@
   state.reported_at = now;
   state.reported = true;
   state.unreported = 0;
-  if (!report.__isset.resident || model.empty()) {
-    return;
-  }
-  if (residency_.size() >= kMaxResidencyFacts) {
-    residency_.clear();
-  }
-  residency_[ResidencyKey(Hash64(model), instance)] = report.resident;
 }
 
 nlohmann::json ServerChooser::Dump(Time now) const {
@@ -245,7 +271,8 @@
   }
   return {{"servers", servers},
           {"adapters_remembered", popularity_.size()},
-          {"residency_facts", residency_.size()}};
+          {"urgent_service_s", urgent_service_s_},
+          {"patient_service_s", patient_service_s_}};
 }
 
 }  // namespace amaranthcove
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -268,6 +268,8 @@
     if (frame.heartbeat.__isset.report) {
       events_.on_report(instance, frame.heartbeat.report);
     }
+  } else if (frame.__isset.query_reply) {
+    events_.on_report(instance, frame.query_reply.report);
   } else if (frame.__isset.leaving) {
     events_.on_leaving(instance, links_[instance].incarnation);
   } else if (frame.__isset.document) {
@@ -468,6 +470,20 @@
   }
 }
 
+void SidecarLinks::AskForReport(const std::string& instance,
+                                std::string_view model) {
+  const auto link = links_.find(instance);
+  if (link == links_.end() || link->second.connection == nullptr ||
+      !link->second.connection->ready()) {
+    return;
+  }
+  wire::Query query;
+  query.model = std::string(model);
+  wire::Frame frame;
+  frame.__set_query(query);
+  link->second.connection->Send(frame);
+}
+
 void SidecarLinks::NotifyLeaving(const std::string& instance,
                                  const Address& address) {
   Link& link = UseLink(instance, address);
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/sidecar/engine_backend.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "amaranthcove/base/hash.h"
@@ -25,6 +26,9 @@
 // Key of the urgent arrivals of all adapters together.
 constexpr policy::AdapterKey kAllAdapters = 1;
 
+// Between looks at the popularity tables for adapters to forget.
+constexpr Duration kCompactInterval = std::chrono::minutes(1);
+
 constexpr int kHttpOk = 200;
 
 std::int64_t InitialFence() {
@@ -99,8 +103,13 @@
 
 void EngineBackend::Poll() {
   loop_.Cancel(std::exchange(poll_timer_, 0));
+  if (const Time now = loop_.Now(); now - compacted_ >= kCompactInterval) {
+    compacted_ = now;
+    popularity_.Compact(now);
+  }
   if (!polling_) {
     polling_ = true;
+    poll_began_ = loop_.Now();
     client_.FetchState(SteadyNow() + settings_.state_limit,
                        [this](const Result<EngineState>& state) {
                          polling_ = false;
@@ -151,12 +160,15 @@
   for (std::size_t i = 0; i < slots_.size(); ++i) {
     slots_[i].model = state.slots[i];
   }
+  MarkNotResident();
 }
 
 void EngineBackend::CompareSlots(const EngineState& state) {
   for (std::size_t i = 0; i < slots_.size() && i < state.slots.size(); ++i) {
     SlotState& slot = slots_[i];
-    if (slot.loading || slot.model == state.slots[i]) {
+    // A state that was asked for before a load ended may not show that load.
+    const bool may_be_old = slot.commanded >= poll_began_;
+    if (slot.loading || may_be_old || slot.model == state.slots[i]) {
       continue;
     }
     // Something else commanded the engine, or a late load took effect.
@@ -164,6 +176,7 @@
     ++counters_.slot_mismatches;
     slot.model = state.slots[i];
   }
+  MarkNotResident();
 }
 
 void EngineBackend::Submit(Work work) {
@@ -386,6 +399,7 @@
   }
   slot.model = model;
   slot.loading = true;
+  slot.commanded = now;
   ++counters_.loads;
   client_.Load(model, static_cast<int>(step.slot), NextFence(),
                SteadyNow() + settings_.load_limit,
@@ -402,6 +416,15 @@
   }
 }
 
+void EngineBackend::MarkNotResident() {
+  const Time now = loop_.Now();
+  for (Queued& queued : queue_) {
+    if (!queued.stalled_since && !IsResident(queued.work.request.model)) {
+      queued.stalled_since = now;
+    }
+  }
+}
+
 void EngineBackend::MarkLoaded(const std::string& model, Time now) {
   for (Queued& queued : queue_) {
     if (queued.work.request.model == model && queued.stalled_since) {
@@ -418,6 +441,7 @@
   const Time now = loop_.Now();
   SlotState& slot = slots_[index];
   slot.loading = false;
+  slot.commanded = now;
   const bool loaded =
       result.status == LoadStatus::kLoaded && result.boot_id == boot_id_;
   if (loaded) {
@@ -544,6 +568,7 @@
     return;
   }
   queue_.push_front(std::move(request));
+  MarkNotResident();
   if (pump_timer_ == 0) {
     pump_timer_ = loop_.RunAfter(kStartRefusedPause, [this] {
       pump_timer_ = 0;
@@ -598,6 +623,27 @@
       std::chrono::duration<double>(rounds * mean_service_s_));
 }
 
+Duration EngineBackend::ExpectedLoadWait(Time now) const {
+  std::set<policy::AdapterKey> waiting;
+  for (const Queued& queued : queue_) {
+    if (queued.stalled_since && queued.work.request.urgent) {
+      waiting.insert(queued.adapter);
+    }
+  }
+  // Urgent loads that wait already come first and pay from the same budget.
+  const double backlog_s =
+      static_cast<double>(waiting.size()) / load_budget_.Rate(now);
+  double slot_s = 0;
+  if (std::none_of(slots_.begin(), slots_.end(), [](const SlotState& slot) {
+        return slot.pins == 0 && !slot.loading;
+      })) {
+    slot_s = mean_service_s_ / 2;
+  }
+  return load_budget_.NextLoad(true, now) - now +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(backlog_s + slot_s));
+}
+
 wire::ServerReport EngineBackend::Report(std::string_view model,
                                          Time now) const {
   wire::ServerReport report;
@@ -605,7 +651,7 @@
   report.patient_queued = static_cast<std::int32_t>(QueuedCount(false));
   report.running = static_cast<std::int32_t>(running_.size());
   report.batch_size = static_cast<std::int32_t>(batch_size_);
-  report.load_wait_ms = ToMilliseconds(load_budget_.NextLoad(true, now) - now);
+  report.load_wait_ms = ToMilliseconds(ExpectedLoadWait(now));
   report.expected_wait_ms = ToMilliseconds(ExpectedWait(true));
   report.__set_patient_wait_ms(ToMilliseconds(ExpectedWait(false)));
   report.__isset.resident_models = true;
