--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -38,6 +38,8 @@
   std::size_t max_calls = 20000;  // In progress; more are refused.
   std::size_t explain_records = 2000;
   ChooseServerFunction choose = &policy::ChooseServer;
+  std::size_t spare_candidates = kDefaultSpareCandidates;
+  ReportTrial report_trial;
 };
 
 // The entry role: the HTTP API for callers, and everything that an entry knows:
@@ -93,6 +95,7 @@
   bool ShouldWatchPlatform(Time now) const;
   bool PlatformIsCurrent() const;
   void CheckLeavingSidecars(Time now);
+  void PollReports();
   void StopAccepting();
   void CheckDrained();
   std::string NewRequestId();
@@ -119,11 +122,13 @@
   std::unordered_map<std::string, std::unique_ptr<Call>> calls_;
   std::uint64_t next_request_ = 1;
   Time started_;
+  Time compacted_;
   bool leaving_ = false;
   bool reading_ = false;  // Watches the platform.
   bool accepting_ = true;
   std::function<void()> on_drained_;
   TimerId watch_timer_ = 0;
+  TimerId poll_timer_ = 0;
   TimerId drain_timer_ = 0;
   Duration read_jitter_;
 };
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration kWatchInterval = std::chrono::seconds(1);
+// Between looks at the popularity tables for adapters to forget.
+constexpr Duration kCompactInterval = std::chrono::minutes(1);
 constexpr std::size_t kMaxBodyBytes = 2 << 20;
 
 // Heartbeats between entries carry digests of documents, so their interval
@@ -35,6 +37,7 @@
   settings.region = context.self.region;
   settings.data_centre = context.self.data_centre;
   settings.choose = options.choose;
+  settings.spare_candidates = options.spare_candidates;
   return settings;
 }
 
@@ -64,9 +67,18 @@
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
       issuer_(context.loop, links_, chooser_),
-      call_context_{context.loop, catalogue_, directory_, links_,
-                    chooser_,     issuer_,    suspects_,  retry_budget_,
-                    random_,      explain_,   counters_},
+      call_context_{context.loop,
+                    catalogue_,
+                    directory_,
+                    links_,
+                    chooser_,
+                    issuer_,
+                    suspects_,
+                    retry_budget_,
+                    random_,
+                    explain_,
+                    counters_,
+                    options.report_trial.ask_wait},
       platform_(
           context.loop,
           http,
@@ -87,6 +99,7 @@
 
 Entry::~Entry() {
   context_.loop.Cancel(watch_timer_);
+  context_.loop.Cancel(poll_timer_);
   context_.loop.Cancel(drain_timer_);
 }
 
@@ -109,7 +122,7 @@
   };
   events.on_report = [this](const std::string& instance,
                             const wire::ServerReport& report) {
-    chooser_.OnReport(instance, "", report, context_.loop.Now());
+    chooser_.OnReport(instance, report, context_.loop.Now());
   };
   events.on_document = [this](const wire::Document& document) {
     OnDocument(
@@ -143,6 +156,9 @@
   }
   server_ = std::move(*server);
   WatchPlatform();
+  if (options_.report_trial.poll_interval > Duration(0)) {
+    PollReports();
+  }
   return {};
 }
 
@@ -156,10 +172,22 @@
   }
   directory_.ForgetGone(kKeptGone);
   CheckLeavingSidecars(now);
+  if (now - compacted_ >= kCompactInterval) {
+    compacted_ = now;
+    chooser_.Compact(now);
+  }
   watch_timer_ =
       context_.loop.RunAfter(kWatchInterval, [this] { WatchPlatform(); });
 }
 
+void Entry::PollReports() {
+  wire::Frame frame;
+  frame.__set_query(wire::Query());
+  links_.Broadcast(frame);
+  poll_timer_ = context_.loop.RunAfter(options_.report_trial.poll_interval,
+                                       [this] { PollReports(); });
+}
+
 bool Entry::ShouldWatchPlatform(Time now) const {
   const std::vector<EntryPlace> entries = directory_.LiveEntries();
   const EntryPlace self{context_.self.instance, context_.self.data_centre};
--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -680,6 +680,16 @@
 void ServerReport::__set_expected_wait_ms(const int64_t val) {
   this->expected_wait_ms = val;
 }
+
+void ServerReport::__set_patient_wait_ms(const int64_t val) {
+  this->patient_wait_ms = val;
+__isset.patient_wait_ms = true;
+}
+
+void ServerReport::__set_resident_models(const std::vector<int64_t> & val) {
+  this->resident_models = val;
+__isset.resident_models = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerReport& obj)
 {
   obj.printTo(out);
@@ -772,6 +782,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->patient_wait_ms);
+          this->__isset.patient_wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->resident_models.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->resident_models.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += iprot->readI64(this->resident_models[_i12]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.resident_models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -822,6 +860,24 @@
   xfer += oprot->writeI64(this->expected_wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.patient_wait_ms) {
+    xfer += oprot->writeFieldBegin("patient_wait_ms", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->patient_wait_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resident_models) {
+    xfer += oprot->writeFieldBegin("resident_models", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->resident_models.size()));
+      std::vector<int64_t> ::const_iterator _iter13;
+      for (_iter13 = this->resident_models.begin(); _iter13 != this->resident_models.end(); ++_iter13)
+      {
+        xfer += oprot->writeI64((*_iter13));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -837,30 +893,36 @@
   swap(a.leaving, b.leaving);
   swap(a.resident, b.resident);
   swap(a.expected_wait_ms, b.expected_wait_ms);
+  swap(a.patient_wait_ms, b.patient_wait_ms);
+  swap(a.resident_models, b.resident_models);
   swap(a.__isset, b.__isset);
 }
 
-ServerReport::ServerReport(const ServerReport& other8) noexcept {
-  urgent_queued = other8.urgent_queued;
-  patient_queued = other8.patient_queued;
-  running = other8.running;
-  batch_size = other8.batch_size;
-  load_wait_ms = other8.load_wait_ms;
-  leaving = other8.leaving;
-  resident = other8.resident;
-  expected_wait_ms = other8.expected_wait_ms;
-  __isset = other8.__isset;
-}
-ServerReport& ServerReport::operator=(const ServerReport& other9) noexcept {
-  urgent_queued = other9.urgent_queued;
-  patient_queued = other9.patient_queued;
-  running = other9.running;
-  batch_size = other9.batch_size;
-  load_wait_ms = other9.load_wait_ms;
-  leaving = other9.leaving;
-  resident = other9.resident;
-  expected_wait_ms = other9.expected_wait_ms;
-  __isset = other9.__isset;
+ServerReport::ServerReport(const ServerReport& other14) {
+  urgent_queued = other14.urgent_queued;
+  patient_queued = other14.patient_queued;
+  running = other14.running;
+  batch_size = other14.batch_size;
+  load_wait_ms = other14.load_wait_ms;
+  leaving = other14.leaving;
+  resident = other14.resident;
+  expected_wait_ms = other14.expected_wait_ms;
+  patient_wait_ms = other14.patient_wait_ms;
+  resident_models = other14.resident_models;
+  __isset = other14.__isset;
+}
+ServerReport& ServerReport::operator=(const ServerReport& other15) {
+  urgent_queued = other15.urgent_queued;
+  patient_queued = other15.patient_queued;
+  running = other15.running;
+  batch_size = other15.batch_size;
+  load_wait_ms = other15.load_wait_ms;
+  leaving = other15.leaving;
+  resident = other15.resident;
+  expected_wait_ms = other15.expected_wait_ms;
+  patient_wait_ms = other15.patient_wait_ms;
+  resident_models = other15.resident_models;
+  __isset = other15.__isset;
   return *this;
 }
 void ServerReport::printTo(std::ostream& out) const {
@@ -874,6 +936,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "resident="; (__isset.resident ? (out << to_string(resident)) : (out << "<null>"));
   out << ", " << "expected_wait_ms=" << to_string(expected_wait_ms);
+  out << ", " << "patient_wait_ms="; (__isset.patient_wait_ms ? (out << to_string(patient_wait_ms)) : (out << "<null>"));
+  out << ", " << "resident_models="; (__isset.resident_models ? (out << to_string(resident_models)) : (out << "<null>"));
   out << ")";
 }
 
@@ -970,15 +1034,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentRevision::DocumentRevision(const DocumentRevision& other10) {
-  team = other10.team;
-  revision = other10.revision;
-  __isset = other10.__isset;
+DocumentRevision::DocumentRevision(const DocumentRevision& other16) {
+  team = other16.team;
+  revision = other16.revision;
+  __isset = other16.__isset;
 }
-DocumentRevision& DocumentRevision::operator=(const DocumentRevision& other11) {
-  team = other11.team;
-  revision = other11.revision;
-  __isset = other11.__isset;
+DocumentRevision& DocumentRevision::operator=(const DocumentRevision& other17) {
+  team = other17.team;
+  revision = other17.revision;
+  __isset = other17.__isset;
   return *this;
 }
 void DocumentRevision::printTo(std::ostream& out) const {
@@ -1175,25 +1239,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other12) {
-  sequence = other12.sequence;
-  is_reply = other12.is_reply;
-  documents_digest = other12.documents_digest;
-  report = other12.report;
-  platform_age_ms = other12.platform_age_ms;
-  instances_revision = other12.instances_revision;
-  platform_reader = other12.platform_reader;
-  __isset = other12.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other13) {
-  sequence = other13.sequence;
-  is_reply = other13.is_reply;
-  documents_digest = other13.documents_digest;
-  report = other13.report;
-  platform_age_ms = other13.platform_age_ms;
-  instances_revision = other13.instances_revision;
-  platform_reader = other13.platform_reader;
-  __isset = other13.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other18) {
+  sequence = other18.sequence;
+  is_reply = other18.is_reply;
+  documents_digest = other18.documents_digest;
+  report = other18.report;
+  platform_age_ms = other18.platform_age_ms;
+  instances_revision = other18.instances_revision;
+  platform_reader = other18.platform_reader;
+  __isset = other18.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other19) {
+  sequence = other19.sequence;
+  is_reply = other19.is_reply;
+  documents_digest = other19.documents_digest;
+  report = other19.report;
+  platform_age_ms = other19.platform_age_ms;
+  instances_revision = other19.instances_revision;
+  platform_reader = other19.platform_reader;
+  __isset = other19.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1254,14 +1318,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->known.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->known.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->known[_i18].read(iprot);
+              xfer += this->known[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1298,10 +1362,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<DocumentRevision> ::const_iterator _iter19;
-    for (_iter19 = this->known.begin(); _iter19 != this->known.end(); ++_iter19)
+    std::vector<DocumentRevision> ::const_iterator _iter25;
+    for (_iter25 = this->known.begin(); _iter25 != this->known.end(); ++_iter25)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1324,15 +1388,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentsRequest::DocumentsRequest(const DocumentsRequest& other20) {
-  known = other20.known;
-  team = other20.team;
-  __isset = other20.__isset;
+DocumentsRequest::DocumentsRequest(const DocumentsRequest& other26) {
+  known = other26.known;
+  team = other26.team;
+  __isset = other26.__isset;
 }
-DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other21) {
-  known = other21.known;
-  team = other21.team;
-  __isset = other21.__isset;
+DocumentsRequest& DocumentsRequest::operator=(const DocumentsRequest& other27) {
+  known = other27.known;
+  team = other27.team;
+  __isset = other27.__isset;
   return *this;
 }
 void DocumentsRequest::printTo(std::ostream& out) const {
@@ -1470,19 +1534,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Document::Document(const Document& other22) {
-  team = other22.team;
-  revision = other22.revision;
-  removed = other22.removed;
-  text = other22.text;
-  __isset = other22.__isset;
+Document::Document(const Document& other28) {
+  team = other28.team;
+  revision = other28.revision;
+  removed = other28.removed;
+  text = other28.text;
+  __isset = other28.__isset;
 }
-Document& Document::operator=(const Document& other23) {
-  team = other23.team;
-  revision = other23.revision;
-  removed = other23.removed;
-  text = other23.text;
-  __isset = other23.__isset;
+Document& Document::operator=(const Document& other29) {
+  team = other29.team;
+  revision = other29.revision;
+  removed = other29.removed;
+  text = other29.text;
+  __isset = other29.__isset;
   return *this;
 }
 void Document::printTo(std::ostream& out) const {
@@ -1588,15 +1652,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentAnnouncement::DocumentAnnouncement(const DocumentAnnouncement& other24) {
-  team = other24.team;
-  revision = other24.revision;
-  __isset = other24.__isset;
+DocumentAnnouncement::DocumentAnnouncement(const DocumentAnnouncement& other30) {
+  team = other30.team;
+  revision = other30.revision;
+  __isset = other30.__isset;
 }
-DocumentAnnouncement& DocumentAnnouncement::operator=(const DocumentAnnouncement& other25) {
-  team = other25.team;
-  revision = other25.revision;
-  __isset = other25.__isset;
+DocumentAnnouncement& DocumentAnnouncement::operator=(const DocumentAnnouncement& other31) {
+  team = other31.team;
+  revision = other31.revision;
+  __isset = other31.__isset;
   return *this;
 }
 void DocumentAnnouncement::printTo(std::ostream& out) const {
@@ -1787,25 +1851,25 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceRecord::InstanceRecord(const InstanceRecord& other26) {
-  instance = other26.instance;
-  role = other26.role;
-  address = other26.address;
-  region = other26.region;
-  data_centre = other26.data_centre;
-  state = other26.state;
-  backend = other26.backend;
-  __isset = other26.__isset;
-}
-InstanceRecord& InstanceRecord::operator=(const InstanceRecord& other27) {
-  instance = other27.instance;
-  role = other27.role;
-  address = other27.address;
-  region = other27.region;
-  data_centre = other27.data_centre;
-  state = other27.state;
-  backend = other27.backend;
-  __isset = other27.__isset;
+InstanceRecord::InstanceRecord(const InstanceRecord& other32) {
+  instance = other32.instance;
+  role = other32.role;
+  address = other32.address;
+  region = other32.region;
+  data_centre = other32.data_centre;
+  state = other32.state;
+  backend = other32.backend;
+  __isset = other32.__isset;
+}
+InstanceRecord& InstanceRecord::operator=(const InstanceRecord& other33) {
+  instance = other33.instance;
+  role = other33.role;
+  address = other33.address;
+  region = other33.region;
+  data_centre = other33.data_centre;
+  state = other33.state;
+  backend = other33.backend;
+  __isset = other33.__isset;
   return *this;
 }
 void InstanceRecord::printTo(std::ostream& out) const {
@@ -1897,13 +1961,13 @@
   swap(a.__isset, b.__isset);
 }
 
-InstancesRequest::InstancesRequest(const InstancesRequest& other28) noexcept {
-  after = other28.after;
-  __isset = other28.__isset;
+InstancesRequest::InstancesRequest(const InstancesRequest& other34) noexcept {
+  after = other34.after;
+  __isset = other34.__isset;
 }
-InstancesRequest& InstancesRequest::operator=(const InstancesRequest& other29) noexcept {
-  after = other29.after;
-  __isset = other29.__isset;
+InstancesRequest& InstancesRequest::operator=(const InstancesRequest& other35) noexcept {
+  after = other35.after;
+  __isset = other35.__isset;
   return *this;
 }
 void InstancesRequest::printTo(std::ostream& out) const {
@@ -1989,14 +2053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->changes.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->changes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->changes[_i34].read(iprot);
+              xfer += this->changes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2037,10 +2101,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<InstanceRecord> ::const_iterator _iter35;
-    for (_iter35 = this->changes.begin(); _iter35 != this->changes.end(); ++_iter35)
+    std::vector<InstanceRecord> ::const_iterator _iter41;
+    for (_iter41 = this->changes.begin(); _iter41 != this->changes.end(); ++_iter41)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2060,19 +2124,19 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceChanges::InstanceChanges(const InstanceChanges& other36) {
-  after = other36.after;
-  revision = other36.revision;
-  complete = other36.complete;
-  changes = other36.changes;
-  __isset = other36.__isset;
+InstanceChanges::InstanceChanges(const InstanceChanges& other42) {
+  after = other42.after;
+  revision = other42.revision;
+  complete = other42.complete;
+  changes = other42.changes;
+  __isset = other42.__isset;
 }
-InstanceChanges& InstanceChanges::operator=(const InstanceChanges& other37) {
-  after = other37.after;
-  revision = other37.revision;
-  complete = other37.complete;
-  changes = other37.changes;
-  __isset = other37.__isset;
+InstanceChanges& InstanceChanges::operator=(const InstanceChanges& other43) {
+  after = other43.after;
+  revision = other43.revision;
+  complete = other43.complete;
+  changes = other43.changes;
+  __isset = other43.__isset;
   return *this;
 }
 void InstanceChanges::printTo(std::ostream& out) const {
@@ -2467,49 +2531,49 @@
   swap(a.__isset, b.__isset);
 }
 
-Submit::Submit(const Submit& other38) {
-  attempt = other38.attempt;
-  team = other38.team;
-  model = other38.model;
-  service_name = other38.service_name;
-  method = other38.method;
-  path = other38.path;
-  body = other38.body;
-  content_type = other38.content_type;
-  streamed = other38.streamed;
-  urgent = other38.urgent;
-  remaining_ms = other38.remaining_ms;
-  operation_id = other38.operation_id;
-  fingerprint = other38.fingerprint;
-  run_alone = other38.run_alone;
-  request_id = other38.request_id;
-  low_water_mark = other38.low_water_mark;
-  heat = other38.heat;
-  document_revision = other38.document_revision;
-  objective = other38.objective;
-  __isset = other38.__isset;
-}
-Submit& Submit::operator=(const Submit& other39) {
-  attempt = other39.attempt;
-  team = other39.team;
-  model = other39.model;
-  service_name = other39.service_name;
-  method = other39.method;
-  path = other39.path;
-  body = other39.body;
-  content_type = other39.content_type;
-  streamed = other39.streamed;
-  urgent = other39.urgent;
-  remaining_ms = other39.remaining_ms;
-  operation_id = other39.operation_id;
-  fingerprint = other39.fingerprint;
-  run_alone = other39.run_alone;
-  request_id = other39.request_id;
-  low_water_mark = other39.low_water_mark;
-  heat = other39.heat;
-  document_revision = other39.document_revision;
-  objective = other39.objective;
-  __isset = other39.__isset;
+Submit::Submit(const Submit& other44) {
+  attempt = other44.attempt;
+  team = other44.team;
+  model = other44.model;
+  service_name = other44.service_name;
+  method = other44.method;
+  path = other44.path;
+  body = other44.body;
+  content_type = other44.content_type;
+  streamed = other44.streamed;
+  urgent = other44.urgent;
+  remaining_ms = other44.remaining_ms;
+  operation_id = other44.operation_id;
+  fingerprint = other44.fingerprint;
+  run_alone = other44.run_alone;
+  request_id = other44.request_id;
+  low_water_mark = other44.low_water_mark;
+  heat = other44.heat;
+  document_revision = other44.document_revision;
+  objective = other44.objective;
+  __isset = other44.__isset;
+}
+Submit& Submit::operator=(const Submit& other45) {
+  attempt = other45.attempt;
+  team = other45.team;
+  model = other45.model;
+  service_name = other45.service_name;
+  method = other45.method;
+  path = other45.path;
+  body = other45.body;
+  content_type = other45.content_type;
+  streamed = other45.streamed;
+  urgent = other45.urgent;
+  remaining_ms = other45.remaining_ms;
+  operation_id = other45.operation_id;
+  fingerprint = other45.fingerprint;
+  run_alone = other45.run_alone;
+  request_id = other45.request_id;
+  low_water_mark = other45.low_water_mark;
+  heat = other45.heat;
+  document_revision = other45.document_revision;
+  objective = other45.objective;
+  __isset = other45.__isset;
   return *this;
 }
 void Submit::printTo(std::ostream& out) const {
@@ -2630,15 +2694,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Accepted::Accepted(const Accepted& other40) {
-  attempt = other40.attempt;
-  report = other40.report;
-  __isset = other40.__isset;
+Accepted::Accepted(const Accepted& other46) {
+  attempt = other46.attempt;
+  report = other46.report;
+  __isset = other46.__isset;
 }
-Accepted& Accepted::operator=(const Accepted& other41) {
-  attempt = other41.attempt;
-  report = other41.report;
-  __isset = other41.__isset;
+Accepted& Accepted::operator=(const Accepted& other47) {
+  attempt = other47.attempt;
+  report = other47.report;
+  __isset = other47.__isset;
   return *this;
 }
 void Accepted::printTo(std::ostream& out) const {
@@ -2793,21 +2857,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Refused::Refused(const Refused& other42) {
-  attempt = other42.attempt;
-  code = other42.code;
-  message = other42.message;
-  retry_after_ms = other42.retry_after_ms;
-  report = other42.report;
-  __isset = other42.__isset;
+Refused::Refused(const Refused& other48) {
+  attempt = other48.attempt;
+  code = other48.code;
+  message = other48.message;
+  retry_after_ms = other48.retry_after_ms;
+  report = other48.report;
+  __isset = other48.__isset;
 }
-Refused& Refused::operator=(const Refused& other43) {
-  attempt = other43.attempt;
-  code = other43.code;
-  message = other43.message;
-  retry_after_ms = other43.retry_after_ms;
-  report = other43.report;
-  __isset = other43.__isset;
+Refused& Refused::operator=(const Refused& other49) {
+  attempt = other49.attempt;
+  code = other49.code;
+  message = other49.message;
+  retry_after_ms = other49.retry_after_ms;
+  report = other49.report;
+  __isset = other49.__isset;
   return *this;
 }
 void Refused::printTo(std::ostream& out) const {
@@ -2969,21 +3033,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other44) {
-  attempt = other44.attempt;
-  sequence = other44.sequence;
-  data = other44.data;
-  status = other44.status;
-  content_type = other44.content_type;
-  __isset = other44.__isset;
+Chunk::Chunk(const Chunk& other50) {
+  attempt = other50.attempt;
+  sequence = other50.sequence;
+  data = other50.data;
+  status = other50.status;
+  content_type = other50.content_type;
+  __isset = other50.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other45) {
-  attempt = other45.attempt;
-  sequence = other45.sequence;
-  data = other45.data;
-  status = other45.status;
-  content_type = other45.content_type;
-  __isset = other45.__isset;
+Chunk& Chunk::operator=(const Chunk& other51) {
+  attempt = other51.attempt;
+  sequence = other51.sequence;
+  data = other51.data;
+  status = other51.status;
+  content_type = other51.content_type;
+  __isset = other51.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -3209,29 +3273,29 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other46) {
-  attempt = other46.attempt;
-  chunks = other46.chunks;
-  error_code = other46.error_code;
-  message = other46.message;
-  outcome = other46.outcome;
-  report = other46.report;
-  load_stall_ms = other46.load_stall_ms;
-  queue_ms = other46.queue_ms;
-  engine_crashed = other46.engine_crashed;
-  __isset = other46.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other52) {
+  attempt = other52.attempt;
+  chunks = other52.chunks;
+  error_code = other52.error_code;
+  message = other52.message;
+  outcome = other52.outcome;
+  report = other52.report;
+  load_stall_ms = other52.load_stall_ms;
+  queue_ms = other52.queue_ms;
+  engine_crashed = other52.engine_crashed;
+  __isset = other52.__isset;
 }
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other47) {
-  attempt = other47.attempt;
-  chunks = other47.chunks;
-  error_code = other47.error_code;
-  message = other47.message;
-  outcome = other47.outcome;
-  report = other47.report;
-  load_stall_ms = other47.load_stall_ms;
-  queue_ms = other47.queue_ms;
-  engine_crashed = other47.engine_crashed;
-  __isset = other47.__isset;
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other53) {
+  attempt = other53.attempt;
+  chunks = other53.chunks;
+  error_code = other53.error_code;
+  message = other53.message;
+  outcome = other53.outcome;
+  report = other53.report;
+  load_stall_ms = other53.load_stall_ms;
+  queue_ms = other53.queue_ms;
+  engine_crashed = other53.engine_crashed;
+  __isset = other53.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -3342,15 +3406,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acknowledge::Acknowledge(const Acknowledge& other48) {
-  attempt = other48.attempt;
-  next_sequence = other48.next_sequence;
-  __isset = other48.__isset;
+Acknowledge::Acknowledge(const Acknowledge& other54) {
+  attempt = other54.attempt;
+  next_sequence = other54.next_sequence;
+  __isset = other54.__isset;
 }
-Acknowledge& Acknowledge::operator=(const Acknowledge& other49) {
-  attempt = other49.attempt;
-  next_sequence = other49.next_sequence;
-  __isset = other49.__isset;
+Acknowledge& Acknowledge::operator=(const Acknowledge& other55) {
+  attempt = other55.attempt;
+  next_sequence = other55.next_sequence;
+  __isset = other55.__isset;
   return *this;
 }
 void Acknowledge::printTo(std::ostream& out) const {
@@ -3454,15 +3518,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Resume::Resume(const Resume& other50) {
-  attempt = other50.attempt;
-  next_sequence = other50.next_sequence;
-  __isset = other50.__isset;
+Resume::Resume(const Resume& other56) {
+  attempt = other56.attempt;
+  next_sequence = other56.next_sequence;
+  __isset = other56.__isset;
 }
-Resume& Resume::operator=(const Resume& other51) {
-  attempt = other51.attempt;
-  next_sequence = other51.next_sequence;
-  __isset = other51.__isset;
+Resume& Resume::operator=(const Resume& other57) {
+  attempt = other57.attempt;
+  next_sequence = other57.next_sequence;
+  __isset = other57.__isset;
   return *this;
 }
 void Resume::printTo(std::ostream& out) const {
@@ -3549,13 +3613,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other52) {
-  attempt = other52.attempt;
-  __isset = other52.__isset;
+Cancel::Cancel(const Cancel& other58) {
+  attempt = other58.attempt;
+  __isset = other58.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other53) {
-  attempt = other53.attempt;
-  __isset = other53.__isset;
+Cancel& Cancel::operator=(const Cancel& other59) {
+  attempt = other59.attempt;
+  __isset = other59.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -3658,15 +3722,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancelled::Cancelled(const Cancelled& other54) {
-  attempt = other54.attempt;
-  outcome = other54.outcome;
-  __isset = other54.__isset;
+Cancelled::Cancelled(const Cancelled& other60) {
+  attempt = other60.attempt;
+  outcome = other60.outcome;
+  __isset = other60.__isset;
 }
-Cancelled& Cancelled::operator=(const Cancelled& other55) {
-  attempt = other55.attempt;
-  outcome = other55.outcome;
-  __isset = other55.__isset;
+Cancelled& Cancelled::operator=(const Cancelled& other61) {
+  attempt = other61.attempt;
+  outcome = other61.outcome;
+  __isset = other61.__isset;
   return *this;
 }
 void Cancelled::printTo(std::ostream& out) const {
@@ -3787,17 +3851,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IssueOperation::IssueOperation(const IssueOperation& other56) {
-  call = other56.call;
-  team = other56.team;
-  service_name = other56.service_name;
-  __isset = other56.__isset;
+IssueOperation::IssueOperation(const IssueOperation& other62) {
+  call = other62.call;
+  team = other62.team;
+  service_name = other62.service_name;
+  __isset = other62.__isset;
 }
-IssueOperation& IssueOperation::operator=(const IssueOperation& other57) {
-  call = other57.call;
-  team = other57.team;
-  service_name = other57.service_name;
-  __isset = other57.__isset;
+IssueOperation& IssueOperation::operator=(const IssueOperation& other63) {
+  call = other63.call;
+  team = other63.team;
+  service_name = other63.service_name;
+  __isset = other63.__isset;
   return *this;
 }
 void IssueOperation::printTo(std::ostream& out) const {
@@ -3919,17 +3983,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationIssued::OperationIssued(const OperationIssued& other58) {
-  call = other58.call;
-  operation_id = other58.operation_id;
-  code = other58.code;
-  __isset = other58.__isset;
+OperationIssued::OperationIssued(const OperationIssued& other64) {
+  call = other64.call;
+  operation_id = other64.operation_id;
+  code = other64.code;
+  __isset = other64.__isset;
 }
-OperationIssued& OperationIssued::operator=(const OperationIssued& other59) {
-  call = other59.call;
-  operation_id = other59.operation_id;
-  code = other59.code;
-  __isset = other59.__isset;
+OperationIssued& OperationIssued::operator=(const OperationIssued& other65) {
+  call = other65.call;
+  operation_id = other65.operation_id;
+  code = other65.code;
+  __isset = other65.__isset;
   return *this;
 }
 void OperationIssued::printTo(std::ostream& out) const {
@@ -4034,15 +4098,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other60) {
-  call = other60.call;
-  model = other60.model;
-  __isset = other60.__isset;
+Query::Query(const Query& other66) {
+  call = other66.call;
+  model = other66.model;
+  __isset = other66.__isset;
 }
-Query& Query::operator=(const Query& other61) {
-  call = other61.call;
-  model = other61.model;
-  __isset = other61.__isset;
+Query& Query::operator=(const Query& other67) {
+  call = other67.call;
+  model = other67.model;
+  __isset = other67.__isset;
   return *this;
 }
 void Query::printTo(std::ostream& out) const {
@@ -4146,15 +4210,15 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other62) noexcept {
-  call = other62.call;
-  report = other62.report;
-  __isset = other62.__isset;
+QueryReply::QueryReply(const QueryReply& other68) {
+  call = other68.call;
+  report = other68.report;
+  __isset = other68.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other63) noexcept {
-  call = other63.call;
-  report = other63.report;
-  __isset = other63.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other69) {
+  call = other69.call;
+  report = other69.report;
+  __isset = other69.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
@@ -4241,13 +4305,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Leaving::Leaving(const Leaving& other64) {
-  instance = other64.instance;
-  __isset = other64.__isset;
+Leaving::Leaving(const Leaving& other70) {
+  instance = other70.instance;
+  __isset = other70.__isset;
 }
-Leaving& Leaving::operator=(const Leaving& other65) {
-  instance = other65.instance;
-  __isset = other65.__isset;
+Leaving& Leaving::operator=(const Leaving& other71) {
+  instance = other71.instance;
+  __isset = other71.__isset;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -4333,13 +4397,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other66) {
-  instance = other66.instance;
-  __isset = other66.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other72) {
+  instance = other72.instance;
+  __isset = other72.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other67) {
-  instance = other67.instance;
-  __isset = other67.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other73) {
+  instance = other73.instance;
+  __isset = other73.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -4476,19 +4540,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other68) noexcept {
-  fingerprint = other68.fingerprint;
-  crashes = other68.crashes;
-  quarantined = other68.quarantined;
-  remaining_ms = other68.remaining_ms;
-  __isset = other68.__isset;
+Suspect::Suspect(const Suspect& other74) noexcept {
+  fingerprint = other74.fingerprint;
+  crashes = other74.crashes;
+  quarantined = other74.quarantined;
+  remaining_ms = other74.remaining_ms;
+  __isset = other74.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other69) noexcept {
-  fingerprint = other69.fingerprint;
-  crashes = other69.crashes;
-  quarantined = other69.quarantined;
-  remaining_ms = other69.remaining_ms;
-  __isset = other69.__isset;
+Suspect& Suspect::operator=(const Suspect& other75) noexcept {
+  fingerprint = other75.fingerprint;
+  crashes = other75.crashes;
+  quarantined = other75.quarantined;
+  remaining_ms = other75.remaining_ms;
+  __isset = other75.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -5016,59 +5080,59 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other70) {
-  hello = other70.hello;
-  proof = other70.proof;
-  heartbeat = other70.heartbeat;
-  documents_request = other70.documents_request;
-  document = other70.document;
-  submit = other70.submit;
-  accepted = other70.accepted;
-  refused = other70.refused;
-  chunk = other70.chunk;
-  answer_end = other70.answer_end;
-  acknowledge = other70.acknowledge;
-  resume = other70.resume;
-  cancel = other70.cancel;
-  cancelled = other70.cancelled;
-  issue_operation = other70.issue_operation;
-  operation_issued = other70.operation_issued;
-  query = other70.query;
-  query_reply = other70.query_reply;
-  leaving = other70.leaving;
-  leaving_notice = other70.leaving_notice;
-  suspect = other70.suspect;
-  document_announcement = other70.document_announcement;
-  instances_request = other70.instances_request;
-  instance_changes = other70.instance_changes;
-  __isset = other70.__isset;
-}
-Frame& Frame::operator=(const Frame& other71) {
-  hello = other71.hello;
-  proof = other71.proof;
-  heartbeat = other71.heartbeat;
-  documents_request = other71.documents_request;
-  document = other71.document;
-  submit = other71.submit;
-  accepted = other71.accepted;
-  refused = other71.refused;
-  chunk = other71.chunk;
-  answer_end = other71.answer_end;
-  acknowledge = other71.acknowledge;
-  resume = other71.resume;
-  cancel = other71.cancel;
-  cancelled = other71.cancelled;
-  issue_operation = other71.issue_operation;
-  operation_issued = other71.operation_issued;
-  query = other71.query;
-  query_reply = other71.query_reply;
-  leaving = other71.leaving;
-  leaving_notice = other71.leaving_notice;
-  suspect = other71.suspect;
-  document_announcement = other71.document_announcement;
-  instances_request = other71.instances_request;
-  instance_changes = other71.instance_changes;
-  __isset = other71.__isset;
+Frame::Frame(const Frame& other76) {
+  hello = other76.hello;
+  proof = other76.proof;
+  heartbeat = other76.heartbeat;
+  documents_request = other76.documents_request;
+  document = other76.document;
+  submit = other76.submit;
+  accepted = other76.accepted;
+  refused = other76.refused;
+  chunk = other76.chunk;
+  answer_end = other76.answer_end;
+  acknowledge = other76.acknowledge;
+  resume = other76.resume;
+  cancel = other76.cancel;
+  cancelled = other76.cancelled;
+  issue_operation = other76.issue_operation;
+  operation_issued = other76.operation_issued;
+  query = other76.query;
+  query_reply = other76.query_reply;
+  leaving = other76.leaving;
+  leaving_notice = other76.leaving_notice;
+  suspect = other76.suspect;
+  document_announcement = other76.document_announcement;
+  instances_request = other76.instances_request;
+  instance_changes = other76.instance_changes;
+  __isset = other76.__isset;
+}
+Frame& Frame::operator=(const Frame& other77) {
+  hello = other77.hello;
+  proof = other77.proof;
+  heartbeat = other77.heartbeat;
+  documents_request = other77.documents_request;
+  document = other77.document;
+  submit = other77.submit;
+  accepted = other77.accepted;
+  refused = other77.refused;
+  chunk = other77.chunk;
+  answer_end = other77.answer_end;
+  acknowledge = other77.acknowledge;
+  resume = other77.resume;
+  cancel = other77.cancel;
+  cancelled = other77.cancelled;
+  issue_operation = other77.issue_operation;
+  operation_issued = other77.operation_issued;
+  query = other77.query;
+  query_reply = other77.query_reply;
+  leaving = other77.leaving;
+  leaving_notice = other77.leaving_notice;
+  suspect = other77.suspect;
+  document_announcement = other77.document_announcement;
+  instances_request = other77.instances_request;
+  instance_changes = other77.instance_changes;
+  __isset = other77.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -346,7 +346,7 @@
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
 typedef struct _ServerReport__isset {
-  _ServerReport__isset() : urgent_queued(false), patient_queued(false), running(false), batch_size(false), load_wait_ms(false), leaving(false), resident(false), expected_wait_ms(false) {}
+  _ServerReport__isset() : urgent_queued(false), patient_queued(false), running(false), batch_size(false), load_wait_ms(false), leaving(false), resident(false), expected_wait_ms(false), patient_wait_ms(false), resident_models(false) {}
   bool urgent_queued :1;
   bool patient_queued :1;
   bool running :1;
@@ -355,13 +355,15 @@
   bool leaving :1;
   bool resident :1;
   bool expected_wait_ms :1;
+  bool patient_wait_ms :1;
+  bool resident_models :1;
 } _ServerReport__isset;
 
 class ServerReport : public virtual ::apache::thrift::TBase {
  public:
 
-  ServerReport(const ServerReport&) noexcept;
-  ServerReport& operator=(const ServerReport&) noexcept;
+  ServerReport(const ServerReport&);
+  ServerReport& operator=(const ServerReport&);
   ServerReport() noexcept
                : urgent_queued(0),
                  patient_queued(0),
@@ -370,7 +372,8 @@
                  load_wait_ms(0),
                  leaving(0),
                  resident(0),
-                 expected_wait_ms(0) {
+                 expected_wait_ms(0),
+                 patient_wait_ms(0) {
   }
 
   virtual ~ServerReport() noexcept;
@@ -382,6 +385,8 @@
   bool leaving;
   bool resident;
   int64_t expected_wait_ms;
+  int64_t patient_wait_ms;
+  std::vector<int64_t>  resident_models;
 
   _ServerReport__isset __isset;
 
@@ -401,6 +406,10 @@
 
   void __set_expected_wait_ms(const int64_t val);
 
+  void __set_patient_wait_ms(const int64_t val);
+
+  void __set_resident_models(const std::vector<int64_t> & val);
+
   bool operator == (const ServerReport & rhs) const
   {
     if (!(urgent_queued == rhs.urgent_queued))
@@ -421,6 +430,14 @@
       return false;
     if (!(expected_wait_ms == rhs.expected_wait_ms))
       return false;
+    if (__isset.patient_wait_ms != rhs.__isset.patient_wait_ms)
+      return false;
+    else if (__isset.patient_wait_ms && !(patient_wait_ms == rhs.patient_wait_ms))
+      return false;
+    if (__isset.resident_models != rhs.__isset.resident_models)
+      return false;
+    else if (__isset.resident_models && !(resident_models == rhs.resident_models))
+      return false;
     return true;
   }
   bool operator != (const ServerReport &rhs) const {
@@ -1756,8 +1773,8 @@
 class QueryReply : public virtual ::apache::thrift::TBase {
  public:
 
-  QueryReply(const QueryReply&) noexcept;
-  QueryReply& operator=(const QueryReply&) noexcept;
+  QueryReply(const QueryReply&);
+  QueryReply& operator=(const QueryReply&);
   QueryReply() noexcept
              : call(0) {
   }
