sidecar: do not take a reordered own command for a successor

A sidecar that issues several load commands at once sends them on separate connections. When a later number reached the engine first, the engine rejected the earlier one, and the sidecar left for good although no other incarnation existed.

Seen in a fleet of three engines with twelve cold adapters: two of three sidecars were superseded. A second sidecar was ruled out, since each engine had one.

A rejection that reports a number which this incarnation issued itself only repeats the load; a higher number still makes it leave.

--- a/include/amaranthcove/sidecar/engine_backend.h
+++ b/include/amaranthcove/sidecar/engine_backend.h
@@ -61,6 +61,7 @@
   std::uint64_t slot_mismatches = 0;
   std::uint64_t engine_restarts = 0;
   std::uint64_t stale_fences = 0;
+  std::uint64_t reordered_commands = 0;  // Rejected after a later own command.
   double urgent_stall_s = 0;
   double patient_stall_s = 0;
 };
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -432,6 +432,11 @@
   if (result.status == LoadStatus::kStoreBusy) {
     ++counters_.store_busy;
     load_budget_.OnRefused(result.retry_after, now, random_);
+  } else if (result.status == LoadStatus::kStaleFence &&
+             result.fence <= fence_) {
+    // Commands travel on separate connections, so a later command of this
+    // incarnation can arrive first. The queue asks for the load again.
+    ++counters_.reordered_commands;
   } else if (result.status == LoadStatus::kStaleFence) {
     ++counters_.stale_fences;
     superseded_ = true;
@@ -647,6 +652,7 @@
             {"slot_mismatches", counters_.slot_mismatches},
             {"engine_restarts", counters_.engine_restarts},
             {"stale_fences", counters_.stale_fences},
+            {"reordered_commands", counters_.reordered_commands},
             {"urgent_stall_s", counters_.urgent_stall_s},
             {"patient_stall_s", counters_.patient_stall_s}}}};
 }
