wire: construct and copy fewer frames

A frame holds every kind of message, so constructing or copying one costs more than coding a chunk. The decoder now decodes in place, the encoder keeps its buffer and protocol, and the test for an unknown kind compares with one constant.

--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -218,7 +218,10 @@
     Close(PeerCloseReason::kBadFrame);
     return;
   }
-  if (frame == wire::Frame()) {
+  // Frames are large; constructing one to compare with takes longer than the
+  // comparison.
+  static const wire::Frame kEmptyFrame;
+  if (frame == kEmptyFrame) {
     ++context_.counters.unknown_frames;
     return;
   }
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -20,30 +20,16 @@
 // Buffered bytes that are dropped from the front once they are consumed.
 constexpr std::size_t kCompactAboveBytes = 64 << 10;
 
-}  // namespace
+// Buffer of an encoder that is kept for the next frame. Bytes.
+constexpr std::uint32_t kMaxKeptBufferBytes = 64 << 10;
 
-Result<std::string> EncodeFrame(const Frame& frame) {
-  const auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  frame.write(&protocol);
-  std::uint8_t* data = nullptr;
-  std::uint32_t size = 0;
-  buffer->getBuffer(&data, &size);
-  if (size > kMaxFrameBytes) {
-    return MakeError(ErrorCode::kResourceExhausted,
-                     "frame of " + std::to_string(size) + " bytes is above " +
-                         std::to_string(kMaxFrameBytes));
-  }
-  std::string encoded;
-  encoded.reserve(kLengthBytes + size);
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    encoded.push_back(static_cast<char>((size >> shift) & 0xFF));
-  }
-  encoded.append(reinterpret_cast<const char*>(data), size);
-  return encoded;
-}
+// Kept between frames, because its construction allocates several times.
+struct Encoder {
+  std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol{buffer};
+};
 
-Result<Frame> DecodeFrame(std::string_view payload) {
+Status ReadFrame(std::string_view payload, Frame& frame) {
   // TMemoryBuffer in OBSERVE mode only reads, but its interface is not const.
   auto* bytes = const_cast<std::uint8_t*>(
       reinterpret_cast<const std::uint8_t*>(payload.data()));
@@ -52,7 +38,6 @@
       TMemoryBuffer::OBSERVE);
   TCompactProtocolT<TMemoryBuffer> protocol(
       buffer, static_cast<int>(kMaxFrameBytes), kMaxContainerElements);
-  Frame frame;
   try {
     const std::uint32_t used = frame.read(&protocol);
     if (used != payload.size() && buffer->available_read() != 0) {
@@ -66,6 +51,43 @@
     return MakeError(ErrorCode::kInvalidArgument,
                      std::string("frame does not decode: ") + error.what());
   }
+  return {};
+}
+
+}  // namespace
+
+Result<std::string> EncodeFrame(const Frame& frame) {
+  static thread_local auto encoder = std::make_unique<Encoder>();
+  if (encoder->buffer->getBufferSize() > kMaxKeptBufferBytes) {
+    encoder = std::make_unique<Encoder>();
+  }
+  encoder->buffer->resetBuffer();
+  frame.write(&encoder->protocol);
+  std::uint8_t* data = nullptr;
+  std::uint32_t size = 0;
+  encoder->buffer->getBuffer(&data, &size);
+  if (size > kMaxFrameBytes) {
+    return MakeError(ErrorCode::kResourceExhausted,
+                     "frame of " + std::to_string(size) + " bytes is above " +
+                         std::to_string(kMaxFrameBytes));
+  }
+  std::string encoded;
+  encoded.reserve(kLengthBytes + size);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    encoded.push_back(static_cast<char>((size >> shift) & 0xFF));
+  }
+  encoded.append(reinterpret_cast<const char*>(data), size);
+  return encoded;
+}
+
+Result<Frame> DecodeFrame(std::string_view payload) {
+  // Decoded in place and returned by one statement: generated types have no
+  // move operations, so anything else would copy every string of the frame.
+  Result<Frame> frame(tl::in_place);
+  const Status read = ReadFrame(payload, *frame);
+  if (!read) {
+    frame = tl::unexpected(read.error());
+  }
   return frame;
 }
 
