engine_client: check chunks without building a JSON tree

Half of a sidecar's time for a token went into parsing the whole chunk into a tree to compare two members, and into a timer cancelled and set for each piece. The same parser now feeds a checker that compares the members as they come; the text is still validated to its end, and the last of repeated members still counts. The silence timer is moved only when it is due.

--- a/src/engine_client/generation.cc
+++ b/src/engine_client/generation.cc
@@ -23,21 +23,101 @@
          status == kHttpUnavailable;
 }
 
+// Parses without building a tree and compares two members of the outermost
+// object. As in a tree, the last of several members with one name counts.
+class AnswerChecker final : public nlohmann::json_sax<Json> {
+ public:
+  AnswerChecker(std::string_view model, std::string_view boot_id)
+      : model_{"model", model}, boot_id_{"boot_id", boot_id} {}
+
+  bool is_answer() const {
+    return is_object_ && model_.matches && boot_id_.matches;
+  }
+
+  bool null() override { return OnValue(); }
+  bool boolean(bool /*value*/) override { return OnValue(); }
+  bool number_integer(number_integer_t /*value*/) override { return OnValue(); }
+  bool number_unsigned(number_unsigned_t /*value*/) override {
+    return OnValue();
+  }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return OnValue();
+  }
+  bool binary(binary_t& /*value*/) override { return OnValue(); }
+
+  bool string(string_t& value) override {
+    if (depth_ == 1 && member_ != nullptr) {
+      member_->matches = value == member_->expected;
+    }
+    return true;
+  }
+
+  bool key(string_t& name) override {
+    if (depth_ == 1) {
+      member_ = name == model_.name     ? &model_
+                : name == boot_id_.name ? &boot_id_
+                                        : nullptr;
+    }
+    return true;
+  }
+
+  bool start_object(std::size_t /*elements*/) override {
+    is_object_ = is_object_ || depth_ == 0;
+    OnValue();
+    ++depth_;
+    return true;
+  }
+
+  bool start_array(std::size_t /*elements*/) override {
+    OnValue();
+    ++depth_;
+    return true;
+  }
+
+  bool end_object() override { return LeaveContainer(); }
+  bool end_array() override { return LeaveContainer(); }
+
+  bool parse_error(std::size_t /*position*/,
+                   const std::string& /*last_token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  struct Member {
+    std::string_view name;
+    std::string_view expected;
+    bool matches = false;
+  };
+
+  // A value that is no string.
+  bool OnValue() {
+    if (depth_ == 1 && member_ != nullptr) {
+      member_->matches = false;
+    }
+    return true;
+  }
+
+  bool LeaveContainer() {
+    --depth_;
+    return true;
+  }
+
+  Member model_;
+  Member boot_id_;
+  Member* member_ = nullptr;  // The member of the outermost object being read.
+  int depth_ = 0;
+  bool is_object_ = false;
+};
+
 }  // namespace
 
 bool IsAnswerOf(std::string_view json,
                 std::string_view model,
                 std::string_view boot_id) {
-  const Json parsed = Json::parse(json, nullptr, false);
-  if (!parsed.is_object()) {
-    return false;
-  }
-  const auto has = [&](const char* key, std::string_view expected) {
-    const auto found = parsed.find(key);
-    return found != parsed.end() && found->is_string() &&
-           found->get_ref<const std::string&>() == expected;
-  };
-  return has("model", model) && has("boot_id", boot_id);
+  AnswerChecker checker(model, boot_id);
+  return Json::sax_parse(json, &checker) && checker.is_answer();
 }
 
 GenerationStream::GenerationStream(EventLoop& loop,
@@ -180,10 +260,22 @@
 }
 
 void GenerationStream::ArmSilenceTimer() {
-  loop_.Cancel(silence_timer_);
-  silence_timer_ = loop_.RunAfter(settings_.silence_limit, [this] {
+  last_byte_ = SteadyNow();
+  if (silence_timer_ == 0) {
+    WaitForSilence();
+  }
+}
+
+void GenerationStream::WaitForSilence() {
+  // Moved only when it is due: a timer for each piece costs more than the check
+  // of whether pieces have arrived since.
+  silence_timer_ = loop_.RunAt(last_byte_ + settings_.silence_limit, [this] {
     silence_timer_ = 0;
-    OnSilence();
+    if (SteadyNow() < last_byte_ + settings_.silence_limit) {
+      WaitForSilence();
+    } else {
+      OnSilence();
+    }
   });
 }
 
--- a/src/engine_client/generation.h
+++ b/src/engine_client/generation.h
@@ -49,6 +49,7 @@
   void OnWholeBody();
   void OnRefusal();
   void ArmSilenceTimer();
+  void WaitForSilence();
   void OnSilence();
   void Probe();
   void OnProbe(HttpCallEnd end, const HttpResponse& response);
@@ -72,6 +73,7 @@
   bool sent_ = false;      // Some byte of the request may have arrived.
   bool resuming_ = false;  // The call in progress is a resume.
   int resumes_ = 0;        // Since the last event.
+  Time last_byte_;         // Of the call in progress, or its start.
   TimerId silence_timer_ = 0;
   // Set to false by the destructor, so that the loop over received events ends
   // when a callback destroys this object.
