sidecar: count the answers of each entry instead of collecting them

For every request submitted or dropped the sidecar built a set of the entries of all answers, which grows with the requests in flight. Chunks were copied into two frames constructed for each.

Answers of one token at about 8000 requests/s: 59 us for each request before, 52 us after. Streams: 7.0 to 9.4 us per token before, 6.5 to 8.4 us after in interleaved runs, within the noise of the machine.

--- a/include/amaranthcove/sidecar/sidecar.h
+++ b/include/amaranthcove/sidecar/sidecar.h
@@ -150,7 +150,7 @@
   void SendToEntry(const AttemptId& attempt, const wire::Frame& frame);
   void Broadcast(const wire::Frame& frame);
   wire::ServerReport Report(std::string_view model) const;
-  void UpdateBusy();
+  void UpdateBusy(const EntryKey& entry);
   void CheckDrained();
 
   PeerContext& context_;
@@ -160,6 +160,8 @@
   std::list<std::unique_ptr<Link>> links_;
   std::map<EntryKey, Link*> link_by_entry_;  // The newest connection of each.
   std::map<AttemptId, Answer> answers_;
+  std::map<EntryKey, std::size_t> answers_by_entry_;
+  wire::Frame chunk_frame_;  // Reused: constructing a frame is expensive.
   AttemptLedger attempts_;
   DocumentStore documents_;
   SidecarCounters counters_;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -1,6 +1,5 @@
 #include "amaranthcove/sidecar/sidecar.h"
 
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -60,6 +59,7 @@
   const wire::Hello& remote = link.connection->remote();
   link.entry = {remote.instance, remote.incarnation};
   link_by_entry_[link.entry] = &link;
+  UpdateBusy(link.entry);
   if (leaving_) {
     wire::Frame frame;
     wire::Leaving leaving;
@@ -140,7 +140,8 @@
   Answer& answer =
       answers_.try_emplace(attempt, options_.answer_buffer_bytes).first->second;
   answer.model = submit.model;
-  UpdateBusy();
+  ++answers_by_entry_[link.entry];
+  UpdateBusy(link.entry);
   Work work{attempt, submit, now,
             now + std::chrono::milliseconds(submit.remaining_ms)};
   if (leaving_) {
@@ -314,17 +315,21 @@
                         const Answer& answer,
                         std::int64_t sequence,
                         std::string_view data) {
-  wire::Chunk chunk;
-  chunk.attempt = wire::ToWire(attempt);
+  wire::Chunk& chunk = chunk_frame_.chunk;
+  chunk_frame_.__isset.chunk = true;
+  chunk.attempt.instance = attempt.instance;
+  chunk.attempt.incarnation = attempt.incarnation;
+  chunk.attempt.number = attempt.number;
   chunk.sequence = sequence;
-  chunk.data = std::string(data);
-  if (sequence == 0) {
-    chunk.__set_status(answer.status);
-    chunk.__set_content_type(answer.content_type);
+  chunk.data = data;
+  const bool has_head = sequence == 0;
+  chunk.__isset.status = has_head;
+  chunk.__isset.content_type = has_head;
+  if (has_head) {
+    chunk.status = answer.status;
+    chunk.content_type = answer.content_type;
   }
-  wire::Frame frame;
-  frame.__set_chunk(chunk);
-  SendToEntry(attempt, frame);
+  SendToEntry(attempt, chunk_frame_);
 }
 
 void Sidecar::OnEnd(const AttemptId& attempt, const WorkEnd& end) {
@@ -438,7 +443,12 @@
   }
   context_.loop.Cancel(found->second.expiry);
   answers_.erase(found);
-  UpdateBusy();
+  const EntryKey entry(attempt.instance, attempt.incarnation);
+  const auto count = answers_by_entry_.find(entry);
+  if (--count->second == 0) {
+    answers_by_entry_.erase(count);
+  }
+  UpdateBusy(entry);
   CheckDrained();
 }
 
@@ -489,13 +499,10 @@
   }
 }
 
-void Sidecar::UpdateBusy() {
-  std::set<EntryKey> busy;
-  for (const auto& [attempt, answer] : answers_) {
-    busy.emplace(attempt.instance, attempt.incarnation);
-  }
-  for (const auto& [entry, link] : link_by_entry_) {
-    link->connection->SetBusy(busy.contains(entry));
+void Sidecar::UpdateBusy(const EntryKey& entry) {
+  const auto link = link_by_entry_.find(entry);
+  if (link != link_by_entry_.end()) {
+    link->second->connection->SetBusy(answers_by_entry_.contains(entry));
   }
 }
 
