--- a/src/programs/amaranthctl/admin_client.cc
+++ b/src/programs/amaranthctl/admin_client.cc
@@ -1,17 +1,17 @@
 #include "src/programs/amaranthctl/admin_client.h"
 
 #include <memory>
+#include <optional>
 #include <utility>
 
-#include "amaranthcove/net/event_loop.h"
 #include "amaranthcove/net/http_client.h"
 
 namespace amaranthcove {
 namespace {
 
-constexpr Duration kFetchTimeout = std::chrono::seconds(5);
+constexpr int kHttpOk = 200;
 
-std::string DescribeFailure(HttpCallEnd end) {
+std::string DescribeFailure(HttpCallEnd end, Duration limit) {
   switch (end) {
     case HttpCallEnd::kComplete:
       break;
@@ -21,34 +21,35 @@
       return "the connection broke before the response was complete";
     case HttpCallEnd::kTimedOut:
       return "no complete response within " +
-             std::to_string(ToMilliseconds(kFetchTimeout)) + " ms";
+             std::to_string(ToMilliseconds(limit)) + " ms";
   }
   return {};
 }
 
 }  // namespace
 
-Result<std::string> FetchAdminPage(const Address& server,
-                                   const std::string& path) {
-  EventLoop loop;
+Result<std::string> FetchAdminPage(EventLoop& loop,
+                                   const Address& server,
+                                   const std::string& path,
+                                   Duration limit) {
   const std::unique_ptr<HttpClient> client = HttpClient::Create(loop);
-  HttpCallEnd end = HttpCallEnd::kBroken;
+  std::optional<HttpCallEnd> end;
   HttpResponse response;
-  const HttpRequest request{"GET", path, {}, {}};
-  client->Fetch(server, request, loop.Now() + kFetchTimeout,
+  client->Fetch(server, {"GET", path, {}, {}}, loop.Now() + limit,
                 [&](HttpCallEnd call_end, HttpResponse call_response) {
                   end = call_end;
                   response = std::move(call_response);
-                  loop.Stop();
                 });
-  loop.Run();
-  if (end != HttpCallEnd::kComplete) {
-    return MakeError(ErrorCode::kUnavailable,
-                     FormatAddress(server) + ": " + DescribeFailure(end));
+  while (!end) {
+    loop.RunOnce(limit);
   }
-  if (response.status != 200) {
+  if (*end != HttpCallEnd::kComplete) {
+    return MakeError(ErrorCode::kUnavailable, FormatAddress(server) + ": " +
+                                                  DescribeFailure(*end, limit));
+  }
+  if (response.status != kHttpOk) {
     return MakeError(ErrorCode::kNotFound, FormatAddress(server) + path +
-                                               " answered " +
+                                               " responded with status " +
                                                std::to_string(response.status) +
                                                ": " + response.body);
   }
--- a/src/programs/amaranthctl/commands.cc
+++ b/src/programs/amaranthctl/commands.cc
@@ -1,12 +1,15 @@
 #include "src/programs/amaranthctl/commands.h"
 
+#include <algorithm>
 #include <optional>
 #include <ostream>
 
 #include <boost/program_options.hpp>
 
+#include "amaranthcove/base/address.h"
 #include "amaranthcove/base/file.h"
 #include "amaranthcove/service_document/service_document.h"
+#include "src/programs/amaranthctl/admin_client.h"
 
 namespace amaranthcove {
 namespace {
@@ -19,8 +22,14 @@
     "Commands:\n"
     "  check DOCUMENT   report every error of a service document\n"
     "  diff OLD NEW     describe what an edit of a service document changes\n"
+    "  dump ADDRESS     print the state of the process whose admin port is at\n"
+    "                   ADDRESS, as JSON\n"
+    "  explain ADDRESS REQUEST-ID\n"
+    "                   print where a recent request went and why, as JSON;\n"
+    "                   ADDRESS is the admin port of the entry that served it\n"
     "\n"
-    "Exit code: 0 fine, 1 a document is refused, 2 wrong usage.\n"
+    "Exit code: 0 fine; 1 a document is refused, the process did not respond\n"
+    "within 5 s or does not know the request; 2 wrong usage.\n"
     "\n";
 
 struct Arguments {
@@ -111,7 +120,49 @@
   return kExitFine;
 }
 
+// Prints the admin page at `path` of the process at `address`.
+int PrintAdminPage(const std::string& address,
+                   const std::string& path,
+                   EventLoop& loop,
+                   std::ostream& out,
+                   std::ostream& err) {
+  const Result<Address> server = ParseAddress(address);
+  if (!server || server->port == 0) {
+    return UsageError(err, "\"" + address + "\" is not A.B.C.D:PORT");
+  }
+  const Result<std::string> page = FetchAdminPage(loop, *server, path);
+  if (!page) {
+    err << "amaranthctl: " << page.error().message << "\n";
+    return kExitRefused;
+  }
+  out << *page;
+  return kExitFine;
+}
+
+// Request ids consist of an instance name and numbers, so they need no
+// encoding in a path.
+bool IsRequestId(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+  });
+}
+
+int Explain(const std::vector<std::string>& words,
+            EventLoop& loop,
+            std::ostream& out,
+            std::ostream& err) {
+  if (words.size() != 3) {
+    return UsageError(err, "explain takes ADDRESS and REQUEST-ID");
+  }
+  if (!IsRequestId(words[2])) {
+    return UsageError(err, "\"" + words[2] + "\" is not a request id");
+  }
+  return PrintAdminPage(words[1], "/explain/" + words[2], loop, out, err);
+}
+
 int RunCommand(const std::vector<std::string>& words,
+               EventLoop& loop,
                std::ostream& out,
                std::ostream& err) {
   if (words.empty()) {
@@ -125,12 +176,20 @@
     return words.size() == 3 ? Diff(words[1], words[2], out, err)
                              : UsageError(err, "diff takes OLD and NEW");
   }
+  if (words[0] == "dump") {
+    return words.size() == 2 ? PrintAdminPage(words[1], "/dump", loop, out, err)
+                             : UsageError(err, "dump takes one ADDRESS");
+  }
+  if (words[0] == "explain") {
+    return Explain(words, loop, out, err);
+  }
   return UsageError(err, "unknown command \"" + words[0] + "\"");
 }
 
 }  // namespace
 
 int RunAmaranthctl(const std::vector<std::string>& arguments,
+                   EventLoop& loop,
                    std::ostream& out,
                    std::ostream& err) {
   Arguments parsed;
@@ -147,7 +206,7 @@
     out << "amaranthctl " << AMARANTHCOVE_VERSION << "\n";
     return kExitFine;
   }
-  return RunCommand(parsed.words, out, err);
+  return RunCommand(parsed.words, loop, out, err);
 }
 
 }  // namespace amaranthcove
--- a/src/programs/amaranthctl/commands.h
+++ b/src/programs/amaranthctl/commands.h
@@ -5,16 +5,21 @@
 #include <string>
 #include <vector>
 
+#include "amaranthcove/net/event_loop.h"
+
 namespace amaranthcove {
 
 // Exit codes of amaranthctl.
 inline constexpr int kExitFine = 0;
-inline constexpr int kExitRefused = 1;  // A document is invalid or unreadable.
+// A document is invalid or unreadable, or a process did not give the page.
+inline constexpr int kExitRefused = 1;
 inline constexpr int kExitUsage = 2;
 
 // Runs amaranthctl with `arguments` (without the program's name). Results go to
-// `out`, errors to `err`. Returns the exit code.
+// `out`, errors to `err`. Returns the exit code. Admin pages are fetched on
+// `loop`, for at most `kAdminFetchLimit`.
 int RunAmaranthctl(const std::vector<std::string>& arguments,
+                   EventLoop& loop,
                    std::ostream& out,
                    std::ostream& err);
 
--- a/src/programs/amaranthctl/commands_test.cc
+++ b/src/programs/amaranthctl/commands_test.cc
@@ -11,6 +11,7 @@
 
 TEST_GROUP(Amaranthctl) {
   std::string directory;
+  EventLoop loop;
   std::ostringstream out;
   std::ostringstream err;
 
@@ -35,7 +36,7 @@
   int Run(const std::vector<std::string>& arguments) {
     out.str("");
     err.str("");
-    return RunAmaranthctl(arguments, out, err);
+    return RunAmaranthctl(arguments, loop, out, err);
   }
 };
 
@@ -68,6 +69,12 @@
                                              {"check"},
                                              {"check", "a", "b"},
                                              {"diff", "a"},
+                                             {"dump"},
+                                             {"dump", "localhost:1"},
+                                             {"dump", "127.0.0.1:0"},
+                                             {"explain", "127.0.0.1:1"},
+                                             {"explain", "127.0.0.1:1", "a b"},
+                                             {"explain", "127.0.0.1:1", "../x"},
                                              {"other"},
                                              {"--other"}}) {
     CHECK_EQUAL(kExitUsage, Run(arguments));
--- a/src/programs/amaranthctl/main.cc
+++ b/src/programs/amaranthctl/main.cc
@@ -3,6 +3,7 @@
 #include "src/programs/amaranthctl/commands.h"
 
 int main(int argc, char** argv) {
-  return amaranthcove::RunAmaranthctl({argv + 1, argv + argc}, std::cout,
+  amaranthcove::EventLoop loop;
+  return amaranthcove::RunAmaranthctl({argv + 1, argv + argc}, loop, std::cout,
                                       std::cerr);
 }
