--- a/src/operations/operation_id.cc
+++ b/src/operations/operation_id.cc
@@ -18,24 +18,31 @@
 constexpr std::size_t kTagDigits = 16;
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr std::string_view kNameCharacters =
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
 
 bool ConsistsOf(std::string_view text, std::string_view characters) {
   return !text.empty() &&
          text.find_first_not_of(characters) == std::string_view::npos;
 }
 
-// Splits at every '.'; stops after one part too many.
+// Splits into version, instance, incarnation, sequence and tag; empty if there
+// are fewer parts. Only an instance name may contain dots.
 std::vector<std::string_view> Split(std::string_view text) {
-  std::vector<std::string_view> parts;
-  while (parts.size() <= kParts) {
-    const std::size_t dot = text.find('.');
-    parts.push_back(text.substr(0, dot));
+  std::vector<std::string_view> parts(kParts);
+  for (std::size_t i = kParts - 1; i >= 2; --i) {
+    const std::size_t dot = text.rfind('.');
     if (dot == std::string_view::npos) {
-      break;
+      return {};
     }
-    text.remove_prefix(dot + 1);
+    parts[i] = text.substr(dot + 1);
+    text = text.substr(0, dot);
   }
+  const std::size_t dot = text.find('.');
+  if (dot == std::string_view::npos) {
+    return {};
+  }
+  parts[0] = text.substr(0, dot);
+  parts[1] = text.substr(dot + 1);
   return parts;
 }
 
--- a/src/operations/operation_table_test.cc
+++ b/src/operations/operation_table_test.cc
@@ -143,6 +143,12 @@
 // could take for different operations.
 TEST(OperationTable, ParsesOnlyTheCanonicalText) {
   const std::string tag(16, 'a');
+  // Instance names may contain dots.
+  const auto dotted = ParseOperationId("op1.rack.1.7.9." + tag);
+  CHECK(dotted.has_value());
+  STRCMP_EQUAL("rack.1", dotted->instance.c_str());
+  STRCMP_EQUAL(("op1.rack.1.7.9." + tag).c_str(),
+               FormatOperationId(*dotted).c_str());
   const std::string text = "op1.s_1-a.7.9." + tag;
   STRCMP_EQUAL(text.c_str(),
                FormatOperationId(*ParseOperationId(text)).c_str());
