--- a/include/amaranthcove/wire/codec.h
+++ b/include/amaranthcove/wire/codec.h
@@ -40,9 +40,9 @@
   void Append(std::string_view bytes);
 
   // Takes the next payload out into `payload`; false if none is whole yet.
-  // Errors: kResourceExhausted if a length above `kMaxFrameBytes` is announced;
-  // the stream cannot be used any further then.
-  Result<bool> Next(std::string& payload);
+  // Errors: kResourceExhausted if a length above `limit` is announced; the
+  // stream cannot be used any further then.
+  Result<bool> Next(std::string& payload, std::size_t limit = kMaxFrameBytes);
 
  private:
   std::string buffer_;
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -118,6 +118,9 @@
           },
           [this](std::string_view bytes) { OnData(bytes); },
           [this] {
+            if (state_ == State::kHandshake) {
+              ++context_.counters.failed_handshakes;
+            }
             Close(state_ == State::kConnecting ? PeerCloseReason::kConnectFailed
                   : state_ == State::kHandshake
                       ? PeerCloseReason::kHandshakeFailed
@@ -184,7 +187,8 @@
   const std::shared_ptr<bool> alive = alive_;
   std::string payload;
   while (*alive && state_ != State::kClosed) {
-    const Result<bool> next = splitter_.Next(payload);
+    const Result<bool> next = splitter_.Next(
+        payload, ready() ? wire::kMaxFrameBytes : kMaxHandshakeFrameBytes);
     if (!next) {
       ++context_.counters.bad_frames;
       Close(PeerCloseReason::kBadFrame);
@@ -194,8 +198,7 @@
       return;
     }
     const Result<wire::Frame> frame = wire::DecodeFrame(payload);
-    const bool too_large = !ready() && payload.size() > kMaxHandshakeFrameBytes;
-    if (!frame || too_large) {
+    if (!frame) {
       ++context_.counters.bad_frames;
       Close(PeerCloseReason::kBadFrame);
       return;
--- a/src/peer/peer_connection_test.cc
+++ b/src/peer/peer_connection_test.cc
@@ -28,6 +28,27 @@
   return frame;
 }
 
+// An encoded `Hello` of a client.
+std::string Hello() {
+  wire::Frame frame;
+  frame.__set_hello(MakeHello("entry-1"));
+  return wire::EncodeFrame(frame).value();
+}
+
+// The last frame of `bytes`, with its length prefix.
+std::string LastFrameOf(std::string_view bytes) {
+  wire::FrameSplitter splitter;
+  splitter.Append(bytes);
+  std::string payload;
+  std::size_t last = 0;
+  std::size_t end = 0;
+  while (splitter.Next(payload).value_or(false)) {
+    last = end;
+    end += wire::kLengthBytes + payload.size();
+  }
+  return std::string(bytes.substr(last, end - last));
+}
+
 }  // namespace
 
 TEST_GROUP(PeerConnection) {
@@ -126,6 +147,92 @@
   CHECK(RunUntil([&] { return client->ready(); }));
 }
 
+// Guards against a stranger that makes the process keep a large frame before it
+// has proved anything.
+TEST(PeerConnection, RefusesLargeFramesBeforeHandshake) {
+  const auto stranger = ConnectRaw();
+  stranger->Write(std::string("\0\0\x20\0", 4));
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kBadFrame);
+  CHECK_EQUAL(1, server_.counters.bad_frames);
+}
+
+// Guards against a handshake that breaks off unseen.
+TEST(PeerConnection, CountsTruncatedHandshake) {
+  const std::string hello = Hello();
+  for (const std::size_t size : {std::size_t{0}, std::size_t{2}, std::size_t{9},
+                                 hello.size() - 1, hello.size()}) {
+    server_.counters = {};
+    accepted_closed_.reset();
+    bool connected = false;
+    auto stranger = TcpConnection::Connect(
+        loop_, listener_->local_address(),
+        {[&] { connected = true; }, [](std::string_view) {}, nullptr});
+    stranger->Write(hello.substr(0, size));
+    CHECK(RunUntil(
+        [&] { return connected && server_.counters.bytes_received == size; }));
+    stranger.reset();
+    CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+    CHECK(*accepted_closed_ == PeerCloseReason::kHandshakeFailed);
+    CHECK_EQUAL(1, server_.counters.failed_handshakes);
+  }
+}
+
+// Guards against a recorded handshake that is accepted a second time, and
+// against a proof that is sent again on the connection it belongs to.
+TEST(PeerConnection, RefusesReplayedProof) {
+  std::string recorded;
+  std::unique_ptr<TcpConnection> from_client;
+  std::unique_ptr<TcpConnection> to_server;
+  const auto relay = *TcpListener::Listen(
+      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> tcp) {
+        from_client = std::move(tcp);
+        to_server = TcpConnection::Connect(
+            loop_, listener_->local_address(),
+            {nullptr, [&](std::string_view b) { from_client->Write(b); }, {}});
+        from_client->Open({nullptr,
+                           [&](std::string_view bytes) {
+                             recorded += bytes;
+                             to_server->Write(bytes);
+                           },
+                           nullptr});
+      });
+  const auto client =
+      PeerConnection::Connect(client_, relay->local_address(), {});
+  CHECK(RunUntil([&] { return client->ready() && accepted_->ready(); }));
+  const std::string handshake = recorded;
+  to_server->Write(LastFrameOf(handshake));
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kBadFrame);
+  accepted_closed_.reset();
+  const auto stranger = ConnectRaw();
+  stranger->Write(handshake);
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kHandshakeFailed);
+  CHECK(received_.empty());
+}
+
+// Guards against frames of an authenticated peer that end the process: wrong
+// types, deep nesting, a huge announced container, random bytes.
+TEST(PeerConnection, BadFramesCloseTheConnection) {
+  const std::string nested(1 << 20, '\x1c');
+  const std::string huge_list = "\x19\xfc\xff\xff\xff\xff\x0f";
+  for (const std::string& payload :
+       {std::string("\x15\x02"), std::string("\xff\xff\xff"), nested, huge_list,
+        std::string("\x18\xff\xff\xff\xff\x07"), std::string()}) {
+    CHECK_TEXT(!wire::DecodeFrame(payload), payload.substr(0, 8).c_str());
+    CHECK_EQUAL(0, received_.size());
+  }
+  const auto stranger = ConnectRaw();
+  std::string frame("\0\0\x0f\xff", 4);
+  frame += std::string(0xfff, '\x1c');
+  stranger->Write(frame);
+  CHECK(RunUntil([&] { return accepted_closed_.has_value(); }));
+  CHECK(*accepted_closed_ == PeerCloseReason::kBadFrame);
+  const auto client = Connect();
+  CHECK(RunUntil([&] { return client->ready(); }));
+}
+
 // Guards against pending work on a connection that went silent for good: the
 // peer's process here accepts bytes and answers nothing more.
 TEST(PeerConnection, FindsSilence) {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -77,7 +77,7 @@
   buffer_.append(bytes);
 }
 
-Result<bool> FrameSplitter::Next(std::string& payload) {
+Result<bool> FrameSplitter::Next(std::string& payload, std::size_t limit) {
   if (buffer_.size() - consumed_ < kLengthBytes) {
     return false;
   }
@@ -85,10 +85,10 @@
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
     length = (length << 8) | static_cast<unsigned char>(buffer_[consumed_ + i]);
   }
-  if (length > kMaxFrameBytes) {
+  if (length > limit) {
     return MakeError(ErrorCode::kResourceExhausted,
                      "frame of " + std::to_string(length) +
-                         " bytes announced, " + std::to_string(kMaxFrameBytes) +
+                         " bytes announced, " + std::to_string(limit) +
                          " allowed");
   }
   if (buffer_.size() - consumed_ < kLengthBytes + length) {
