--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -2,6 +2,7 @@
 #define AMARANTHCOVE_NET_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -62,6 +63,15 @@
     std::size_t max_body_bytes = 4 << 20;
   };
 
+  // Counts since the start of what never reached the handler.
+  struct Counters {
+    // Requests with a body above the limit, or with malformed chunks.
+    std::uint64_t refused = 0;
+    // Connections that ended without one whole request: probes, truncated
+    // requests and bytes that are not HTTP.
+    std::uint64_t incomplete_connections = 0;
+  };
+
   // Listens on `address` and calls `handler` for each request.
   // Preconditions: `loop` outlives the server. Errors: kUnavailable if the
   // address cannot be bound.
@@ -75,6 +85,8 @@
   // The bound address, with the port that the system chose.
   virtual Address local_address() const = 0;
 
+  virtual Counters counters() const = 0;
+
   // Closes the listener. Requests in progress go on; connections are closed
   // after their current answer.
   virtual void StopAccepting() = 0;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -384,11 +385,18 @@
   stream->sent = true;
 }
 
-void SetUpErrorBody(h2o_filter_t* /*self*/,
+// Counts what h2o refuses itself.
+struct ErrorFilter {
+  h2o_filter_t super;
+  std::uint64_t* refused;
+};
+
+void SetUpErrorBody(h2o_filter_t* self,
                     h2o_req_t* request,
                     h2o_ostream_t** slot) {
   const int status = request->res.status;
   if (status == kBadRequest || status == kBodyTooLarge) {
+    ++*reinterpret_cast<ErrorFilter*>(self)->refused;
     request->res.content_length = ErrorBody(status).size();
     static constexpr std::string_view kJson = "application/json";
     h2o_set_header(&request->pool, &request->res.headers,
@@ -421,9 +429,10 @@
     h2o_hostconf_t* host = h2o_config_register_host(
         &config_, h2o_iovec_init(kHost.data(), kHost.size()), 65535);
     AddHandler(h2o_config_register_path(host, "/", 0));
-    h2o_filter_t* filter =
-        h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t));
-    filter->on_setup_ostream = &SetUpErrorBody;
+    auto* filter = reinterpret_cast<ErrorFilter*>(
+        h2o_create_filter(&host->fallback_path, sizeof(ErrorFilter)));
+    filter->super.on_setup_ostream = &SetUpErrorBody;
+    filter->refused = &counters_.refused;
     h2o_context_init(&context_, loop.native(), &config_);
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
@@ -445,7 +454,7 @@
       if (socket == nullptr) {
         return;
       }
-      connections_.insert(socket);
+      connections_.emplace(socket, false);
       auto* closed = new ClosedConnection{this, socket};
       socket->on_close.cb = &ServerCore::OnConnectionClosed;
       socket->on_close.data = closed;
@@ -453,6 +462,8 @@
     }
   }
 
+  const HttpServer::Counters& counters() const { return counters_; }
+
   // Closes connections after their current answers.
   void BeginClosing() {
     closing_ = true;
@@ -471,7 +482,7 @@
       exchange->DropCallback();
       exchange->Abort();
     }
-    for (h2o_socket_t* socket : connections_) {
+    for (const auto& [socket, has_requested] : connections_) {
       shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
     if (connections_.empty()) {
@@ -503,7 +514,11 @@
   static void OnConnectionClosed(void* data) {
     const std::unique_ptr<ClosedConnection> closed(
         static_cast<ClosedConnection*>(data));
-    closed->core->connections_.erase(closed->socket);
+    const auto connection = closed->core->connections_.find(closed->socket);
+    if (!connection->second) {
+      ++closed->core->counters_.incomplete_connections;
+    }
+    closed->core->connections_.erase(connection);
     closed->core->DeleteIfUnused();
   }
 
@@ -520,6 +535,8 @@
     auto exchange = std::make_shared<Exchange>(
         core->loop_, core->open_exchanges_, core->closing_);
     exchange->Attach(request);
+    core->connections_[request->conn->callbacks->get_socket(request->conn)] =
+        true;
     core->WatchCallers();
     HttpRequest copy = Copy(*request);
     // Called by the loop: h2o reads a pipelined request while it ends the
@@ -591,7 +608,9 @@
   h2o_globalconf_t config_ = {};
   h2o_context_t context_ = {};
   h2o_accept_ctx_t accept_ = {};
-  std::unordered_set<h2o_socket_t*> connections_;
+  // Whether a whole request has arrived on each open connection.
+  std::unordered_map<h2o_socket_t*, bool> connections_;
+  HttpServer::Counters counters_;
   std::unordered_set<Exchange*> open_exchanges_;
   TimerId check_timer_ = 0;
   bool closing_ = false;
@@ -619,6 +638,8 @@
 
   Address local_address() const override { return local_address_; }
 
+  Counters counters() const override { return core_->counters(); }
+
   void StopAccepting() override {
     if (listener_ == nullptr) {
       return;
