--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -3,6 +3,8 @@
 #include <string_view>
 #include <utility>
 
+#include "src/admin/exported_metrics.h"
+
 namespace amaranthcove {
 
 namespace {
@@ -20,35 +22,6 @@
   return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
 }
 
-// Sets the counter `amaranthcove_PREFIX_NAME` for each number.
-void ExportCounters(const nlohmann::json& counters, MetricsRegistry& registry) {
-  for (const auto& [name, value] : counters.items()) {
-    if (!value.is_number()) {
-      continue;
-    }
-    prometheus::Counter& counter = registry.Counter(
-        "amaranthcove_" + name + "_total", "See docs/operators.md.");
-    const double increase = value.get<double>() - counter.Value();
-    if (increase > 0) {
-      counter.Increment(increase);
-    }
-  }
-}
-
-// Finds the objects called "counters" at any depth.
-void ExportAll(const nlohmann::json& json, MetricsRegistry& registry) {
-  for (const auto& [name, value] : json.items()) {
-    if (!value.is_object()) {
-      continue;
-    }
-    if (name == "counters") {
-      ExportCounters(value, registry);
-    } else {
-      ExportAll(value, registry);
-    }
-  }
-}
-
 }  // namespace
 
 AdminServer::AdminServer(EventLoop& loop,
@@ -71,7 +44,7 @@
 }
 
 std::string AdminServer::RenderMetrics() {
-  ExportAll(source_.dump(), registry_);
+  ExportMetrics(source_.dump(), registry_);
   registry_.Gauge("amaranthcove_ready", "1 if the process takes work.")
       .Set(source_.ready() ? 1 : 0);
   return registry_.Serialize();
