entry: refuse paths that could leave their service and JSON that is too deep

Writing a deeply nested body recursed once for each level and could overflow the stack. A drain now also waits for operation ids that are being issued.

--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -76,7 +76,7 @@
  private:
   SidecarEvents MakeSidecarEvents();
   void OnRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder);
-  void OnModels(HttpResponder& responder) const;
+  void OnModels(HttpResponder& responder, const std::string& request_id) const;
   void OnIssueOperation(const HttpRequest& request,
                         std::unique_ptr<HttpResponder> responder,
                         const std::string& request_id);
@@ -112,6 +112,7 @@
   PlatformClient platform_;
   std::unique_ptr<HttpServer> server_;
   std::unordered_map<std::string, std::unique_ptr<Call>> calls_;
+  std::size_t issuing_ = 0;  // Operation ids that callers wait for.
   std::uint64_t next_request_ = 1;
   Time started_;
   bool leaving_ = false;
--- a/src/entry/call_plan.cc
+++ b/src/entry/call_plan.cc
@@ -28,6 +28,85 @@
       ApiError{status, std::move(code), std::move(message)});
 }
 
+// Parsing and writing JSON take memory and stack for each level; requests of
+// callers need few.
+constexpr int kMaxJsonDepth = 64;
+
+// `body` as JSON; not an object if it is malformed or nested too deep.
+Json ParseBody(const std::string& body) {
+  using Event = Json::parse_event_t;
+  bool too_deep = false;
+  const auto limit_depth = [&too_deep](int depth, Event event, const Json&) {
+    const bool begins =
+        event == Event::object_start || event == Event::array_start;
+    too_deep = too_deep || (begins && depth >= kMaxJsonDepth);
+    return !too_deep;
+  };
+  Json parsed = Json::parse(body, limit_depth, /*allow_exceptions=*/false);
+  if (too_deep) {
+    parsed = nullptr;
+  }
+  return parsed;
+}
+
+int HexValue(char c) {
+  if (c >= '0' && c <= '9') {
+    return c - '0';
+  }
+  if (c >= 'a' && c <= 'f') {
+    return c - 'a' + 10;
+  }
+  return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+}
+
+// `path` without percent-encoding; nothing if that is malformed or hides a
+// separator or a control character.
+std::optional<std::string> DecodePath(std::string_view path) {
+  std::string decoded;
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    char c = path[i];
+    if (c == '%') {
+      const int high = i + 2 < path.size() ? HexValue(path[i + 1]) : -1;
+      const int low = high >= 0 ? HexValue(path[i + 2]) : -1;
+      if (low < 0) {
+        return std::nullopt;
+      }
+      c = static_cast<char>(high * 16 + low);
+      if (c == '/') {
+        return std::nullopt;
+      }
+      i += 2;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x20 || byte == 0x7F || c == '\\') {
+      return std::nullopt;
+    }
+    decoded.push_back(c);
+  }
+  return decoded;
+}
+
+// Whether a server may resolve `path` (as sent, without query) only to itself.
+// Servers and file systems differ in how they treat "..", "%2e", "%2f", "\\"
+// and "..;parameter", so a path that has them could leave its service.
+bool IsPlainPath(std::string_view path) {
+  const std::optional<std::string> decoded = DecodePath(path);
+  if (!decoded || path.find('#') != std::string_view::npos) {
+    return false;
+  }
+  std::string_view rest = *decoded;
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('/'), rest.size());
+    const std::string_view segment = rest.substr(0, end);
+    const std::string_view name = segment.substr(0, segment.find(';'));
+    if (name == "." || name == "..") {
+      return false;
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return true;
+}
+
 // Sets deadline and urgency from the document's kind and the caller's headers.
 std::optional<ApiError> ApplyKind(const HttpRequest& request,
                                   const ServiceDocument& document,
@@ -69,9 +148,10 @@
   if (request.method != "POST") {
     return Refuse(405, "method_not_allowed", "Use POST.");
   }
-  Json body = Json::parse(request.body, nullptr, false);
+  Json body = ParseBody(request.body);
   if (!body.is_object()) {
-    return Refuse(kBadRequest, "bad_json", "The body is not a JSON object.");
+    return Refuse(kBadRequest, "bad_json",
+                  "The body is not a JSON object of at most 64 levels.");
   }
   const auto model = body.find("model");
   if (model == body.end() || !model->is_string()) {
@@ -117,6 +197,12 @@
 PlanResult PlanPlainCall(const HttpRequest& request,
                          const Catalogue& catalogue) {
   std::string_view rest = request.path;
+  if (!IsPlainPath(rest.substr(0, rest.find('?')))) {
+    return Refuse(kBadRequest, "bad_path",
+                  "The path has dot segments, a backslash, a fragment, control "
+                  "characters, or percent-encoding that is malformed or hides "
+                  "a slash.");
+  }
   rest.remove_prefix(kPlainPrefix.size());
   const std::size_t team_end = rest.find('/');
   const std::string_view team = rest.substr(0, team_end);
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -194,7 +194,7 @@
   ++counters_.received;
   const std::string request_id = NewRequestId();
   if (request.path == "/v1/models" && request.method == "GET") {
-    OnModels(*responder);
+    OnModels(*responder, request_id);
   } else if (request.path == "/v1/operations") {
     OnIssueOperation(request, std::move(responder), request_id);
   } else {
@@ -202,7 +202,8 @@
   }
 }
 
-void Entry::OnModels(HttpResponder& responder) const {
+void Entry::OnModels(HttpResponder& responder,
+                     const std::string& request_id) const {
   nlohmann::json data = nlohmann::json::array();
   const auto add = [&data](const std::string& team, const std::string& name) {
     std::string id = team;
@@ -221,7 +222,10 @@
     }
   }
   const nlohmann::json body = {{"object", "list"}, {"data", data}};
-  responder.Send({200, {{"Content-Type", "application/json"}}, body.dump()});
+  responder.Send(
+      {200,
+       {{"Content-Type", "application/json"}, {"X-Request-Id", request_id}},
+       body.dump()});
 }
 
 void Entry::OnIssueOperation(const HttpRequest& request,
@@ -232,11 +236,15 @@
     responder->Send(ErrorResponse({status, std::move(code), std::move(message)},
                                   request_id));
   };
+  if (request.method != "POST") {
+    refuse(405, "method_not_allowed", "Use POST.");
+    return;
+  }
   const nlohmann::json body =
       nlohmann::json::parse(request.body, nullptr, false);
-  const bool valid = request.method == "POST" && body.is_object() &&
-                     body.contains("team") && body["team"].is_string() &&
-                     body.contains("service") && body["service"].is_string();
+  const bool valid = body.is_object() && body.contains("team") &&
+                     body["team"].is_string() && body.contains("service") &&
+                     body["service"].is_string();
   if (!valid) {
     refuse(400, "bad_json", "POST a JSON object with `team` and `service`.");
     return;
@@ -252,23 +260,29 @@
            "No service document in force offers this service.");
     return;
   }
-  issuer_.Issue(plan, [responder =
-                           std::shared_ptr<HttpResponder>(std::move(responder)),
-                       request_id](const std::string& id) {
-    if (id.empty()) {
-      responder->Send(
-          ErrorResponse({503, "no_backend_server",
-                         "No backend server issued an operation id.",
-                         Outcome::kNotRun, std::chrono::seconds(1)},
-                        request_id));
-      return;
-    }
-    const nlohmann::json answer = {{"operation_id", id}};
-    responder->Send(
-        {200,
-         {{"Content-Type", "application/json"}, {"X-Request-Id", request_id}},
-         answer.dump()});
-  });
+  ++issuing_;
+  issuer_.Issue(
+      plan,
+      [this, responder = std::shared_ptr<HttpResponder>(std::move(responder)),
+       request_id](const std::string& id) {
+        --issuing_;
+        CheckDrained();
+        if (id.empty()) {
+          ++counters_.failed_not_run;
+          responder->Send(
+              ErrorResponse({503, "no_backend_server",
+                             "No backend server issued an operation id.",
+                             Outcome::kNotRun, std::chrono::seconds(1)},
+                            request_id));
+          return;
+        }
+        ++counters_.completed;
+        const nlohmann::json answer = {{"operation_id", id}};
+        responder->Send({200,
+                         {{"Content-Type", "application/json"},
+                          {"X-Request-Id", request_id}},
+                         answer.dump()});
+      });
 }
 
 void Entry::StartCall(HttpRequest request,
@@ -365,7 +379,7 @@
 }
 
 void Entry::CheckDrained() {
-  if (!accepting_ && calls_.empty() && on_drained_) {
+  if (!accepting_ && calls_.empty() && issuing_ == 0 && on_drained_) {
     // Later, so that the last answers leave first and the caller may be a call.
     context_.loop.RunAfter(std::chrono::milliseconds(50),
                            std::exchange(on_drained_, nullptr));
@@ -393,6 +407,8 @@
                        {"failures", instance.health.consecutive_failures}};
   }
   const PlatformClient::Counters& platform = platform_.counters();
+  const HttpServer::Counters http =
+      server_ == nullptr ? HttpServer::Counters() : server_->counters();
   return {{"role", "entry"},
           {"instance", context_.self.instance},
           {"incarnation", context_.self.incarnation},
@@ -408,6 +424,8 @@
           {"suspects", suspects_.size()},
           {"counters",
            {{"received", counters_.received},
+            {"http_refused", http.refused},
+            {"http_incomplete", http.incomplete_connections},
             {"refused_early", counters_.refused_early},
             {"completed", counters_.completed},
             {"failed_not_run", counters_.failed_not_run},
@@ -438,6 +456,8 @@
             {"mesh_bytes_received", mesh_context_.counters.bytes_received},
             {"bad_frames",
              context_.counters.bad_frames + mesh_context_.counters.bad_frames},
+            {"unknown_frames", context_.counters.unknown_frames +
+                                   mesh_context_.counters.unknown_frames},
             {"failed_handshakes", context_.counters.failed_handshakes +
                                       mesh_context_.counters.failed_handshakes},
             {"silent_connections",
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -536,6 +536,7 @@
             {"bytes_sent", context_.counters.bytes_sent},
             {"bytes_received", context_.counters.bytes_received},
             {"bad_frames", context_.counters.bad_frames},
+            {"unknown_frames", context_.counters.unknown_frames},
             {"failed_handshakes", context_.counters.failed_handshakes}}}};
 }
 
