--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -27,6 +27,9 @@
 
 constexpr int kHttpOk = 200;
 
+// Code of a generation whose request was never sent.
+constexpr std::string_view kEngineUnreachable = "engine_unreachable";
+
 std::int64_t InitialFence() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count()
@@ -107,16 +110,39 @@
                          OnState(state);
                        });
   }
-  poll_timer_ = loop_.RunAfter(settings_.poll_interval, [this] {
-    poll_timer_ = 0;
-    Poll();
-  });
+  poll_timer_ = loop_.RunAfter(reachable_ ? settings_.poll_interval
+                                          : settings_.unreachable_poll_interval,
+                               [this] {
+                                 poll_timer_ = 0;
+                                 Poll();
+                               });
+}
+
+void EngineBackend::OnUnreachable() {
+  if (reachable_) {
+    reachable_ = false;
+    unreachable_since_ = loop_.Now();
+  }
+  if (loop_.Now() - unreachable_since_ > settings_.unreachable_limit) {
+    RefuseQueue({"backend_not_ready", "The engine does not answer.",
+                 kUnreadyRetryAfter});
+  }
+}
+
+void EngineBackend::RefuseQueue(const WorkRefusal& refusal) {
+  std::list<Queued> refused;
+  refused.swap(queue_);
+  for (const Queued& queued : refused) {
+    Refuse(queued.work, refusal);
+  }
 }
 
 void EngineBackend::OnState(const Result<EngineState>& state) {
   if (!state || state->base_model != settings_.base_model) {
+    OnUnreachable();
     return;
   }
+  reachable_ = true;
   if (boot_id_.empty()) {
     OnFirstState(*state);
   } else if (state->boot_id != boot_id_) {
@@ -174,8 +200,12 @@
     return;
   }
   const wire::Submit& request = work.request;
-  const SuspectJudgement judgement =
-      suspects_.Judge(static_cast<Fingerprint>(request.fingerprint), now);
+  const auto fingerprint = static_cast<Fingerprint>(request.fingerprint);
+  if (request.run_alone) {
+    // The entry knows of a crash elsewhere that was not reported here.
+    suspects_.Merge({fingerprint, 1, false, SuspectLimits().max_age}, now);
+  }
+  const SuspectJudgement judgement = suspects_.Judge(fingerprint, now);
   if (judgement.decision == SuspectDecision::kRefused) {
     Refuse(work,
            {"crashes_server",
@@ -432,10 +462,15 @@
   if (result.status == LoadStatus::kStoreBusy) {
     ++counters_.store_busy;
     load_budget_.OnRefused(result.retry_after, now, random_);
-  } else if (result.status == LoadStatus::kStaleFence) {
+  } else if (result.status == LoadStatus::kStaleFence &&
+             result.fence > fence_) {
     ++counters_.stale_fences;
     superseded_ = true;
     observer_.OnSuperseded();
+  } else if (result.status == LoadStatus::kStaleFence) {
+    // A later command of this incarnation overtook this one on another
+    // connection. The engine has not loaded anything.
+    ++counters_.overtaken_loads;
   } else {
     ++counters_.load_failures;
     load_budget_.OnLoaded(now - began, now);
@@ -494,6 +529,10 @@
   } else {
     FinishRunning(running, result);
   }
+  if (result.end == GenerationEnd::kEngineRestart ||
+      result.code == kEngineUnreachable) {
+    OnUnreachable();
+  }
   if (result.end != GenerationEnd::kWhole) {
     Poll();
   }
@@ -537,7 +576,7 @@
     slots_[running.slot].model.clear();
   }
   Queued request = std::move(running.request);
-  if (++request.start_refusals >= settings_.max_start_refusals) {
+  if (code != kEngineUnreachable && ++request.start_refusals >= settings_.max_start_refusals) {
     Refuse(request.work,
            {"engine_refused", "The engine refused to start it: " + code + ".",
             policy::RetryAfter(std::chrono::seconds(1), random_)});
@@ -647,6 +686,7 @@
             {"slot_mismatches", counters_.slot_mismatches},
             {"engine_restarts", counters_.engine_restarts},
             {"stale_fences", counters_.stale_fences},
+            {"overtaken_loads", counters_.overtaken_loads},
             {"urgent_stall_s", counters_.urgent_stall_s},
             {"patient_stall_s", counters_.patient_stall_s}}}};
 }
