entry: find silent connections to sidecars that are being replaced

Their connections to the old process ran through a relay that had gone silent, so the probe that waits for the new incarnation's Hello found a connection and opened no other.

--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -124,7 +124,8 @@
   // The notice is lost if the connection fails; the caller tries again.
   void NotifyLeaving(const std::string& instance, const Address& address);
 
-  // Connects to `instance` if it is not connected, to hear its `Hello`.
+  // Connects to `instance` if it is not connected, to hear its `Hello`, and
+  // makes sure that an existing connection is not a silent one.
   void Probe(const std::string& instance, const Address& address);
 
   // Whether there is a connection to `instance` over which frames can be sent.
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -513,7 +513,12 @@
 }
 
 void SidecarLinks::Probe(const std::string& instance, const Address& address) {
-  UseLink(instance, address);
+  const Link& link = UseLink(instance, address);
+  if (link.connection != nullptr && link.connection->ready()) {
+    // The connection may be a silent one to a process that is gone; heartbeats
+    // find that and the next probe connects again.
+    link.connection->SetBusy(true);
+  }
 }
 
 bool SidecarLinks::connected(const std::string& instance) const {
