membership: connect to a replaced instance where the list says it is

Entries had replaced the listed address by the one its first process said in its Hello, and an equal list entry did not undo that, so they kept trying the address of the dead process. After Leaving or a failed connection the listed address is used again.

--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -23,6 +23,14 @@
              : ServiceKey(offer.team, offer.service);
 }
 
+// What an instance said of its address ends with its process; a successor is
+// where the list says.
+void UseListedAddress(Instance& instance) {
+  if (instance.list_revision > 0) {
+    instance.record.address = instance.listed.address;
+  }
+}
+
 void ReplaceIncarnation(Instance& instance, Incarnation incarnation) {
   if (instance.incarnation != 0) {
     instance.past_incarnations.push_back(instance.incarnation);
@@ -150,6 +158,7 @@
     return;
   }
   found->said_leaving = true;
+  UseListedAddress(*found);
   if (found->live()) {
     found->record.state = InstanceState::kLeaving;
   }
@@ -159,6 +168,7 @@
 void InstanceDirectory::OnConnectFailed(std::string_view instance, Time now) {
   if (Instance* found = FindMutable(instance)) {
     RecordFailure(found->health, now);
+    UseListedAddress(*found);
   }
 }
 
--- a/testing/integration/fleet_fixture.cc
+++ b/testing/integration/fleet_fixture.cc
@@ -130,7 +130,8 @@
     const std::string& instance,
     const wire::Backend& offer,
     const std::function<std::unique_ptr<Backend>(SidecarNode&, WorkObserver&)>&
-        make) {
+        make,
+    bool listed) {
   sidecars_.push_back(std::make_unique<SidecarNode>());
   SidecarNode& node = *sidecars_.back();
   node.instance = instance;
@@ -143,18 +144,22 @@
       *node.context, options,
       [&](WorkObserver& observer) { return make(node, observer); });
   node.sidecar->Start();
-  List(node);
+  if (listed) {
+    List(node);
+  }
   return node;
 }
 
 FleetFixture::SidecarNode& FleetFixture::AddEngineSidecar(
     const std::string& instance,
-    const Address& engine) {
+    const Address& engine,
+    bool listed) {
   wire::Backend offer;
   offer.kind = "engine";
   offer.base_model = "base-1";
   return AddSidecar(
-      instance, offer, [&](SidecarNode& node, WorkObserver& observer) {
+      instance, offer,
+      [&](SidecarNode& node, WorkObserver& observer) {
         EngineBackendSettings settings;
         settings.engine = engine;
         settings.base_model = "base-1";
@@ -164,7 +169,8 @@
         return std::make_unique<EngineBackend>(loop_, *node.http, observer,
                                                settings,
                                                node.context->self.incarnation);
-      });
+      },
+      listed);
 }
 
 FleetFixture::SidecarNode& FleetFixture::AddPlainSidecar(
@@ -175,7 +181,8 @@
   offer.team = "atelier";
   offer.service_name = "booking";
   return AddSidecar(
-      instance, offer, [&](SidecarNode& node, WorkObserver& observer) {
+      instance, offer,
+      [&](SidecarNode& node, WorkObserver& observer) {
         PlainBackendSettings settings;
         settings.server = server;
         settings.instance = instance;
@@ -184,7 +191,8 @@
         return std::make_unique<PlainBackend>(loop_, *node.http, observer,
                                               settings,
                                               node.context->self.incarnation);
-      });
+      },
+      true);
 }
 
 void FleetFixture::List(const SidecarNode& node,
--- a/testing/integration/fleet_fixture.h
+++ b/testing/integration/fleet_fixture.h
@@ -85,12 +85,13 @@
   Server& AddEngine(const standins::EngineSettings& settings = {});
   Server& AddPlainService(const standins::PlainServiceSettings& settings = {});
 
-  // Processes of the system. A sidecar is put on the instance list; `address`
-  // overrides the one that is listed, for example with a relay's.
+  // Processes of the system. A sidecar is put on the instance list unless
+  // `listed` is false.
   EntryNode& AddEntry(const std::string& instance,
                       const std::vector<Address>& platforms = {});
   SidecarNode& AddEngineSidecar(const std::string& instance,
-                                const Address& engine);
+                                const Address& engine,
+                                bool listed = true);
   SidecarNode& AddPlainSidecar(const std::string& instance,
                                const Address& server);
 
@@ -144,7 +145,8 @@
       const std::string& instance,
       const wire::Backend& offer,
       const std::function<std::unique_ptr<Backend>(SidecarNode&,
-                                                   WorkObserver&)>& make);
+                                                   WorkObserver&)>& make,
+      bool listed);
 
   EventLoop loop_;
   std::unique_ptr<HttpClient> http_;
