Resume a request without stream as one JSON answer in the engine stand-in

The sidecar resumes them after 1.5 s without a byte; the stand-in answered that with events, while section 10.1 of the design says one JSON answer.

--- a/testing/standins/standins_test.cc
+++ b/testing/standins/standins_test.cc
@@ -138,6 +138,26 @@
   CHECK(rest.response.body.starts_with("id: 19\n"));
 }
 
+// Guards against an engine that resumes a request without `stream` as events,
+// which a sidecar must take for a wrong answer.
+TEST(StandIns, EngineResumesWholeAnswers) {
+  ServeEngine();
+  LoadModel();
+  const auto first = Begin(Completion("a", false));
+  const Answer resumed = [this] {
+    for (;;) {
+      Answer answer = Get("/v1/streams/sa?from=0");
+      if (answer.response.status != 404) {
+        return answer;
+      }
+    }
+  }();
+  CHECK(resumed.body["choices"][0]["text"] == ExpectedAnswer(kModel, "a", 20));
+  const Answer again = Get("/v1/streams/sa?from=0");
+  CHECK(resumed.body == again.body);
+  RunUntil([&first] { return first->has_value(); });
+}
+
 // Guards against an engine that accepts commands and requests it must refuse.
 TEST(StandIns, EngineRefusesStaleNumbers) {
   ServeEngine();
