--- a/testing/history/faults.py
+++ b/testing/history/faults.py
@@ -273,6 +273,9 @@
     def _graceful(self, fault):
         world = self._world
         event = Event(fault, time.monotonic())
+        # An idle connection may be found silent long after its fault.
+        world.end_silent_connections()
+        self._last_end = time.monotonic()
         if not world.poll(world.settled, 15.0):
             self.problems.append(f"not settled before {fault}: {world.unsettled()}")
             return
--- a/testing/history/history_check.py
+++ b/testing/history/history_check.py
@@ -249,6 +249,12 @@
     def settled(self):
         return not self.unsettled()
 
+    def end_silent_connections(self):
+        for relay in list(self.fleet.peer_relays.values()):
+            relay.end_silent()
+        for slot in self.slots:
+            slot.backend_relay.end_silent()
+
     def undo_faults(self):
         for relay in list(self.fleet.peer_relays.values()):
             relay.restore()
--- a/testing/history/relay.py
+++ b/testing/history/relay.py
@@ -104,6 +104,16 @@
 
         self._call(apply)
 
+    def end_silent(self):
+        """Closes connections that would stay silent for ever."""
+
+        def apply():
+            for connection in list(self._connections):
+                if connection.dropped:
+                    connection.close()
+
+        self._call(apply)
+
     def restore(self):
         """Lets new connections work again; silent ones stay silent."""
 
