--- a/testing/history/history_check.py
+++ b/testing/history/history_check.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -498,7 +499,7 @@
         folder = tempfile.mkdtemp(prefix=f"history-{seed}-")
         run = Run(build, folder, seed, options.minutes * 60)
         found = run.execute()
-        print(f"run {index}: seed {seed}, logs {folder}")
+        print(f"run {index}: seed {seed}, logs (kept after a violation) {folder}")
         print(json.dumps(run.summary))
         for name, items in found.items():
             totals["failed" if items else "passed"] += 1
@@ -510,6 +511,8 @@
         totals["calls"] += run.summary["calls"]
         totals["violations"] += sum(len(items) for items in found.values())
         sys.stdout.flush()
+        if not any(found.values()):
+            shutil.rmtree(folder)
     print(
         f"runs {totals['runs']}, faults {totals['faults']}, calls {totals['calls']}, "
         f"violations {totals['violations']}"
