--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -261,6 +261,10 @@
     if (is_head_method_) {
       pending_.clear();
     }
+    if (aborted_ && pending_.empty()) {
+      SendError();
+      return;
+    }
     if (pending_.empty() && !ended_ && head_flushed_) {
       return;
     }
--- a/testing/history/history_check.py
+++ b/testing/history/history_check.py
@@ -8,6 +8,8 @@
 import dataclasses
 import json
 import pathlib
+import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -248,6 +250,12 @@
     def settled(self):
         return not self.unsettled()
 
+    def end_silent_connections(self):
+        for relay in list(self.fleet.peer_relays.values()):
+            relay.end_silent()
+        for slot in self.slots:
+            slot.backend_relay.end_silent()
+
     def undo_faults(self):
         for relay in list(self.fleet.peer_relays.values()):
             relay.restore()
@@ -481,6 +489,8 @@
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--build", default=None)
     options = parser.parse_args()
+    # All processes of the fleet are ended on SIGTERM, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     root = HERE.parent.parent
     build = options.build or root / "build" / "sanitize"
     totals = collections.Counter()
@@ -489,7 +499,7 @@
         folder = tempfile.mkdtemp(prefix=f"history-{seed}-")
         run = Run(build, folder, seed, options.minutes * 60)
         found = run.execute()
-        print(f"run {index}: seed {seed}, logs {folder}")
+        print(f"run {index}: seed {seed}, logs (kept after a violation) {folder}")
         print(json.dumps(run.summary))
         for name, items in found.items():
             totals["failed" if items else "passed"] += 1
@@ -501,6 +511,8 @@
         totals["calls"] += run.summary["calls"]
         totals["violations"] += sum(len(items) for items in found.values())
         sys.stdout.flush()
+        if not any(found.values()):
+            shutil.rmtree(folder)
     print(
         f"runs {totals['runs']}, faults {totals['faults']}, calls {totals['calls']}, "
         f"violations {totals['violations']}"
