base: parse JSON from outside in linear time and bounded depth

A parser callback that limits the depth makes nlohmann-json search all earlier siblings at the end of each object; a body of 2 MiB of small objects could stop an entry for minutes.

--- /dev/null
+++ b/src/base/json.cc
@@ -0,0 +1,45 @@
+#include "amaranthcove/base/json.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// Whether brackets outside of strings are nested deeper than `limit`. For
+// malformed text this holds up to the first error, where the parser stops.
+bool IsNestedDeeperThan(int limit, std::string_view text) {
+  int level = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') {
+        ++i;
+      } else if (c == '"') {
+        in_string = false;
+      }
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++level > limit) {
+        return true;
+      }
+    } else if (c == ']' || c == '}') {
+      --level;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+nlohmann::json ParseJson(std::string_view text) {
+  // The levels are counted beforehand: a parser callback that limits them makes
+  // nlohmann-json search all earlier siblings at the end of each object, which
+  // takes quadratic time.
+  if (IsNestedDeeperThan(kMaxJsonLevels, text)) {
+    return nlohmann::json(nlohmann::json::value_t::discarded);
+  }
+  return nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+}
+
+}  // namespace amaranthcove
--- a/src/entry/call_plan.cc
+++ b/src/entry/call_plan.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "amaranthcove/base/json.h"
 #include "amaranthcove/operations/operation_id.h"
 #include "amaranthcove/suspects/fingerprint.h"
 
@@ -28,27 +29,6 @@
       ApiError{status, std::move(code), std::move(message)});
 }
 
-// Parsing and writing JSON take memory and stack for each level; requests of
-// callers need few.
-constexpr int kMaxJsonDepth = 64;
-
-// `body` as JSON; not an object if it is malformed or nested too deep.
-Json ParseBody(const std::string& body) {
-  using Event = Json::parse_event_t;
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep](int depth, Event event, const Json&) {
-    const bool begins =
-        event == Event::object_start || event == Event::array_start;
-    too_deep = too_deep || (begins && depth >= kMaxJsonDepth);
-    return !too_deep;
-  };
-  Json parsed = Json::parse(body, limit_depth, /*allow_exceptions=*/false);
-  if (too_deep) {
-    parsed = nullptr;
-  }
-  return parsed;
-}
-
 int HexValue(char c) {
   if (c >= '0' && c <= '9') {
     return c - '0';
@@ -148,7 +128,7 @@
   if (request.method != "POST") {
     return Refuse(405, "method_not_allowed", "Use POST.");
   }
-  Json body = ParseBody(request.body);
+  Json body = ParseJson(request.body);
   if (!body.is_object()) {
     return Refuse(kBadRequest, "bad_json",
                   "The body is not a JSON object of at most 64 levels.");
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "amaranthcove/base/json.h"
 #include "amaranthcove/log/log.h"
 #include "amaranthcove/membership/peer_graph.h"
 #include "amaranthcove/wire/suspect_codec.h"
@@ -252,8 +253,7 @@
     refuse(405, "method_not_allowed", "Use POST.");
     return;
   }
-  const nlohmann::json body =
-      nlohmann::json::parse(request.body, nullptr, false);
+  const nlohmann::json body = ParseJson(request.body);
   const bool valid = body.is_object() && body.contains("team") &&
                      body["team"].is_string() && body.contains("service") &&
                      body["service"].is_string();
--- a/src/suspects/fingerprint.cc
+++ b/src/suspects/fingerprint.cc
@@ -5,29 +5,19 @@
 #include <nlohmann/json.hpp>
 
 #include "amaranthcove/base/hash.h"
+#include "amaranthcove/base/json.h"
 
 namespace amaranthcove {
 
 namespace {
 
-// Serialising recurses once for each level; a body of 4 MiB could have millions
-// of levels and overflow the stack.
-constexpr int kMaxDepth = 64;
-
 constexpr const char* kIgnoredFields[] = {
     "model",       "stream", "user", "id", "request_id", "client_request_id",
     "x_request_id"};
 
 std::string Normalise(std::string_view body) {
-  using Json = nlohmann::json;
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep](int depth, Json::parse_event_t,
-                                       const Json&) {
-    too_deep = too_deep || depth > kMaxDepth;
-    return !too_deep;
-  };
-  Json parsed = Json::parse(body, limit_depth, /*allow_exceptions=*/false);
-  if (too_deep || parsed.is_discarded()) {
+  nlohmann::json parsed = ParseJson(body);
+  if (parsed.is_discarded()) {
     return std::string(body);
   }
   if (parsed.is_object()) {
