--- a/include/amaranthcove/sidecar/sidecar.h
+++ b/include/amaranthcove/sidecar/sidecar.h
@@ -125,6 +125,13 @@
   void OnLinkClosed(Link* link);
   void OnFrame(Link& link, const wire::Frame& frame);
   void OnSubmit(Link& link, const wire::Submit& submit);
+  // Whether the request is for the service or engine beside this sidecar. An
+  // operation id alone does not show it: a caller may send any id to any path.
+  bool Offers(const wire::Submit& submit) const;
+
+  // Answers a request that this sidecar does not offer. An operation id of an
+  // earlier incarnation, which may have offered it, is answered as unknown.
+  void RefuseOtherService(Link& link, const wire::Submit& submit);
   bool CheckDocument(Link& link, const wire::Submit& submit);
   void OnResume(Link& link, const wire::Resume& resume);
   void OnCancel(Link& link, const wire::Cancel& cancel);
@@ -135,7 +142,7 @@
   void SendRefused(Link& link,
                    const AttemptId& attempt,
                    const WorkRefusal& refusal);
-  void SendLost(Link& link, const AttemptId& attempt);
+  void SendLost(Link& link, const AttemptId& attempt, std::string_view code);
   void Conclude(const AttemptId& attempt, Outcome outcome);
   void SendChunk(const AttemptId& attempt,
                  const Answer& answer,
--- a/src/entry/api_error.cc
+++ b/src/entry/api_error.cc
@@ -34,6 +34,7 @@
     CodeInfo{"answer_lost", 502, true},
     CodeInfo{"sidecar_lost", 502, true},
     CodeInfo{"wrong_answer", 502, true},
+    CodeInfo{"wrong_service", 409, true},
     CodeInfo{"deadline_too_short", 503, false},
     CodeInfo{"deadline_exceeded", 504, false},
     CodeInfo{"crashes_server", 422, false},
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -118,7 +118,7 @@
   // only for that process's address.
   const auto id = ParseOperationId(plan_.operation_id);
   const Instance* instance = context_.directory.Find(id->instance);
-  if (instance == nullptr) {
+  if (instance == nullptr || instance->record.role != InstanceRole::kSidecar) {
     Fail({409, "operation_lost",
           "The process that keeps the operation is not known here.",
           Outcome::kUnknown});
@@ -281,9 +281,10 @@
 
 bool Call::IsNotRunProof(std::string_view code) const {
   // Another entry may have sent the same operation, so only its sidecar can
-  // say that it has not run.
+  // say that it has not run. A call for another service never runs under the
+  // id, whichever entry sends it.
   return plan_.kind != CallKind::kOperation || code == "operation_retired" ||
-         code == "operation_unknown";
+         code == "operation_unknown" || code == "wrong_service";
 }
 
 bool Call::MayRetry(std::string_view code) const {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "amaranthcove/operations/operation_id.h"
 #include "amaranthcove/service_document/document_validator.h"
 
 namespace amaranthcove {
@@ -125,11 +126,16 @@
       SendRefused(link, attempt,
                   {"attempt_over", "The attempt is over.", Duration(0)});
     } else {
-      SendLost(link, attempt);
+      SendLost(link, attempt, "answer_lost");
     }
     return;
   }
   ++counters_.submitted;
+  if (!Offers(submit)) {
+    attempts_.Refuse(attempt, now);
+    RefuseOtherService(link, submit);
+    return;
+  }
   if (submit.operation_id.empty() && !CheckDocument(link, submit)) {
     attempts_.Refuse(attempt, now);
     SendRefused(link, attempt,
@@ -150,6 +156,29 @@
   }
 }
 
+bool Sidecar::Offers(const wire::Submit& submit) const {
+  const wire::Backend& offer = context_.self.backend;
+  if (offer.kind == "plain") {
+    return submit.team == offer.team &&
+           submit.service_name == offer.service_name;
+  }
+  return submit.operation_id.empty() && submit.service_name.empty();
+}
+
+void Sidecar::RefuseOtherService(Link& link, const wire::Submit& submit) {
+  const AttemptId attempt = wire::FromWire(submit.attempt);
+  const Result<OperationId> id = ParseOperationId(submit.operation_id);
+  if (id && id->incarnation != context_.self.incarnation) {
+    SendLost(link, attempt, "operation_lost");
+    return;
+  }
+  SendRefused(link, attempt,
+              {"wrong_service",
+               "The backend server, or the operation id, belongs to another "
+               "service.",
+               Duration(0)});
+}
+
 bool Sidecar::CheckDocument(Link& link, const wire::Submit& submit) {
   const DocumentState* known = documents_.Find(submit.team);
   const std::int64_t in_force = known == nullptr ? 0 : known->in_force.revision;
@@ -196,7 +225,7 @@
       SendRefused(link, attempt,
                   {"not_received", "The request did not arrive.", Duration(0)});
     } else {
-      SendLost(link, attempt);
+      SendLost(link, attempt, "answer_lost");
     }
     return;
   }
@@ -389,10 +418,12 @@
   link.connection->Send(frame);
 }
 
-void Sidecar::SendLost(Link& link, const AttemptId& attempt) {
+void Sidecar::SendLost(Link& link,
+                       const AttemptId& attempt,
+                       std::string_view code) {
   wire::AnswerEnd end;
   end.attempt = wire::ToWire(attempt);
-  end.error_code = "answer_lost";
+  end.error_code = code;
   end.message = "The answer is no longer available.";
   end.outcome = std::string(OutcomeName(Outcome::kUnknown));
   end.report = Report("");
--- a/testing/integration/bad_input_test.cc
+++ b/testing/integration/bad_input_test.cc
@@ -179,6 +179,20 @@
   CheckServes();
 }
 
+// Guards against a body whose parsing takes quadratic time, which stops the
+// entry for minutes. The test's bound decides only if that happens.
+TEST(BadInput, ManySmallObjects) {
+  std::string body = R"({"model":"atelier/silk","max_tokens":1,"messages":[{})";
+  for (int i = 0; i < 100000; ++i) {
+    body += ",{}";
+  }
+  body += "]}";
+  const PendingCall call =
+      fleet_.Call(entry_->address(), "POST", "/v1/chat/completions", body);
+  CHECK(call.whole());
+  CheckServes();
+}
+
 // Guards against wrong types beside `model` that reach an engine and break the
 // sidecar: the engine's own answer, or a default, comes back whole.
 TEST(BadInput, WrongTypesForTheEngine) {
@@ -232,6 +246,53 @@
   CHECK_EQUAL(200, order.response.status);
 }
 
+// Guards against a call that runs at the service of another team, or on an
+// engine, because of the operation id it carries.
+TEST(BadInput, OperationIdsWorkOnlyAtTheirService) {
+  std::string other = kAtelierDocument;
+  other.replace(other.find("atelier"), 7, "workshop");
+  fleet_.PutDocument("workshop", other + "[plain payments]\n");
+  CHECK(fleet_.RunUntil(
+      [&] { return EntryDump()["documents"].contains("workshop"); }));
+  const std::string issued =
+      fleet_
+          .Call(entry_->address(), "POST", "/v1/operations",
+                R"({"team":"atelier","service":"booking"})")
+          .Json()
+          .value("operation_id", std::string());
+  const std::string tail = ".7.1.0123456789abcdef";
+  const auto order = [&](const std::string& path, const std::string& key) {
+    return fleet_.Call(entry_->address(), "POST", path, "{}",
+                       {{"Idempotency-Key", key}});
+  };
+  const std::string of_engine =
+      "op1.engine-1." + std::to_string(model_->context->self.incarnation) +
+      ".1.0123456789abcdef";
+  for (const std::string& key : {issued, of_engine}) {
+    for (const char* path :
+         {"/s/workshop/payments/orders", "/s/workshop/booking/orders"}) {
+      const PendingCall call = order(path, key);
+      CHECK_EQUAL(409, call.response.status);
+      STRCMP_EQUAL("wrong_service", call.Error("code").c_str());
+      STRCMP_EQUAL("not_run", call.Error("outcome").c_str());
+    }
+  }
+  // An earlier incarnation of the instance may have run the order.
+  const PendingCall earlier =
+      order("/s/atelier/booking/orders", "op1.engine-1" + tail);
+  STRCMP_EQUAL("operation_lost", earlier.Error("code").c_str());
+  STRCMP_EQUAL("unknown", earlier.Error("outcome").c_str());
+  const PendingCall to_entry =
+      order("/s/atelier/booking/orders", "op1.entry-1" + tail);
+  STRCMP_EQUAL("operation_lost", to_entry.Error("code").c_str());
+  STRCMP_EQUAL("unknown", to_entry.Error("outcome").c_str());
+  CHECK_EQUAL(
+      0, fleet_.Get(plain_->address(), "/_executions")["total"].get<int>());
+  CHECK_EQUAL(0,
+              fleet_.Get(engine_->address(), "/_stats")["streams"].get<int>());
+  CHECK_EQUAL(200, order("/s/atelier/booking/orders", issued).response.status);
+}
+
 // Guards against a bad document that replaces a valid one or is refused
 // unseen.
 TEST(BadInput, BadDocuments) {
