--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -29,6 +29,8 @@
   Address http_address;
   Address peer_address;
   std::vector<Address> platform;
+  // Entries to connect to while none is known or reachable.
+  std::vector<Address> peers;
   // How long the listener stays open after readiness was withdrawn.
   Duration drain = std::chrono::seconds(5);
   // Readiness does not wait longer than this for the first document.
@@ -36,6 +38,8 @@
   std::size_t max_calls = 20000;  // In progress; more are refused.
   std::size_t explain_records = 2000;
   ChooseServerFunction choose = &policy::ChooseServer;
+  std::size_t spare_candidates = kDefaultSpareCandidates;
+  ReportTrial report_trial;
 };
 
 // The entry role: the HTTP API for callers, and everything that an entry knows:
@@ -88,7 +92,10 @@
   void OnInstances(std::int64_t revision,
                    std::span<const InstanceRecord> changes);
   void WatchPlatform();
-  void GreetLeavingSidecars(Time now);
+  bool ShouldWatchPlatform(Time now) const;
+  bool PlatformIsCurrent() const;
+  void CheckLeavingSidecars(Time now);
+  void PollReports();
   void StopAccepting();
   void CheckDrained();
   std::string NewRequestId();
@@ -116,10 +123,13 @@
   std::size_t issuing_ = 0;  // Operation ids that callers wait for.
   std::uint64_t next_request_ = 1;
   Time started_;
+  Time compacted_;
   bool leaving_ = false;
+  bool reading_ = false;  // Watches the platform.
   bool accepting_ = true;
   std::function<void()> on_drained_;
   TimerId watch_timer_ = 0;
+  TimerId poll_timer_ = 0;
   TimerId drain_timer_ = 0;
   Duration read_jitter_;
 };
--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -116,12 +116,19 @@
   // Sends `frame` to every connected sidecar.
   void Broadcast(const wire::Frame& frame);
 
+  // Asks `instance` for a report, which arrives as `on_report`. Does nothing if
+  // it is not connected.
+  void AskForReport(const std::string& instance, std::string_view model);
+
   // Tells `instance` that the instance list calls it leaving; connects for it.
+  // The notice is lost if the connection fails; the caller tries again.
   void NotifyLeaving(const std::string& instance, const Address& address);
 
-  // Connects to `instance` if there is no connection, so that its incarnation
-  // becomes known.
-  void Greet(const std::string& instance, const Address& address);
+  // Connects to `instance` if it is not connected, to hear its `Hello`.
+  void Probe(const std::string& instance, const Address& address);
+
+  // Whether there is a connection to `instance` over which frames can be sent.
+  bool connected(const std::string& instance) const;
 
   std::size_t connections() const;
   std::size_t pending() const { return attempts_.size(); }
