net: notice the end of writes that timers make

Callbacks of timers run after h2o's round. When such a callback wrote and the write completed at once, h2o put the completion on a list that it looks at only after its next wait, so the connection took no further request or write until another event woke the loop, up to a second later.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -108,7 +108,14 @@
   const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
   h2o_evloop_run(loop_, static_cast<std::int32_t>(wait_ms.count()));
   now_ = SteadyNow();
+  if (timers_.empty() || timers_.begin()->first.first > now_) {
+    return;
+  }
   RunDueTimers();
+  // h2o reports a write that completes at once in its next round, but does not
+  // shorten the wait of that round for it. Without this call, a write by a
+  // timer blocked its connection until something else happened.
+  h2o_evloop_run(loop_, 0);
 }
 
 void EventLoop::RunDueTimers() {
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -83,6 +83,25 @@
   CHECK(received == sent);
 }
 
+// Guards against a written connection that takes no further writes until
+// another event happens, because the end of the write was not noticed.
+TEST(Tcp, NoticesTheEndOfASmallWriteInItsRound) {
+  std::unique_ptr<TcpConnection> accepted;
+  auto listener = TcpListener::Listen(
+      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
+        accepted = std::move(connection);
+        accepted->Open({nullptr, [](std::string_view) {}, nullptr});
+      });
+  bool connected = false;
+  auto client = TcpConnection::Connect(
+      loop_, (*listener)->local_address(),
+      {[&connected] { connected = true; }, [](std::string_view) {}, nullptr});
+  CHECK(RunUntil(loop_, [&] { return connected && accepted != nullptr; }));
+  client->Write("x");
+  loop_.RunOnce(Duration::zero());
+  CHECK_EQUAL(0U, client->buffered_bytes());
+}
+
 // Guards against a connection failure that nobody is told of.
 TEST(Tcp, ReportsRefusedConnection) {
   Address unused;
