--- a/testing/tools/path_bench/measure.py
+++ b/testing/tools/path_bench/measure.py
@@ -2,11 +2,8 @@
 
 import dataclasses
 import json
-import os
 import subprocess
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
 
 @dataclasses.dataclass
 class Usage:
@@ -16,11 +13,12 @@
 
 def usage(pid):
     """Returns the processor time and the resident memory of a process."""
-    with open(f"/proc/{pid}/stat") as stat:
-        fields = stat.read().rsplit(")", 1)[1].split()
+    # Nanoseconds on a processor, user and system; the ticks of "stat" are too
+    # coarse for an idle process. The processes have one thread.
+    with open(f"/proc/{pid}/schedstat") as schedstat:
+        cpu_s = int(schedstat.read().split()[0]) / 1e9
     with open(f"/proc/{pid}/status") as status:
         resident = [line for line in status if line.startswith("VmRSS:")]
-    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
     return Usage(cpu_s, int(resident[0].split()[1]))
 
 
