entry: count live entries once a second

The count walks over all instances and was made for every request, only to scale the heat of an adapter.

--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -97,6 +97,7 @@
   policy::Candidate CandidateOf(const std::string& instance,
                                 std::uint64_t adapter,
                                 Time now) const;
+  std::size_t LiveEntryCount(Time now);
   std::uint32_t Replicas(const CallPlan& plan, Time now);
 
   const InstanceDirectory& directory_;
@@ -107,6 +108,8 @@
   // By adapter and instance: what the last report said about residency.
   std::unordered_map<std::uint64_t, bool> residency_;
   std::unordered_map<std::uint64_t, std::uint32_t> replicas_;  // Above 1.
+  std::size_t live_entries_ = 0;  // Counted at `live_entries_counted_`.
+  Time live_entries_counted_;
 };
 
 }  // namespace amaranthcove
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -21,6 +21,10 @@
 // places: more than this share of a batch makes others wait.
 constexpr double kBatchShare = 0.5;
 
+// Age at which live entries are counted again. The count walks over all
+// instances, and the replicas of an adapter change more slowly than this.
+constexpr Duration kEntryCountAge = std::chrono::seconds(1);
+
 std::uint64_t ResidencyKey(std::uint64_t adapter, std::string_view instance) {
   return Hash64(instance, adapter);
 }
@@ -180,13 +184,20 @@
   return candidate;
 }
 
+std::size_t ServerChooser::LiveEntryCount(Time now) {
+  if (live_entries_ == 0 || now - live_entries_counted_ >= kEntryCountAge) {
+    live_entries_ = std::max<std::size_t>(1, directory_.LiveEntries().size());
+    live_entries_counted_ = now;
+  }
+  return live_entries_;
+}
+
 std::uint32_t ServerChooser::Replicas(const CallPlan& plan, Time now) {
   const std::uint64_t adapter = AdapterKeyOf(plan);
   const auto found = replicas_.find(adapter);
   const std::uint32_t current = found == replicas_.end() ? 1 : found->second;
   // Other entries see the same share of the requests.
-  const double entries = static_cast<double>(
-      std::max<std::size_t>(1, directory_.LiveEntries().size()));
+  const auto entries = static_cast<double>(LiveEntryCount(now));
   double places = 0;
   for (const auto& [instance, state] : servers_) {
     places = std::max(places, static_cast<double>(state.report.batch_size));
