--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -432,7 +432,7 @@
   if (result.status == LoadStatus::kStoreBusy) {
     ++counters_.store_busy;
     load_budget_.OnRefused(result.retry_after, now, random_);
-  } else if (result.status == LoadStatus::kStaleFence &&
+  } else if (result.status == LoadStatus::kStaleFence && result.fence > 0 &&
              result.fence <= fence_) {
     // Commands travel on separate connections, so a later command of this
     // incarnation can arrive first. The queue asks for the load again.
