--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -125,6 +125,7 @@
                                 std::uint64_t adapter,
                                 bool urgent,
                                 Time now) const;
+  std::size_t LiveEntryCount(Time now);
   std::uint32_t Replicas(const CallPlan& plan, Time now);
 
   const InstanceDirectory& directory_;
@@ -139,6 +140,8 @@
   double patient_service_s_ = 1.0;
   std::unordered_map<std::string, ServerState> servers_;
   std::unordered_map<std::uint64_t, std::uint32_t> replicas_;  // Above 1.
+  std::size_t live_entries_ = 0;  // Counted at `live_entries_counted_`.
+  Time live_entries_counted_;
 };
 
 }  // namespace amaranthcove
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -252,15 +252,11 @@
     if (sending_ || request_ == nullptr || sent_last_) {
       return;
     }
-    // What was written before an abort is sent, such as the event that tells
-    // why the answer breaks off.
-    if (aborted_ && pending_.empty()) {
-      SendError();
-      return;
-    }
     if (is_head_method_) {
       pending_.clear();
     }
+    // What was written before an abort is sent, such as the event that tells
+    // why the answer breaks off.
     if (aborted_ && pending_.empty()) {
       SendError();
       return;
