--- a/testing/policy_bench/policies.cc
+++ b/testing/policy_bench/policies.cc
@@ -192,8 +192,8 @@
   entry.popularity.Record(key, now, service_s);
   const double occupied = entry.popularity.Rate(key, now) * scenario.entries;
   std::uint32_t& replicas = entry.replicas[request.adapter];
-  replicas = policy::ReplicaCount(
-      occupied, scenario.places * 0.5, replicas, {.maximum = kCandidates});
+  replicas = policy::ReplicaCount(occupied, scenario.places * 0.5, replicas,
+                                  {.maximum = kCandidates});
   std::array<std::uint32_t, kCandidates> ranked{};
   const std::size_t count = policy::RankServers(AdapterName(request.adapter),
                                                 replay.servers(), ranked);
--- a/testing/tools/load/load_run.cc
+++ b/testing/tools/load/load_run.cc
@@ -87,15 +87,14 @@
         planned.urgent ? settings_.urgent_kind : settings_.patient_kind}},
       body.dump()};
   const Address& entry = settings_.entries[index % settings_.entries.size()];
-  client_.Start(entry, std::move(request), now + settings_.call_limit,
-                {[this, index](const HttpResponse& head) {
-                   records_[index].first_byte = SteadyNow() - started_;
-                   answers_[index] = head;
-                 },
-                 [this, index](std::string_view data) {
-                   answers_[index].body += data;
-                 },
-                 [this, index](HttpCallEnd end) { OnEnd(index, end); }});
+  client_.Start(
+      entry, std::move(request), now + settings_.call_limit,
+      {[this, index](const HttpResponse& head) {
+         records_[index].first_byte = SteadyNow() - started_;
+         answers_[index] = head;
+       },
+       [this, index](std::string_view data) { answers_[index].body += data; },
+       [this, index](HttpCallEnd end) { OnEnd(index, end); }});
 }
 
 void LoadRun::OnEnd(std::size_t index, HttpCallEnd end) {
--- a/testing/tools/load/load_run.h
+++ b/testing/tools/load/load_run.h
@@ -20,8 +20,8 @@
   Duration start{0};
   Duration first_byte{-1};
   Duration end{-1};
-  int status = 0;      // 0: no whole answer.
-  std::string code;    // Of an error answer, or "broken", "timed_out", ...
+  int status = 0;    // 0: no whole answer.
+  std::string code;  // Of an error answer, or "broken", "timed_out", ...
   std::string outcome;
   std::int64_t load_stall_ms = 0;  // As the answer's headers say.
   std::int64_t queue_ms = 0;
--- a/testing/tools/load/summary.cc
+++ b/testing/tools/load/summary.cc
@@ -23,10 +23,9 @@
 nlohmann::json Distribution(std::vector<double> values) {
   std::sort(values.begin(), values.end());
   const auto quantile = [&](double q) {
-    return values.empty()
-               ? 0.0
-               : values[static_cast<std::size_t>(
-                     q * static_cast<double>(values.size() - 1))];
+    return values.empty() ? 0.0
+                          : values[static_cast<std::size_t>(
+                                q * static_cast<double>(values.size() - 1))];
   };
   double total = 0;
   for (const double value : values) {
@@ -82,9 +81,9 @@
 
 nlohmann::json Summarise(std::span<const Record> records,
                          const SummarySettings& settings) {
-  return {{"urgent", SummariseKind(records, true, settings.urgent_deadline)},
-          {"patient",
-           SummariseKind(records, false, settings.patient_deadline)}};
+  return {
+      {"urgent", SummariseKind(records, true, settings.urgent_deadline)},
+      {"patient", SummariseKind(records, false, settings.patient_deadline)}};
 }
 
 nlohmann::json ToJson(std::span<const Record> records) {
@@ -92,8 +91,8 @@
   for (const Record& record : records) {
     all.push_back({ToSeconds(record.start), ToSeconds(record.first_byte),
                    ToSeconds(record.end), record.planned.urgent,
-                   record.planned.adapter, record.planned.tokens,
-                   record.status, record.code, record.outcome, StallOf(record),
+                   record.planned.adapter, record.planned.tokens, record.status,
+                   record.code, record.outcome, StallOf(record),
                    Milliseconds(record.queue_ms)});
   }
   return all;
--- a/testing/tools/load/workload.cc
+++ b/testing/tools/load/workload.cc
@@ -40,8 +40,8 @@
   double at = 0;
   while ((at += Exponential(random, 1 / rate)) < settings.length_s) {
     PlannedRequest request;
-    request.at = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(at));
+    request.at =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at));
     request.adapter = static_cast<std::uint32_t>(
         std::lower_bound(cumulative.begin(), cumulative.end() - 1,
                          random.NextUnit() * sum) -
