policy: cheaper moves and more candidates; rates up to twice the share

With fresh residency in reports, a load costs less caution than before. The preferred candidate keeps no advantage if it lacks the adapter as well. Entries look at 4 candidates beyond the replicas instead of 2.

--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -31,7 +31,7 @@
                                       const policy::ChoiceSettings&,
                                       policy::Random&);
 
-inline constexpr std::size_t kDefaultSpareCandidates = 2;
+inline constexpr std::size_t kDefaultSpareCandidates = 4;
 
 // Other ways to get reports, for experiments. By default, reports arrive with
 // answers and heartbeats only.
--- a/include/amaranthcove/policy/choice.h
+++ b/include/amaranthcove/policy/choice.h
@@ -30,8 +30,8 @@
 struct ChoiceSettings {
   // A candidate that must load the adapter has to be better by more than this,
   // the cost of a load. Far above the 0.25 s of one load, because loads are
-  // scarce: at 0.5 s the replay stalled urgent requests four times as long.
-  Duration load_cost = std::chrono::seconds(6);
+  // scarce.
+  Duration load_cost = std::chrono::seconds(2);
   // A candidate that holds the adapter has to be better by this.
   Duration resident_margin = std::chrono::seconds(1);
   // Wait that one unreported request adds.
--- a/include/amaranthcove/policy/load_budget.h
+++ b/include/amaranthcove/policy/load_budget.h
@@ -21,13 +21,13 @@
   // and 0.8 of the share while the store had 3 loads in flight at most.
   Duration slow_load = std::chrono::seconds(2);
   // A load within this time shows that the store has capacity left.
-  Duration fast_load = std::chrono::milliseconds(500);
+  Duration fast_load = std::chrono::milliseconds(350);
   double minimum_factor = 1.0 / 16;
   // Demand is uneven: with no more than the share, an engine waited for loads
   // while the store used 1.7 of its 3 loads per second.
-  double maximum_factor = 3.0;
+  double maximum_factor = 2.0;
   // Applied to a rate above the share by a load that is neither fast nor slow.
-  double decrease = 0.8;
+  double decrease = 0.5;
   double increase_per_load = 0.25;
   // A share by demand falls back to the static share after this time.
   Duration share_lifetime = std::chrono::seconds(10);
--- a/src/policy/choice.cc
+++ b/src/policy/choice.cc
@@ -71,7 +71,7 @@
 
 ChoiceSettings PatientChoiceSettings() {
   ChoiceSettings settings;
-  settings.load_cost = std::chrono::seconds(20);
+  settings.load_cost = std::chrono::seconds(4);
   return settings;
 }
 
@@ -98,9 +98,12 @@
   const Duration base_start =
       has_base ? EstimatedStart(candidates[base], true, settings)
                : Duration::max();
-  // A move to a candidate that holds the adapter costs no load.
+  // A move to a candidate that holds the adapter costs no load, and none that
+  // the preferred one would not need as well if it lacks the adapter.
+  const bool base_loads =
+      has_base && candidates[base].resident == Residency::kNo;
   const auto limit = [&](const Candidate& candidate) {
-    return base_start - (candidate.resident == Residency::kYes
+    return base_start - (base_loads || candidate.resident == Residency::kYes
                              ? settings.resident_margin
                              : settings.load_cost);
   };
