engine_client: a probe cut off by the deadline is no engine crash

If its deadline passed during the probe, the generation ended as an engine restart, and every request of the batch became suspect.

The new test fails without the change (engine restart instead of deadline).

--- /dev/null
+++ b/src/engine_client/engine_client_test.cc
@@ -0,0 +1,55 @@
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "amaranthcove/engine_client/engine_client.h"
+#include "amaranthcove/net/event_loop.h"
+#include "amaranthcove/net/http_client.h"
+#include "amaranthcove/net/http_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+TEST_GROUP(EngineClient) {
+  EventLoop loop;
+  std::unique_ptr<HttpClient> http = HttpClient::Create(loop);
+  std::vector<std::unique_ptr<HttpResponder>> unanswered;
+
+  void teardown() override {
+    unanswered.clear();
+    http.reset();
+    for (int i = 0; i < 20; ++i) {
+      loop.RunOnce(Duration::zero());
+    }
+  }
+};
+
+// Guards against a probe that is cut off by the request's own deadline and is
+// taken for a crash, which makes every request of the batch suspect.
+TEST(EngineClient, ProbeCutOffByTheDeadlineIsNoCrash) {
+  const auto server = HttpServer::Listen(
+      loop, {"127.0.0.1", 0}, HttpServer::Options(),
+      [this](const HttpRequest&, std::unique_ptr<HttpResponder> responder) {
+        unanswered.push_back(std::move(responder));
+      });
+  CHECK(server.has_value());
+  EngineClient client(loop, *http, (*server)->local_address(),
+                      {.silence_limit = std::chrono::milliseconds(1),
+                       .probe_limit = std::chrono::seconds(60)});
+  std::optional<GenerationEnd> end;
+  GenerationRequest request;
+  request.path = "/v1/completions";
+  request.stream_id = "s1";
+  request.deadline = SteadyNow() + std::chrono::milliseconds(200);
+  client.Generate(std::move(request), {[](std::string_view) {},
+                                       [&end](const GenerationResult& result) {
+                                         end = result.end;
+                                       }});
+  while (!end) {
+    loop.RunOnce(std::chrono::milliseconds(20));
+  }
+  CHECK(*end == GenerationEnd::kDeadline);
+}
+
+}  // namespace amaranthcove
--- a/src/engine_client/generation.cc
+++ b/src/engine_client/generation.cc
@@ -209,6 +209,11 @@
 }
 
 void GenerationStream::OnProbe(HttpCallEnd end, const HttpResponse& response) {
+  if (end == HttpCallEnd::kTimedOut && SteadyNow() >= request_.deadline) {
+    // The probe ended with the request; that says nothing about the engine.
+    Finish(GenerationEnd::kDeadline);
+    return;
+  }
   if (end != HttpCallEnd::kComplete || response.status != kHttpOk) {
     // No answer on a new connection either.
     Finish(GenerationEnd::kEngineRestart);
