entry: links to replaced sidecars, tests of configuration under failure

A connection to a process that gave its name to another one stayed in use; it now goes on beside the new one only for its own requests. After a failed watch the platform counted as back only at the end of a pending watch, 25 s later: the first watch after a failure waits 1 s. An age of a confirmation grew younger by the latency of each hop; steps below 500 ms are ignored.

--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -154,7 +154,11 @@
   };
 
   struct Link {
+    // The key in `links_`, for the connection's callbacks: the instance, or
+    // another text once a new process has taken over the instance's name.
+    std::shared_ptr<std::string> key;
     Address address;
+    Address stated_address;  // In the `Hello` of the last handshake.
     std::unique_ptr<PeerConnection> connection;
     Incarnation incarnation = 0;  // Of the last handshake.
     Time last_used;
@@ -165,6 +169,10 @@
     bool leaving_notice = false;
   };
 
+  // Makes room for a link to the process that now has the name of `instance`.
+  // A link with pending work goes on under another key, so that requests on a
+  // leaving process are not interrupted.
+  void MoveAside(const std::string& instance);
   Link& UseLink(const std::string& instance, const Address& address);
   void Connect(const std::string& instance, Link& link);
   void OnReady(const std::string& instance, const wire::Hello& remote);
@@ -196,6 +204,7 @@
   policy::Random random_;
   std::int64_t next_number_ = 1;
   std::int64_t next_issue_ = 1;
+  std::int64_t links_moved_ = 0;
   std::map<std::string, Link> links_;
   std::map<AttemptId, Attempt> attempts_;
   std::set<std::int64_t> unsent_;  // Numbers that may still be sent.
--- a/include/amaranthcove/platform_client/platform_client.h
+++ b/include/amaranthcove/platform_client/platform_client.h
@@ -38,6 +38,9 @@
     Duration wait = std::chrono::seconds(25);   // Of a pending watch.
     Duration margin = std::chrono::seconds(5);  // For the answer after it.
     std::function<double()> random;             // Uniform in [0, 1).
+    // Of a watch that has started or whose last answer was bad: whether the
+    // platform is back must be known long before `wait` is over.
+    Duration first_wait = std::chrono::seconds(1);
   };
 
   struct Callbacks {
@@ -100,6 +103,7 @@
     bool good = false;  // The last answer since the start was usable.
     int failures = 0;
     Time started;              // Of the last call.
+    Duration wait{0};          // Of the last call, if it is a watch.
     std::size_t platform = 0;  // Its index in `Options::platforms`.
     TimerId timer = 0;
     HttpCallId call = 0;
--- a/src/entry/entry_mesh.cc
+++ b/src/entry/entry_mesh.cc
@@ -31,6 +31,11 @@
 // for, because every link would carry all of them.
 constexpr std::size_t kMaxPushedInstances = 32;
 
+// A confirmation looks younger at the receiver by the time on the way. Smaller
+// differences are ignored, so that one that goes round between peers still
+// ages.
+constexpr Duration kConfirmationStep = std::chrono::milliseconds(500);
+
 // What a reader confirmed longer ago says nothing any more.
 constexpr Duration kConfirmationMemory = std::chrono::minutes(1);
 
@@ -285,7 +290,9 @@
   const Time time = context_.loop.Now() -
                     std::chrono::milliseconds(heartbeat.platform_age_ms);
   Time& confirmed = confirmations_.try_emplace(reader, time).first->second;
-  confirmed = std::max(confirmed, time);
+  if (time - confirmed > kConfirmationStep) {
+    confirmed = time;
+  }
   platform_confirmed_ = std::max(platform_confirmed_.value_or(time), time);
 }
 
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -49,6 +49,11 @@
 
 SidecarLinks::Link& SidecarLinks::UseLink(const std::string& instance,
                                           const Address& address) {
+  const auto found = links_.find(instance);
+  if (found != links_.end() && found->second.address != address &&
+      found->second.stated_address != address) {
+    MoveAside(instance);
+  }
   Link& link = links_[instance];
   link.last_used = context_.loop.Now();
   if (link.connection == nullptr && link.reconnect_timer == 0) {
@@ -59,15 +64,44 @@
   return link;
 }
 
+void SidecarLinks::MoveAside(const std::string& instance) {
+  auto node = links_.extract(instance);
+  Link& link = node.mapped();
+  if (link.pending == 0) {
+    context_.loop.Cancel(link.reconnect_timer);
+    return;
+  }
+  // `#` is not allowed in names of instances.
+  const std::string key = instance + "#" + std::to_string(++links_moved_);
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.instance == instance) {
+      attempt.instance = key;
+    }
+  }
+  for (auto& [number, call] : issue_calls_) {
+    if (call.instance == instance) {
+      call.instance = key;
+    }
+  }
+  *link.key = key;
+  node.key() = key;
+  links_.insert(std::move(node));
+}
+
 void SidecarLinks::Connect(const std::string& instance, Link& link) {
+  if (link.key == nullptr) {
+    link.key = std::make_shared<std::string>(instance);
+  }
   link.connection = PeerConnection::Connect(
       context_, link.address,
-      {[this, instance](const wire::Hello& remote) {
-         OnReady(instance, remote);
+      {[this, key = link.key](const wire::Hello& remote) {
+         OnReady(std::string(*key), remote);
+       },
+       [this, key = link.key](const wire::Frame& frame) {
+         OnFrame(std::string(*key), frame);
        },
-       [this, instance](const wire::Frame& frame) { OnFrame(instance, frame); },
-       [this, instance](PeerCloseReason reason) {
-         OnClosed(instance, reason);
+       [this, key = link.key](PeerCloseReason reason) {
+         OnClosed(std::string(*key), reason);
        }});
 }
 
@@ -140,6 +174,7 @@
                            const wire::Hello& remote) {
   Link& link = links_[instance];
   link.incarnation = remote.incarnation;
+  link.stated_address = ParseAddress(remote.peer_address).value_or(Address());
   link.reconnect_delay = Duration(0);
   events_.on_hello(remote);
   if (link.leaving_notice) {
@@ -215,10 +250,10 @@
   const double jitter = 0.5 + random_.NextUnit() / 2;
   const auto delay =
       std::chrono::duration_cast<Duration>(link.reconnect_delay * jitter);
-  link.reconnect_timer = context_.loop.RunAfter(delay, [this, instance] {
-    Link& waiting = links_[instance];
+  link.reconnect_timer = context_.loop.RunAfter(delay, [this, key = link.key] {
+    Link& waiting = links_[*key];
     waiting.reconnect_timer = 0;
-    Connect(instance, waiting);
+    Connect(*key, waiting);
   });
 }
 
--- a/src/platform_client/platform_client.cc
+++ b/src/platform_client/platform_client.cc
@@ -58,11 +58,14 @@
 }
 
 void PlatformClient::StartWatch(Watch& watch) {
-  std::string path =
-      watch.path + "?after=" + std::to_string(watch.cursor) +
-      "&wait_ms=" + std::to_string(ToMilliseconds(options_.wait));
+  const Duration wait = watch.task.good
+                            ? options_.wait
+                            : std::min(options_.first_wait, options_.wait);
+  watch.task.wait = wait;
+  std::string path = watch.path + "?after=" + std::to_string(watch.cursor) +
+                     "&wait_ms=" + std::to_string(ToMilliseconds(wait));
   StartCall(
-      watch.task, std::move(path), options_.wait + options_.margin,
+      watch.task, std::move(path), wait + options_.margin,
       [this, &watch](const std::string& body) {
         return (this->*watch.on_answer)(body);
       },
@@ -124,7 +127,7 @@
     ++counters_.stale_answers;
     return Verdict::kBad;
   }
-  const bool waited = loop_.Now() - watch.task.started >= options_.wait / 2;
+  const bool waited = loop_.Now() - watch.task.started >= watch.task.wait / 2;
   if (revision == watch.cursor && !has_changes && !waited) {
     return Verdict::kHasty;
   }
--- a/testing/integration/fleet_fixture.cc
+++ b/testing/integration/fleet_fixture.cc
@@ -102,6 +102,14 @@
 FleetFixture::EntryNode& FleetFixture::AddEntry(
     const std::string& instance,
     const std::vector<Address>& platforms) {
+  return AddEntry(instance, platforms, {}, true);
+}
+
+FleetFixture::EntryNode& FleetFixture::AddEntry(
+    const std::string& instance,
+    const std::vector<Address>& platforms,
+    const std::vector<Address>& peers,
+    bool listed) {
   entries_.push_back(std::make_unique<EntryNode>());
   EntryNode& node = *entries_.back();
   node.context = MakeContext(instance, "entry");
@@ -112,20 +120,25 @@
   options.platform = platforms.empty()
                          ? std::vector<Address>{platform_->address()}
                          : platforms;
+  options.peers = peers;
   options.drain = std::chrono::milliseconds(100);
   node.entry = std::make_unique<Entry>(*node.context, *node.http, options);
   node.entry->Start();
-  Control(platform_->address(),
-          {{"put_instances",
-            {{{"instance", instance},
-              {"role", "entry"},
-              {"address", node.context->self.peer_address},
-              {"region", "region-1"},
-              {"data_centre", "dc-1"},
-              {"state", "live"}}}}});
+  if (listed) {
+    Control(platform_->address(), {{"put_instances", {ListEntry(node)}}});
+  }
   return node;
 }
 
+nlohmann::json FleetFixture::ListEntry(const EntryNode& node) {
+  return {{"instance", node.context->self.instance},
+          {"role", "entry"},
+          {"address", node.context->self.peer_address},
+          {"region", "region-1"},
+          {"data_centre", "dc-1"},
+          {"state", "live"}};
+}
+
 FleetFixture::SidecarNode& FleetFixture::AddSidecar(
     const std::string& instance,
     const wire::Backend& offer,
@@ -190,19 +203,25 @@
 void FleetFixture::List(const SidecarNode& node,
                         const Address& address,
                         const std::string& state) {
+  Control(platform_->address(),
+          {{"put_instances", {ListEntry(node, address, state)}}});
+}
+
+nlohmann::json FleetFixture::ListEntry(const SidecarNode& node,
+                                       const Address& address,
+                                       const std::string& state) {
   const wire::Backend& offer = node.context->self.backend;
-  Control(platform_->address(), {{"put_instances",
-                                  {{{"instance", node.instance},
-                                    {"role", "sidecar"},
-                                    {"address", FormatAddress(address)},
-                                    {"region", "region-1"},
-                                    {"data_centre", "dc-1"},
-                                    {"state", state},
-                                    {"backend",
-                                     {{"kind", offer.kind},
-                                      {"base_model", offer.base_model},
-                                      {"team", offer.team},
-                                      {"service", offer.service_name}}}}}}});
+  return {{"instance", node.instance},
+          {"role", "sidecar"},
+          {"address", FormatAddress(address)},
+          {"region", "region-1"},
+          {"data_centre", "dc-1"},
+          {"state", state},
+          {"backend",
+           {{"kind", offer.kind},
+            {"base_model", offer.base_model},
+            {"team", offer.team},
+            {"service", offer.service_name}}}};
 }
 
 void FleetFixture::List(const SidecarNode& node) {
--- a/testing/integration/fleet_fixture.h
+++ b/testing/integration/fleet_fixture.h
@@ -89,6 +89,11 @@
   // overrides the one that is listed, for example with a relay's.
   EntryNode& AddEntry(const std::string& instance,
                       const std::vector<Address>& platforms = {});
+  // `listed` puts it on the instance list of the first platform.
+  EntryNode& AddEntry(const std::string& instance,
+                      const std::vector<Address>& platforms,
+                      const std::vector<Address>& peers,
+                      bool listed);
   SidecarNode& AddEngineSidecar(const std::string& instance,
                                 const Address& engine);
   SidecarNode& AddPlainSidecar(const std::string& instance,
@@ -100,6 +105,12 @@
             const std::string& state = "live");
   void List(const SidecarNode& node);
 
+  // The list's entry for a node, for other platforms.
+  static nlohmann::json ListEntry(const EntryNode& node);
+  static nlohmann::json ListEntry(const SidecarNode& node,
+                                  const Address& address,
+                                  const std::string& state);
+
   // Drops a process at once, as SIGKILL would: its connections close and its
   // memory is gone.
   void Kill(EntryNode& node);
