--- a/include/amaranthcove/entry/entry_mesh.h
+++ b/include/amaranthcove/entry/entry_mesh.h
@@ -153,7 +153,7 @@
   // By reader, when it last confirmed the documents that are known here.
   std::map<std::string, Time, std::less<>> confirmations_;
   std::set<std::string, std::less<>> listed_readers_;
-  std::map<Address, ServerHealth> contact_health_;
+  std::map<std::string, ServerHealth> contact_health_;  // By address.
   std::optional<Time> instances_requested_;
   bool leaving_ = false;
   DocumentFetches fetches_;
--- a/src/entry/entry_mesh.cc
+++ b/src/entry/entry_mesh.cc
@@ -175,7 +175,7 @@
         std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
           return link->first_contact && link->address == contact;
         });
-    if (!linked && !OnProbation(contact_health_[contact], now)) {
+    if (!linked && !OnProbation(contact_health_[FormatAddress(contact)], now)) {
       Connect("", contact);
     }
   }
@@ -197,7 +197,7 @@
 void EntryMesh::OnReady(Link& link, const wire::Hello& remote) {
   link.instance = remote.instance;
   if (link.first_contact) {
-    RecordSuccess(contact_health_[link.address]);
+    RecordSuccess(contact_health_[FormatAddress(link.address)]);
   }
   const auto record = wire::RecordOf(remote);
   // Tools and a first contact that is this process are no peers.
@@ -220,7 +220,7 @@
 void EntryMesh::OnClosed(Link* link, PeerCloseReason reason) {
   const Time now = context_.loop.Now();
   if (link->first_contact) {
-    RecordFailure(contact_health_[link->address], now);
+    RecordFailure(contact_health_[FormatAddress(link->address)], now);
   } else if (link->outgoing && reason == PeerCloseReason::kSilent) {
     directory_.OnSilence(link->instance, now);
   } else if (link->outgoing) {
@@ -464,10 +464,12 @@
   for (const wire::DocumentRevision& revision : request.known) {
     known.push_back({revision.team, revision.revision});
   }
+  std::string_view only_team;
+  if (request.__isset.team) {
+    only_team = request.team;
+  }
   const DocumentPortion portion =
-      documents_.NewerThan(known, kMaxPortionBytes,
-                           request.__isset.team ? std::string_view(request.team)
-                                                : std::string_view());
+      documents_.NewerThan(known, kMaxPortionBytes, only_team);
   for (const Document& document : portion.documents) {
     wire::Frame frame;
     frame.__set_document(ToWire(document));
