--- a/src/membership/instance_directory_test.cc
+++ b/src/membership/instance_directory_test.cc
@@ -137,6 +137,43 @@
   CHECK_EQUAL(1U, directory.LiveEntries().size());
 }
 
+// Guards against a peer that applies changes over a gap, and so never learns
+// what it missed; and against gone instances that stay with a peer because
+// nobody remembers them.
+TEST(InstanceDirectory, PassesOnChangesWithoutGaps) {
+  Apply(directory, 1, Engine("e1"));
+  Apply(directory, 2, Engine("e2"));
+  InstanceDirectory peer;
+  CHECK(peer.ApplyChanges(directory.ChangesAfter(1)) == ApplyResult::kGap);
+  CHECK_EQUAL(0, peer.list_revision());
+  CHECK(peer.ApplyChanges(directory.ChangesAfter(0)) == ApplyResult::kApplied);
+  CHECK(peer.ApplyChanges(directory.ChangesAfter(0)) ==
+        ApplyResult::kNothingNew);
+  CHECK_EQUAL(2U, peer.ServersForModel("base-1", "sofia", kNow).size());
+  Apply(directory, 3, Engine("e1", "sofia", InstanceState::kGone));
+  directory.ForgetGone(1);
+  CHECK(!directory.ChangesAfter(2).complete);
+  directory.ForgetGone(0);
+  CHECK(directory.Find("e1") == nullptr);
+  CHECK(peer.ApplyChanges(directory.ChangesAfter(2)) == ApplyResult::kApplied);
+  STRCMP_EQUAL("e2 ",
+               Names(peer.ServersForModel("base-1", "sofia", kNow)).c_str());
+}
+
+// Guards against a replacement at another address staying unused because the
+// process before it was leaving, and against that process's late word.
+TEST(InstanceDirectory, ListedMoveEndsLeaving) {
+  Apply(directory, 1, Engine("e1"));
+  directory.OnHello(Engine("e1"), 11);
+  directory.OnLeaving("e1", 11);
+  InstanceRecord moved = Engine("e1");
+  moved.address.port = 2;
+  Apply(directory, 2, moved);
+  directory.OnLeaving("e1", 11);
+  STRCMP_EQUAL("e1 ", Servers().c_str());
+  CHECK_EQUAL(2, directory.Find("e1")->record.address.port);
+}
+
 // Guards, under list answers in any order, restarts, late messages and
 // leaving notices, against offering a server whose current incarnation said it
 // is leaving, and against a list revision that falls.
--- a/src/wire/codec_test.cc
+++ b/src/wire/codec_test.cc
@@ -1,4 +1,5 @@
 #include "amaranthcove/wire/codec.h"
+#include "amaranthcove/wire/instance_codec.h"
 
 #include <random>
 
@@ -84,4 +85,32 @@
   CHECK_FALSE(splitter.Next(payload).has_value());
 }
 
+// Guards against instances that change on the way between entries, and against
+// one record of a newer release making the others unusable.
+TEST(Codec, InstanceChangesRoundTrip) {
+  amaranthcove::InstanceChanges changes{3, 5, true, {}};
+  changes.records.push_back({"desk-1",
+                             InstanceRole::kSidecar,
+                             {"127.0.0.1", 7},
+                             "sofia",
+                             "sofia-1",
+                             InstanceState::kLeaving,
+                             {OfferKind::kPlain, "", "team", "booking"}});
+  changes.records.push_back({"entry-1",
+                             InstanceRole::kEntry,
+                             {"127.0.0.1", 8},
+                             "sofia",
+                             "sofia-1",
+                             InstanceState::kGone,
+                             {}});
+  InstanceChanges sent = ToWire(changes);
+  sent.changes.push_back(sent.changes.front());
+  sent.changes.back().state = "asleep";
+  const amaranthcove::InstanceChanges received = FromWire(sent);
+  CHECK_EQUAL(3, received.after);
+  CHECK_EQUAL(5, received.revision);
+  CHECK(received.complete);
+  CHECK(received.records == changes.records);
+}
+
 }  // namespace amaranthcove::wire
--- a/testing/integration/configuration_test.cc
+++ b/testing/integration/configuration_test.cc
@@ -175,18 +175,30 @@
 TEST(Configuration, StaleReplicaNeitherRevertsNorConfirms) {
   FleetFixture::Server& replica = fleet_.AddPlatform();
   PutOn(replica, kAtelierDocument, 1);
-  SetMode(replica, "stale");
   Node& first = Add("entry-1");
+  // Its list of instances is at the revision of the first platform's.
+  const nlohmann::json listed = fleet_.ListEntry(first);
+  fleet_.Control(replica.address(), {{"put_instances", {listed, listed}}});
+  SetMode(replica, "stale");
   fleet_.PutDocument("atelier", Edited(2));
   WaitForRevision(2);
   Node& second = Add("entry-2", {replica.address()}, {PeerAddress(first)});
-  WaitForRevision(2);
+  bool confirmed = false;
+  const auto seems_current = [&] {
+    return Revision(second) > 1 && Dump(second)["platform_current"].get<bool>();
+  };
   Wait([&] {
-    return Dump(second)["counters"]["platform_calls"] > 0 &&
-           Dump(first)["platform_current"].get<bool>() &&
+    confirmed = confirmed || seems_current();
+    return Dump(second)["counters"]["platform_calls"] >= 4 &&
+           Revision(second) == 2 && Dump(first)["platform_current"].get<bool>();
+  });
+  fleet_.PutDocument("atelier", Edited(3));
+  Wait([&] {
+    confirmed = confirmed || seems_current();
+    return Revision(second) == 3 &&
            !Dump(second)["mesh"]["platform_age_ms"].is_null();
   });
-  CHECK(!Dump(second)["platform_current"].get<bool>());
+  CHECK_FALSE(confirmed);
 }
 
 // Guards against an entry that stays empty because the platform is down when
