entry: forget the reports of a replaced sidecar

replacement_test passed but took 64 s: entries had the new incarnation's Hello after 2 to 4 s, and still left the sidecar alone for 30 s, because the last report of the old incarnation said it was leaving, until the next idle heartbeat.

--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -87,6 +87,9 @@
   // An attempt was sent to `instance`; its next report includes it.
   void OnSent(const std::string& instance);
 
+  // Forgets what `instance` reported: a new incarnation has taken its place.
+  void Forget(const std::string& instance);
+
   // A sidecar reported its state.
   void OnReport(const std::string& instance,
                 const wire::ServerReport& report,
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -100,7 +100,11 @@
   SidecarEvents events;
   events.on_hello = [this](const wire::Hello& hello) {
     if (const auto record = wire::RecordOf(hello)) {
-      directory_.OnHello(*record, hello.incarnation);
+      const HelloResult result =
+          directory_.OnHello(*record, hello.incarnation);
+      if (result == HelloResult::kNewIncarnation) {
+        chooser_.Forget(hello.instance);
+      }
     }
   };
   events.on_connect_failed = [this](const std::string& instance) {
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -257,6 +257,10 @@
   ++servers_[instance].unreported;
 }
 
+void ServerChooser::Forget(const std::string& instance) {
+  servers_.erase(instance);
+}
+
 void ServerChooser::OnReport(const std::string& instance,
                              const wire::ServerReport& report,
                              Time now) {
