--- a/include/amaranthcove/daemon/daemon.h
+++ b/include/amaranthcove/daemon/daemon.h
@@ -18,7 +18,6 @@
   ChooseServerFunction choose_server = &policy::ChooseServer;
   // Candidates offered to `choose_server` beyond the replicas.
   std::size_t spare_candidates = kDefaultSpareCandidates;
-  ReportTrial report_trial;
 };
 
 // Runs one process in the role of its settings until SIGTERM or SIGINT and the
--- a/include/amaranthcove/entry/call.h
+++ b/include/amaranthcove/entry/call.h
@@ -52,7 +52,6 @@
   policy::Random& random;
   ExplainLog& explain;
   CallCounters& counters;
-  Duration ask_wait{0};  // See `ReportTrial`.
 };
 
 // One request of a caller, from its plan to the end of its answer: chooses a
@@ -86,7 +85,6 @@
   void OfferOperation();
   void AnswerWithOperation(const std::string& id);
   void Dispatch();
-  void AskCandidates();
   void DispatchOperation();
   void Send(const std::string& instance, const Address& address);
   wire::Submit MakeSubmit();
@@ -117,7 +115,6 @@
   std::set<std::string> tried_;
   int attempts_ = 0;
   int replans_ = 0;
-  bool asked_ = false;         // Reports of the candidates were asked for.
   bool may_have_run_ = false;  // Some attempt's outcome is unknown.
   bool started_ = false;       // Bytes of a streamed answer were sent.
   int status_ = 0;
--- a/include/amaranthcove/entry/entry.h
+++ b/include/amaranthcove/entry/entry.h
@@ -39,7 +39,6 @@
   std::size_t explain_records = 2000;
   ChooseServerFunction choose = &policy::ChooseServer;
   std::size_t spare_candidates = kDefaultSpareCandidates;
-  ReportTrial report_trial;
 };
 
 // The entry role: the HTTP API for callers, and everything that an entry knows:
@@ -95,7 +94,6 @@
   bool ShouldWatchPlatform(Time now) const;
   bool PlatformIsCurrent() const;
   void CheckLeavingSidecars(Time now);
-  void PollReports();
   void StopAccepting();
   void CheckDrained();
   std::string NewRequestId();
@@ -129,7 +127,6 @@
   bool accepting_ = true;
   std::function<void()> on_drained_;
   TimerId watch_timer_ = 0;
-  TimerId poll_timer_ = 0;
   TimerId drain_timer_ = 0;
   Duration read_jitter_;
 };
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -33,16 +33,6 @@
 
 inline constexpr std::size_t kDefaultSpareCandidates = 4;
 
-// Other ways to get reports, for experiments. By default, reports arrive with
-// answers and heartbeats only.
-struct ReportTrial {
-  // Entries ask all connected sidecars this often; 0: never.
-  Duration poll_interval{0};
-  // Entries ask the candidates of each model request and wait this long for
-  // their replies before they choose; 0: they choose at once.
-  Duration ask_wait{0};
-};
-
 struct ServerChooserSettings {
   std::string region;
   std::string data_centre;
@@ -81,9 +71,6 @@
                               const std::set<std::string>& excluded,
                               Time now);
 
-  // The engines that `Choose` looks at for `plan`, best placed first.
-  std::vector<std::string> CandidateNames(const CallPlan& plan, Time now);
-
   // An attempt was sent to `instance`; its next report includes it.
   void OnSent(const std::string& instance);
 
--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -116,10 +116,6 @@
   // Sends `frame` to every connected sidecar.
   void Broadcast(const wire::Frame& frame);
 
-  // Asks `instance` for a report, which arrives as `on_report`. Does nothing if
-  // it is not connected.
-  void AskForReport(const std::string& instance, std::string_view model);
-
   // Tells `instance` that the instance list calls it leaving; connects for it.
   // The notice is lost if the connection fails; the caller tries again.
   void NotifyLeaving(const std::string& instance, const Address& address);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -175,7 +175,6 @@
     options.drain = settings_.entry->drain;
     options.choose = policy_.choose_server;
     options.spare_candidates = policy_.spare_candidates;
-    options.report_trial = policy_.report_trial;
     entry_ = std::make_unique<Entry>(context_, *http_, options);
     entry_->OnDrained([this] { OnDrained(); });
     return entry_->Start();
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -139,12 +139,6 @@
       return;
     }
   }
-  if (context_.ask_wait > Duration(0) && plan_.kind == CallKind::kModel &&
-      !asked_) {
-    AskCandidates();
-    return;
-  }
-  asked_ = false;
   auto server = context_.chooser.Choose(plan_, tried_, now);
   if (!server && !tried_.empty()) {
     // Every server was tried; one may have recovered.
@@ -160,18 +154,6 @@
   Send(server->instance, server->address);
 }
 
-void Call::AskCandidates() {
-  asked_ = true;
-  for (const std::string& name :
-       context_.chooser.CandidateNames(plan_, context_.loop.Now())) {
-    context_.links.AskForReport(name, plan_.model);
-  }
-  retry_timer_ = context_.loop.RunAfter(context_.ask_wait, [this] {
-    retry_timer_ = 0;
-    Dispatch();
-  });
-}
-
 void Call::Send(const std::string& instance, const Address& address) {
   ++attempts_;
   ++context_.counters.attempts;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -68,10 +68,9 @@
       links_(context, {}, MakeSidecarEvents()),
       chooser_(directory_, ChooserSettings(context, options), random_.Next()),
       issuer_(context.loop, links_, chooser_),
-      call_context_{context.loop, catalogue_,    directory_,
-                    links_,       chooser_,      issuer_,
-                    suspects_,    retry_budget_, random_,
-                    explain_,     counters_,     options.report_trial.ask_wait},
+      call_context_{context.loop, catalogue_, directory_, links_,
+                    chooser_,     issuer_,    suspects_,  retry_budget_,
+                    random_,      explain_,   counters_},
       platform_(
           context.loop,
           http,
@@ -92,7 +91,6 @@
 
 Entry::~Entry() {
   context_.loop.Cancel(watch_timer_);
-  context_.loop.Cancel(poll_timer_);
   context_.loop.Cancel(drain_timer_);
 }
 
@@ -100,8 +98,7 @@
   SidecarEvents events;
   events.on_hello = [this](const wire::Hello& hello) {
     if (const auto record = wire::RecordOf(hello)) {
-      const HelloResult result =
-          directory_.OnHello(*record, hello.incarnation);
+      const HelloResult result = directory_.OnHello(*record, hello.incarnation);
       if (result == HelloResult::kNewIncarnation) {
         chooser_.Forget(hello.instance);
       }
@@ -153,9 +150,6 @@
   }
   server_ = std::move(*server);
   WatchPlatform();
-  if (options_.report_trial.poll_interval > Duration(0)) {
-    PollReports();
-  }
   return {};
 }
 
@@ -177,14 +171,6 @@
       context_.loop.RunAfter(kWatchInterval, [this] { WatchPlatform(); });
 }
 
-void Entry::PollReports() {
-  wire::Frame frame;
-  frame.__set_query(wire::Query());
-  links_.Broadcast(frame);
-  poll_timer_ = context_.loop.RunAfter(options_.report_trial.poll_interval,
-                                       [this] { PollReports(); });
-}
-
 bool Entry::ShouldWatchPlatform(Time now) const {
   const std::vector<EntryPlace> entries = directory_.LiveEntries();
   const EntryPlace self{context_.self.instance, context_.self.data_centre};
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -111,18 +111,6 @@
   return best;
 }
 
-std::vector<std::string> ServerChooser::CandidateNames(const CallPlan& plan,
-                                                       Time now) {
-  const std::vector<ServerCandidate> servers =
-      directory_.ServersForModel(plan.base_model, settings_.region, now);
-  std::vector<std::string> names;
-  for (const std::uint32_t index :
-       RankEngines(plan, servers, Replicas(plan, now))) {
-    names.push_back(servers[index].instance->record.instance);
-  }
-  return names;
-}
-
 Result<ChosenServer> ServerChooser::ChooseEngine(
     const CallPlan& plan,
     const std::vector<ServerCandidate>& servers,
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -518,20 +518,6 @@
   }
 }
 
-void SidecarLinks::AskForReport(const std::string& instance,
-                                std::string_view model) {
-  const auto link = links_.find(instance);
-  if (link == links_.end() || link->second.connection == nullptr ||
-      !link->second.connection->ready()) {
-    return;
-  }
-  wire::Query query;
-  query.model = std::string(model);
-  wire::Frame frame;
-  frame.__set_query(query);
-  link->second.connection->Send(frame);
-}
-
 void SidecarLinks::NotifyLeaving(const std::string& instance,
                                  const Address& address) {
   Link& link = UseLink(instance, address);
--- a/testing/tools/baseline/baselines.cc
+++ b/testing/tools/baseline/baselines.cc
@@ -18,9 +18,6 @@
 constexpr std::size_t kMaxSlots = 32;
 constexpr std::size_t kMaximumLoads = 2;
 constexpr std::size_t kAllCandidates = 16;
-constexpr std::size_t kAskedCandidates = 5;
-// Far above a round trip on loopback or between the data centres of a region.
-constexpr Duration kAskWait = std::chrono::milliseconds(10);
 
 // When a request last started on each slot. `NextStepFunction` has no state of
 // its own; one process has one engine, so its memory may be global.
@@ -59,28 +56,6 @@
   return std::nullopt;
 }
 
-// The candidate that says it can start first, a load included.
-std::optional<Choice> ChooseEarliestStart(std::span<const Candidate> candidates,
-                                          std::size_t /*replicas*/,
-                                          const policy::ChoiceSettings&,
-                                          policy::Random&) {
-  constexpr Duration kLoadTime = std::chrono::milliseconds(250);
-  std::optional<Choice> best;
-  Duration best_start = Duration::max();
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const Candidate& candidate = candidates[i];
-    const bool resident = candidate.resident == policy::Residency::kYes;
-    const Duration start =
-        candidate.expected_wait +
-        (resident ? Duration(0) : candidate.load_wait + kLoadTime);
-    if (!candidate.leaving && start < best_start) {
-      best = Choice{i, ChoiceReason::kShorterWait};
-      best_start = start;
-    }
-  }
-  return best;
-}
-
 std::optional<std::size_t> LeastRecentlyUsed(std::span<const Slot> slots) {
   std::optional<std::size_t> victim;
   for (std::size_t s = 0; s < std::min(slots.size(), kMaxSlots); ++s) {
@@ -162,22 +137,10 @@
     return DaemonPolicy{};
   }
   if (name == "least_loaded") {
-    return DaemonPolicy{&NextInOrder, &ChooseLeastLoaded, kAllCandidates, {}};
+    return DaemonPolicy{&NextInOrder, &ChooseLeastLoaded, kAllCandidates};
   }
   if (name == "hashing") {
-    return DaemonPolicy{
-        &NextInOrder, &ChooseByHash, kDefaultSpareCandidates, {}};
-  }
-  DaemonPolicy trial;
-  if (name == "ask_5") {
-    trial.choose_server = &ChooseEarliestStart;
-    trial.spare_candidates = kAskedCandidates - 1;
-    trial.report_trial.ask_wait = kAskWait;
-    return trial;
-  }
-  if (name == "poll_100ms") {
-    trial.report_trial.poll_interval = std::chrono::milliseconds(100);
-    return trial;
+    return DaemonPolicy{&NextInOrder, &ChooseByHash, kDefaultSpareCandidates};
   }
   return std::nullopt;
 }
--- a/testing/tools/baseline/baselines.h
+++ b/testing/tools/baseline/baselines.h
@@ -11,9 +11,8 @@
 // The decision functions of the baseline called `name`: "least_loaded" (the
 // server with the fewest requests) or "hashing" (the first server by
 // rendezvous hash); both evict the least recently used adapter and start
-// urgent work first. "policy" gives the product's own functions. Trials of the
-// product's policy: "ask_5" asks five candidates for their earliest start,
-// "poll_100ms" polls reports. Nothing if the name is unknown.
+// urgent work first. "policy" gives the product's own functions. Nothing if the
+// name is unknown.
 //
 // The baselines know no load budget: the sidecars' settings must allow the
 // whole store's rate to each engine and more.
--- a/testing/tools/baseline/main.cc
+++ b/testing/tools/baseline/main.cc
@@ -19,7 +19,7 @@
                             options::value<std::string>()->required(),
                             "settings file (INI)")(
       "baseline", options::value<std::string>()->required(),
-      "policy, least_loaded, hashing, ask_5 or poll_100ms");
+      "policy, least_loaded or hashing");
   options::variables_map values;
   try {
     options::store(options::parse_command_line(argc, argv, description),
