--- a/testing/integration/engine_faults_test.cc
+++ b/testing/integration/engine_faults_test.cc
@@ -20,7 +20,7 @@
   std::vector<FleetFixture::EntryNode*> entries_;
 
   void StartFleet(int engines, int entries = 1,
-                  standins::EngineSettings settings = FastEngine()) {
+                  const standins::EngineSettings& settings = FastEngine()) {
     for (int i = 0; i < engines; ++i) {
       engines_.push_back(&fleet_.AddEngine(settings));
       sidecars_.push_back(&fleet_.AddEngineSidecar(
