sidecar: cancel generations that nobody waits for

A generation whose deadline passed, or whose answer broke, was dropped at the sidecar while the engine went on with it; only wrong answers were cancelled. Found by reading. EngineBackend.PassedDeadlineCancelsTheGeneration fails without the change (no cancel within 20 s) and passes with it.

--- a/include/amaranthcove/entry/call.h
+++ b/include/amaranthcove/entry/call.h
@@ -90,7 +90,7 @@
   wire::Submit MakeSubmit();
   bool IsNotRunProof(std::string_view code) const;
   bool MayRetry(std::string_view code) const;
-  void RetryOrFail(ApiError error, Duration retry_after);
+  void RetryOrFail(ApiError error);
   void RelayChunk(const wire::Chunk& chunk);
   void FinishWhole(const wire::AnswerEnd& end);
   void Fail(ApiError error);
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -259,8 +259,7 @@
                                                       : Outcome::kUnknown;
   may_have_run_ = may_have_run_ || outcome == Outcome::kUnknown;
   RetryOrFail(
-      {StatusOfCode(end.error_code), end.error_code, end.message, outcome},
-      Duration(0));
+      {StatusOfCode(end.error_code), end.error_code, end.message, outcome});
 }
 
 void Call::OnRefused(const wire::Refused& refused) {
@@ -269,18 +268,16 @@
   Explain("refused", {{"instance", server_}, {"code", refused.code}});
   const auto retry_after = std::chrono::milliseconds(refused.retry_after_ms);
   RetryOrFail({StatusOfCode(refused.code), refused.code, refused.message,
-               Outcome::kNotRun, retry_after},
-              retry_after);
+               Outcome::kNotRun, retry_after});
 }
 
 void Call::OnLost(std::string_view code) {
   attempt_.reset();
   may_have_run_ = true;
   Explain("lost", {{"instance", server_}, {"code", code}});
-  RetryOrFail(
-      {StatusOfCode(code), std::string(code),
-       "The connection to the backend server was lost.", Outcome::kUnknown},
-      Duration(0));
+  RetryOrFail({StatusOfCode(code), std::string(code),
+               "The connection to the backend server was lost.",
+               Outcome::kUnknown});
 }
 
 bool Call::IsNotRunProof(std::string_view code) const {
@@ -297,7 +294,7 @@
          context_.loop.Now() < deadline_;
 }
 
-void Call::RetryOrFail(ApiError error, Duration /*retry_after*/) {
+void Call::RetryOrFail(ApiError error) {
   collected_.clear();
   status_ = 0;
   if (!MayRetry(error.code)) {
--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -592,6 +592,9 @@
     ++counters_.broken;
     if (result.end == GenerationEnd::kWrongAnswer) {
       ++counters_.wrong_answers;
+    }
+    if (result.end != GenerationEnd::kEngineRestart) {
+      // Nobody waits for the rest, but the engine may still be producing it.
       client_.Cancel(running.stream_id);
     }
   }
--- a/src/sidecar/engine_backend_test.cc
+++ b/src/sidecar/engine_backend_test.cc
@@ -41,6 +41,8 @@
   Address address() const { return server_->local_address(); }
 
   std::vector<Load> loads;
+  std::vector<std::unique_ptr<HttpResponder>> generations;  // Never answered.
+  int cancels = 0;
 
  private:
   void Handle(const HttpRequest& request,
@@ -57,6 +59,11 @@
     } else if (request.path == "/v1/adapters/load") {
       const std::int64_t fence = nlohmann::json::parse(request.body)["fence"];
       loads.push_back({fence, std::move(responder)});
+    } else if (request.method == "DELETE") {
+      ++cancels;
+      responder->Send({200, {}, "{}"});
+    } else if (request.path == "/v1/completions") {
+      generations.push_back(std::move(responder));
     } else {
       responder->Send({404, {}, "{}"});
     }
@@ -112,7 +119,7 @@
     }
   }
 
-  void Submit(std::int64_t number) {
+  void Submit(std::int64_t number, Duration limit = std::chrono::minutes(1)) {
     Work work;
     work.attempt = {"entry-1", 1, number};
     work.request.model = "team/adapter-" + std::to_string(number) + "@1";
@@ -121,7 +128,7 @@
     work.request.urgent = true;
     work.request.fingerprint = number;
     work.arrival = loop.Now();
-    work.deadline = work.arrival + std::chrono::minutes(1);
+    work.deadline = work.arrival + limit;
     backend->Submit(std::move(work));
   }
 
@@ -160,4 +167,16 @@
   LONGS_EQUAL(1, Counter("stale_fences"));
 }
 
+// Guards against an engine that goes on with a request whose deadline passed
+// while it ran, and keeps a batch place for nobody.
+TEST(EngineBackend, PassedDeadlineCancelsTheGeneration) {
+  Submit(1, std::chrono::seconds(1));
+  RunUntil([this] { return !engine.loads.empty(); });
+  const nlohmann::json loaded = {{"boot_id", "boot-1"}};
+  engine.loads[0].responder->Send({200, {}, loaded.dump()});
+  RunUntil([this] { return !engine.generations.empty(); });
+  RunUntil([this] { return engine.cancels > 0; });
+  LONGS_EQUAL(1, engine.cancels);
+}
+
 }  // namespace amaranthcove
