--- a/src/admin/exported_metrics.cc
+++ b/src/admin/exported_metrics.cc
@@ -217,10 +217,6 @@
     ExportedMetric{"/backend/counters/load_failures",
                    "amaranthcove_load_failures_total", MetricType::kCounter,
                    "Adapter loads that failed."},
-    ExportedMetric{
-        "/backend/counters/overtaken_loads",
-        "amaranthcove_overtaken_loads_total", MetricType::kCounter,
-        "Adapter loads overtaken by a later command to the same slot."},
     ExportedMetric{"/backend/counters/store_busy",
                    "amaranthcove_store_busy_total", MetricType::kCounter,
                    "Adapter loads the weight store rejected as too many."},
