entry: always tell who cancelled an attempt

A caller could wait for ever: when the answer ended, or the connection was lost, while a cancel was on its way, the attempt was removed and the cancel's callback dropped with it, so a call past its deadline was never answered. SidecarLinks.EndThatCrossesACancelIsReported fails without the change.

--- a/include/amaranthcove/entry/sidecar_links.h
+++ b/include/amaranthcove/entry/sidecar_links.h
@@ -194,8 +194,10 @@
   void SendIssue(Link& link, IssueCall& call);
   void FinishIssue(std::int64_t call, const std::string& id);
   Attempt* Find(const wire::AttemptId& id);
-  // Unregisters the attempt and returns its observer, which may be null.
-  AttemptObserver* Remove(const AttemptId& attempt);
+  // Unregisters the attempt and returns its observer, which may be null. If it
+  // was cancelled, `outcome` is what is known of it.
+  AttemptObserver* Remove(const AttemptId& attempt,
+                          Outcome outcome = Outcome::kUnknown);
   std::int64_t LowWaterMark() const;
   void SweepIdleLinks();
 
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -368,7 +368,10 @@
   SendAcknowledge(*attempt, end.chunks + 1);
   const bool whole = !end.error_code.empty() ||
                      attempt->receiver.End(end.chunks) == ReceiveResult::kWhole;
-  AttemptObserver* observer = Remove(wire::FromWire(end.attempt));
+  // The answer may have ended while a cancel was on its way.
+  const Outcome outcome =
+      end.error_code.empty() ? Outcome::kCompleted : Outcome::kUnknown;
+  AttemptObserver* observer = Remove(wire::FromWire(end.attempt), outcome);
   if (observer == nullptr) {
     return;
   }
@@ -385,11 +388,8 @@
     return;
   }
   SendAcknowledge(*attempt, 1);
-  const auto on_cancelled = std::move(attempt->on_cancelled);
-  AttemptObserver* observer = Remove(wire::FromWire(refused.attempt));
-  if (on_cancelled) {
-    on_cancelled(Outcome::kNotRun);
-  }
+  AttemptObserver* observer =
+      Remove(wire::FromWire(refused.attempt), Outcome::kNotRun);
   if (observer != nullptr) {
     observer->OnRefused(refused);
   }
@@ -413,13 +413,8 @@
   attempt.observer = nullptr;
   attempt.on_cancelled = std::move(done);
   attempt.cancel_timer = context_.loop.RunAfter(limit, [this, id] {
-    const auto waiting = attempts_.find(id);
-    waiting->second.cancel_timer = 0;
-    const auto callback = std::move(waiting->second.on_cancelled);
+    attempts_.at(id).cancel_timer = 0;
     Remove(id);
-    if (callback) {
-      callback(Outcome::kUnknown);
-    }
   });
   Link& link = links_[attempt.instance];
   if (link.connection != nullptr && link.connection->ready()) {
@@ -432,22 +427,25 @@
   if (attempt == nullptr || attempt->observer != nullptr) {
     return;
   }
-  const auto callback = std::move(attempt->on_cancelled);
-  Remove(wire::FromWire(cancelled.attempt));
-  if (callback) {
-    callback(cancelled.outcome == OutcomeName(Outcome::kNotRun)
-                 ? Outcome::kNotRun
-                 : Outcome::kUnknown);
-  }
+  const bool not_run = cancelled.outcome == OutcomeName(Outcome::kNotRun);
+  Remove(wire::FromWire(cancelled.attempt),
+         not_run ? Outcome::kNotRun : Outcome::kUnknown);
 }
 
-AttemptObserver* SidecarLinks::Remove(const AttemptId& id) {
+AttemptObserver* SidecarLinks::Remove(const AttemptId& id, Outcome outcome) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) {
     return nullptr;
   }
   context_.loop.Cancel(found->second.cancel_timer);
   AttemptObserver* observer = found->second.observer;
+  if (found->second.on_cancelled) {
+    // Whatever removes the attempt, who cancelled it must be told.
+    context_.loop.RunAfter(
+        Duration(0), [outcome, done = std::move(found->second.on_cancelled)] {
+          done(outcome);
+        });
+  }
   const auto link = links_.find(found->second.instance);
   attempts_.erase(found);
   unsent_.erase(id.number);
