Convert documents for the wire in one place, drop frames that nobody sends

The sidecar and the entry each built wire documents and revisions by hand beside the mesh's conversion; wire/document_codec.h now serves all three.

--- a/include/amaranthcove/entry/entry_mesh.h
+++ b/include/amaranthcove/entry/entry_mesh.h
@@ -168,9 +168,6 @@
   std::uint64_t full_requests_ = 0;
 };
 
-// Conversion to the wire's document. Thread-safe.
-wire::Document ToWire(const Document& document);
-
 }  // namespace amaranthcove
 
 #endif  // AMARANTHCOVE_ENTRY_ENTRY_MESH_H_
--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -88,9 +88,6 @@
   // Gives memory of adapters back that are no longer asked for.
   void Compact(Time now);
 
-  // Requests per second for the adapter of `plan` at this entry.
-  double Heat(const CallPlan& plan, Time now) const;
-
   // Reported state of the servers, for the dump.
   nlohmann::json Dump(Time now) const;
 
--- a/include/amaranthcove/sidecar/sidecar.h
+++ b/include/amaranthcove/sidecar/sidecar.h
@@ -137,7 +137,6 @@
   void OnCancel(Link& link, const wire::Cancel& cancel);
   void OnAcknowledge(const wire::Acknowledge& acknowledge);
   void OnIssueOperation(Link& link, const wire::IssueOperation& issue);
-  void OnQuery(Link& link, const wire::Query& query);
   void OnDocument(const wire::Document& document);
   void SendRefused(Link& link,
                    const AttemptId& attempt,
--- /dev/null
+++ b/include/amaranthcove/wire/document_codec.h
@@ -0,0 +1,19 @@
+#ifndef AMARANTHCOVE_WIRE_DOCUMENT_CODEC_H_
+#define AMARANTHCOVE_WIRE_DOCUMENT_CODEC_H_
+
+#include <wire_types.h>
+
+#include "amaranthcove/documents/document_store.h"
+
+namespace amaranthcove::wire {
+
+// Conversions between the wire's and the program's documents and revisions.
+// Thread-safe.
+Document ToWire(const amaranthcove::Document& document);
+amaranthcove::Document FromWire(const Document& document);
+DocumentRevision ToWire(const KnownRevision& known);
+KnownRevision FromWire(const DocumentRevision& revision);
+
+}  // namespace amaranthcove::wire
+
+#endif  // AMARANTHCOVE_WIRE_DOCUMENT_CODEC_H_
--- a/src/entry/call.cc
+++ b/src/entry/call.cc
@@ -184,7 +184,6 @@
                      context_.suspects.Judge(plan_.fingerprint, now).decision ==
                          SuspectDecision::kRunAlone;
   submit.request_id = request_id_;
-  submit.heat = context_.chooser.Heat(plan_, now);
   submit.document_revision = plan_.document_revision;
   submit.objective =
       plan_.objective == Objective::kStalls ? "stalls" : "batch_efficiency";
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -6,6 +6,7 @@
 #include "amaranthcove/base/json.h"
 #include "amaranthcove/log/log.h"
 #include "amaranthcove/membership/peer_graph.h"
+#include "amaranthcove/wire/document_codec.h"
 #include "amaranthcove/wire/instance_codec.h"
 #include "amaranthcove/wire/suspect_codec.h"
 
@@ -57,9 +58,7 @@
             catalogue_.store(),
             options.peers,
             {[this](const wire::Document& document, const std::string& from) {
-               OnDocument({document.team, document.revision, document.removed,
-                           document.text},
-                          from);
+               OnDocument(wire::FromWire(document), from);
              },
              [this](const wire::Suspect& suspect, const std::string& from) {
                OnSuspect(suspect, from);
@@ -119,9 +118,7 @@
     chooser_.OnReport(instance, report, context_.loop.Now());
   };
   events.on_document = [this](const wire::Document& document) {
-    OnDocument(
-        {document.team, document.revision, document.removed, document.text},
-        "");
+    OnDocument(wire::FromWire(document), "");
   };
   events.on_documents_request = [this](const wire::DocumentsRequest& request,
                                        PeerConnection& connection) {
--- a/src/entry/entry_mesh.cc
+++ b/src/entry/entry_mesh.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "amaranthcove/membership/peer_graph.h"
+#include "amaranthcove/wire/document_codec.h"
 #include "amaranthcove/wire/instance_codec.h"
 
 namespace amaranthcove {
@@ -41,26 +42,6 @@
 
 }  // namespace
 
-namespace {
-
-wire::DocumentRevision ToWire(const KnownRevision& known) {
-  wire::DocumentRevision revision;
-  revision.team = known.team;
-  revision.revision = known.revision;
-  return revision;
-}
-
-}  // namespace
-
-wire::Document ToWire(const Document& document) {
-  wire::Document result;
-  result.team = document.team;
-  result.revision = document.revision;
-  result.removed = document.removed;
-  result.text = document.text;
-  return result;
-}
-
 EntryMesh::EntryMesh(PeerContext& context,
                      InstanceDirectory& directory,
                      const DocumentStore& documents,
@@ -451,7 +432,7 @@
   ++full_requests_;
   wire::DocumentsRequest request;
   for (const KnownRevision& known : documents_.Revisions()) {
-    request.known.push_back(ToWire(known));
+    request.known.push_back(wire::ToWire(known));
   }
   wire::Frame frame;
   frame.__set_documents_request(request);
@@ -462,7 +443,7 @@
                               PeerConnection& connection) const {
   std::vector<KnownRevision> known;
   for (const wire::DocumentRevision& revision : request.known) {
-    known.push_back({revision.team, revision.revision});
+    known.push_back(wire::FromWire(revision));
   }
   std::string_view only_team;
   if (request.__isset.team) {
@@ -472,7 +453,7 @@
       documents_.NewerThan(known, kMaxPortionBytes, only_team);
   for (const Document& document : portion.documents) {
     wire::Frame frame;
-    frame.__set_document(ToWire(document));
+    frame.__set_document(wire::ToWire(document));
     connection.Send(frame);
   }
 }
@@ -482,7 +463,7 @@
   fetches_.OnKnown(document.team, document.revision);
   wire::Frame frame;
   if (document.removed) {
-    frame.__set_document(ToWire(document));
+    frame.__set_document(wire::ToWire(document));
   } else {
     // With 12 links, pushing is cheaper only for texts below about 20 bytes,
     // which no valid document is (docs/decisions.md).
@@ -518,7 +499,7 @@
   wire::DocumentsRequest request;
   request.__set_team(fetch.team);
   for (const KnownRevision& known : documents_.Revisions(fetch.team)) {
-    request.known.push_back(ToWire(known));
+    request.known.push_back(wire::ToWire(known));
   }
   wire::Frame frame;
   frame.__set_documents_request(request);
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -63,10 +63,6 @@
   occupancy_.Compact(now);
 }
 
-double ServerChooser::Heat(const CallPlan& plan, Time now) const {
-  return popularity_.Rate(AdapterKeyOf(plan), now);
-}
-
 Result<ChosenServer> ServerChooser::Choose(
     const CallPlan& plan,
     const std::set<std::string>& excluded,
--- a/src/entry/sidecar_links.cc
+++ b/src/entry/sidecar_links.cc
@@ -316,8 +316,6 @@
     if (frame.heartbeat.__isset.report) {
       events_.on_report(instance, frame.heartbeat.report);
     }
-  } else if (frame.__isset.query_reply) {
-    events_.on_report(instance, frame.query_reply.report);
   } else if (frame.__isset.leaving) {
     events_.on_leaving(instance, links_[instance].incarnation);
   } else if (frame.__isset.document) {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -5,6 +5,7 @@
 
 #include "amaranthcove/operations/operation_id.h"
 #include "amaranthcove/service_document/document_validator.h"
+#include "amaranthcove/wire/document_codec.h"
 
 namespace amaranthcove {
 
@@ -95,8 +96,6 @@
     OnResume(link, frame.resume);
   } else if (frame.__isset.issue_operation) {
     OnIssueOperation(link, frame.issue_operation);
-  } else if (frame.__isset.query) {
-    OnQuery(link, frame.query);
   } else if (frame.__isset.document) {
     OnDocument(frame.document);
   } else if (frame.__isset.suspect) {
@@ -189,22 +188,14 @@
     request.__set_team(submit.team);
     for (const KnownRevision& revision : documents_.Revisions()) {
       if (revision.team == submit.team) {
-        wire::DocumentRevision wire_revision;
-        wire_revision.team = revision.team;
-        wire_revision.revision = revision.revision;
-        request.known.push_back(wire_revision);
+        request.known.push_back(wire::ToWire(revision));
       }
     }
     frame.__set_documents_request(request);
     link.connection->Send(frame);
   } else if (submit.document_revision < in_force) {
     ++counters_.stale_documents;
-    wire::Document document;
-    document.team = known->in_force.team;
-    document.revision = known->in_force.revision;
-    document.removed = known->in_force.removed;
-    document.text = known->in_force.text;
-    frame.__set_document(document);
+    frame.__set_document(wire::ToWire(known->in_force));
     link.connection->Send(frame);
     return false;
   }
@@ -212,9 +203,8 @@
 }
 
 void Sidecar::OnDocument(const wire::Document& document) {
-  documents_.Adopt(
-      {document.team, document.revision, document.removed, document.text},
-      &ValidateServiceDocument, context_.loop.Now());
+  documents_.Adopt(wire::FromWire(document), &ValidateServiceDocument,
+                   context_.loop.Now());
 }
 
 void Sidecar::OnResume(Link& link, const wire::Resume& resume) {
@@ -304,15 +294,6 @@
   link.connection->Send(frame);
 }
 
-void Sidecar::OnQuery(Link& link, const wire::Query& query) {
-  wire::QueryReply reply;
-  reply.call = query.call;
-  reply.report = Report(query.model);
-  wire::Frame frame;
-  frame.__set_query_reply(reply);
-  link.connection->Send(frame);
-}
-
 void Sidecar::OnHead(const AttemptId& attempt,
                      int status,
                      std::string_view content_type) {
--- a/src/wire/gen/wire_types.cpp
+++ b/src/wire/gen/wire_types.cpp
@@ -2218,10 +2218,6 @@
   this->low_water_mark = val;
 }
 
-void Submit::__set_heat(const double val) {
-  this->heat = val;
-}
-
 void Submit::__set_document_revision(const int64_t val) {
   this->document_revision = val;
 }
@@ -2385,14 +2381,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->heat);
-          this->__isset.heat = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 18:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->document_revision);
@@ -2490,10 +2478,6 @@
   xfer += oprot->writeI64(this->low_water_mark);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("heat", ::apache::thrift::protocol::T_DOUBLE, 17);
-  xfer += oprot->writeDouble(this->heat);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("document_revision", ::apache::thrift::protocol::T_I64, 18);
   xfer += oprot->writeI64(this->document_revision);
   xfer += oprot->writeFieldEnd();
@@ -2525,7 +2509,6 @@
   swap(a.run_alone, b.run_alone);
   swap(a.request_id, b.request_id);
   swap(a.low_water_mark, b.low_water_mark);
-  swap(a.heat, b.heat);
   swap(a.document_revision, b.document_revision);
   swap(a.objective, b.objective);
   swap(a.__isset, b.__isset);
@@ -2548,7 +2531,6 @@
   run_alone = other44.run_alone;
   request_id = other44.request_id;
   low_water_mark = other44.low_water_mark;
-  heat = other44.heat;
   document_revision = other44.document_revision;
   objective = other44.objective;
   __isset = other44.__isset;
@@ -2570,7 +2552,6 @@
   run_alone = other45.run_alone;
   request_id = other45.request_id;
   low_water_mark = other45.low_water_mark;
-  heat = other45.heat;
   document_revision = other45.document_revision;
   objective = other45.objective;
   __isset = other45.__isset;
@@ -2595,125 +2576,12 @@
   out << ", " << "run_alone=" << to_string(run_alone);
   out << ", " << "request_id=" << to_string(request_id);
   out << ", " << "low_water_mark=" << to_string(low_water_mark);
-  out << ", " << "heat=" << to_string(heat);
   out << ", " << "document_revision=" << to_string(document_revision);
   out << ", " << "objective=" << to_string(objective);
   out << ")";
 }
 
 
-Accepted::~Accepted() noexcept {
-}
-
-
-void Accepted::__set_attempt(const AttemptId& val) {
-  this->attempt = val;
-}
-
-void Accepted::__set_report(const ServerReport& val) {
-  this->report = val;
-}
-std::ostream& operator<<(std::ostream& out, const Accepted& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Accepted::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->attempt.read(iprot);
-          this->__isset.attempt = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report.read(iprot);
-          this->__isset.report = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Accepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Accepted");
-
-  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->attempt.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->report.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Accepted &a, Accepted &b) {
-  using ::std::swap;
-  swap(a.attempt, b.attempt);
-  swap(a.report, b.report);
-  swap(a.__isset, b.__isset);
-}
-
-Accepted::Accepted(const Accepted& other46) {
-  attempt = other46.attempt;
-  report = other46.report;
-  __isset = other46.__isset;
-}
-Accepted& Accepted::operator=(const Accepted& other47) {
-  attempt = other47.attempt;
-  report = other47.report;
-  __isset = other47.__isset;
-  return *this;
-}
-void Accepted::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Accepted(";
-  out << "attempt=" << to_string(attempt);
-  out << ", " << "report=" << to_string(report);
-  out << ")";
-}
-
-
 Refused::~Refused() noexcept {
 }
 
@@ -2857,21 +2725,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Refused::Refused(const Refused& other48) {
-  attempt = other48.attempt;
-  code = other48.code;
-  message = other48.message;
-  retry_after_ms = other48.retry_after_ms;
-  report = other48.report;
-  __isset = other48.__isset;
+Refused::Refused(const Refused& other46) {
+  attempt = other46.attempt;
+  code = other46.code;
+  message = other46.message;
+  retry_after_ms = other46.retry_after_ms;
+  report = other46.report;
+  __isset = other46.__isset;
 }
-Refused& Refused::operator=(const Refused& other49) {
-  attempt = other49.attempt;
-  code = other49.code;
-  message = other49.message;
-  retry_after_ms = other49.retry_after_ms;
-  report = other49.report;
-  __isset = other49.__isset;
+Refused& Refused::operator=(const Refused& other47) {
+  attempt = other47.attempt;
+  code = other47.code;
+  message = other47.message;
+  retry_after_ms = other47.retry_after_ms;
+  report = other47.report;
+  __isset = other47.__isset;
   return *this;
 }
 void Refused::printTo(std::ostream& out) const {
@@ -3033,21 +2901,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other50) {
-  attempt = other50.attempt;
-  sequence = other50.sequence;
-  data = other50.data;
-  status = other50.status;
-  content_type = other50.content_type;
-  __isset = other50.__isset;
+Chunk::Chunk(const Chunk& other48) {
+  attempt = other48.attempt;
+  sequence = other48.sequence;
+  data = other48.data;
+  status = other48.status;
+  content_type = other48.content_type;
+  __isset = other48.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other51) {
-  attempt = other51.attempt;
-  sequence = other51.sequence;
-  data = other51.data;
-  status = other51.status;
-  content_type = other51.content_type;
-  __isset = other51.__isset;
+Chunk& Chunk::operator=(const Chunk& other49) {
+  attempt = other49.attempt;
+  sequence = other49.sequence;
+  data = other49.data;
+  status = other49.status;
+  content_type = other49.content_type;
+  __isset = other49.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -3273,29 +3141,29 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other52) {
-  attempt = other52.attempt;
-  chunks = other52.chunks;
-  error_code = other52.error_code;
-  message = other52.message;
-  outcome = other52.outcome;
-  report = other52.report;
-  load_stall_ms = other52.load_stall_ms;
-  queue_ms = other52.queue_ms;
-  engine_crashed = other52.engine_crashed;
-  __isset = other52.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other50) {
+  attempt = other50.attempt;
+  chunks = other50.chunks;
+  error_code = other50.error_code;
+  message = other50.message;
+  outcome = other50.outcome;
+  report = other50.report;
+  load_stall_ms = other50.load_stall_ms;
+  queue_ms = other50.queue_ms;
+  engine_crashed = other50.engine_crashed;
+  __isset = other50.__isset;
 }
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other53) {
-  attempt = other53.attempt;
-  chunks = other53.chunks;
-  error_code = other53.error_code;
-  message = other53.message;
-  outcome = other53.outcome;
-  report = other53.report;
-  load_stall_ms = other53.load_stall_ms;
-  queue_ms = other53.queue_ms;
-  engine_crashed = other53.engine_crashed;
-  __isset = other53.__isset;
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other51) {
+  attempt = other51.attempt;
+  chunks = other51.chunks;
+  error_code = other51.error_code;
+  message = other51.message;
+  outcome = other51.outcome;
+  report = other51.report;
+  load_stall_ms = other51.load_stall_ms;
+  queue_ms = other51.queue_ms;
+  engine_crashed = other51.engine_crashed;
+  __isset = other51.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -3406,15 +3274,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acknowledge::Acknowledge(const Acknowledge& other54) {
-  attempt = other54.attempt;
-  next_sequence = other54.next_sequence;
-  __isset = other54.__isset;
+Acknowledge::Acknowledge(const Acknowledge& other52) {
+  attempt = other52.attempt;
+  next_sequence = other52.next_sequence;
+  __isset = other52.__isset;
 }
-Acknowledge& Acknowledge::operator=(const Acknowledge& other55) {
-  attempt = other55.attempt;
-  next_sequence = other55.next_sequence;
-  __isset = other55.__isset;
+Acknowledge& Acknowledge::operator=(const Acknowledge& other53) {
+  attempt = other53.attempt;
+  next_sequence = other53.next_sequence;
+  __isset = other53.__isset;
   return *this;
 }
 void Acknowledge::printTo(std::ostream& out) const {
@@ -3518,15 +3386,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Resume::Resume(const Resume& other56) {
-  attempt = other56.attempt;
-  next_sequence = other56.next_sequence;
-  __isset = other56.__isset;
+Resume::Resume(const Resume& other54) {
+  attempt = other54.attempt;
+  next_sequence = other54.next_sequence;
+  __isset = other54.__isset;
 }
-Resume& Resume::operator=(const Resume& other57) {
-  attempt = other57.attempt;
-  next_sequence = other57.next_sequence;
-  __isset = other57.__isset;
+Resume& Resume::operator=(const Resume& other55) {
+  attempt = other55.attempt;
+  next_sequence = other55.next_sequence;
+  __isset = other55.__isset;
   return *this;
 }
 void Resume::printTo(std::ostream& out) const {
@@ -3613,13 +3481,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other58) {
-  attempt = other58.attempt;
-  __isset = other58.__isset;
+Cancel::Cancel(const Cancel& other56) {
+  attempt = other56.attempt;
+  __isset = other56.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other59) {
-  attempt = other59.attempt;
-  __isset = other59.__isset;
+Cancel& Cancel::operator=(const Cancel& other57) {
+  attempt = other57.attempt;
+  __isset = other57.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -3722,15 +3590,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancelled::Cancelled(const Cancelled& other60) {
-  attempt = other60.attempt;
-  outcome = other60.outcome;
-  __isset = other60.__isset;
+Cancelled::Cancelled(const Cancelled& other58) {
+  attempt = other58.attempt;
+  outcome = other58.outcome;
+  __isset = other58.__isset;
 }
-Cancelled& Cancelled::operator=(const Cancelled& other61) {
-  attempt = other61.attempt;
-  outcome = other61.outcome;
-  __isset = other61.__isset;
+Cancelled& Cancelled::operator=(const Cancelled& other59) {
+  attempt = other59.attempt;
+  outcome = other59.outcome;
+  __isset = other59.__isset;
   return *this;
 }
 void Cancelled::printTo(std::ostream& out) const {
@@ -3851,17 +3719,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IssueOperation::IssueOperation(const IssueOperation& other62) {
-  call = other62.call;
-  team = other62.team;
-  service_name = other62.service_name;
-  __isset = other62.__isset;
+IssueOperation::IssueOperation(const IssueOperation& other60) {
+  call = other60.call;
+  team = other60.team;
+  service_name = other60.service_name;
+  __isset = other60.__isset;
 }
-IssueOperation& IssueOperation::operator=(const IssueOperation& other63) {
-  call = other63.call;
-  team = other63.team;
-  service_name = other63.service_name;
-  __isset = other63.__isset;
+IssueOperation& IssueOperation::operator=(const IssueOperation& other61) {
+  call = other61.call;
+  team = other61.team;
+  service_name = other61.service_name;
+  __isset = other61.__isset;
   return *this;
 }
 void IssueOperation::printTo(std::ostream& out) const {
@@ -3983,17 +3851,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationIssued::OperationIssued(const OperationIssued& other64) {
-  call = other64.call;
-  operation_id = other64.operation_id;
-  code = other64.code;
-  __isset = other64.__isset;
+OperationIssued::OperationIssued(const OperationIssued& other62) {
+  call = other62.call;
+  operation_id = other62.operation_id;
+  code = other62.code;
+  __isset = other62.__isset;
 }
-OperationIssued& OperationIssued::operator=(const OperationIssued& other65) {
-  call = other65.call;
-  operation_id = other65.operation_id;
-  code = other65.code;
-  __isset = other65.__isset;
+OperationIssued& OperationIssued::operator=(const OperationIssued& other63) {
+  call = other63.call;
+  operation_id = other63.operation_id;
+  code = other63.code;
+  __isset = other63.__isset;
   return *this;
 }
 void OperationIssued::printTo(std::ostream& out) const {
@@ -4006,230 +3874,6 @@
 }
 
 
-Query::~Query() noexcept {
-}
-
-
-void Query::__set_call(const int64_t val) {
-  this->call = val;
-}
-
-void Query::__set_model(const std::string& val) {
-  this->model = val;
-}
-std::ostream& operator<<(std::ostream& out, const Query& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Query::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->call);
-          this->__isset.call = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->model);
-          this->__isset.model = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Query::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Query");
-
-  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->call);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->model);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Query &a, Query &b) {
-  using ::std::swap;
-  swap(a.call, b.call);
-  swap(a.model, b.model);
-  swap(a.__isset, b.__isset);
-}
-
-Query::Query(const Query& other66) {
-  call = other66.call;
-  model = other66.model;
-  __isset = other66.__isset;
-}
-Query& Query::operator=(const Query& other67) {
-  call = other67.call;
-  model = other67.model;
-  __isset = other67.__isset;
-  return *this;
-}
-void Query::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Query(";
-  out << "call=" << to_string(call);
-  out << ", " << "model=" << to_string(model);
-  out << ")";
-}
-
-
-QueryReply::~QueryReply() noexcept {
-}
-
-
-void QueryReply::__set_call(const int64_t val) {
-  this->call = val;
-}
-
-void QueryReply::__set_report(const ServerReport& val) {
-  this->report = val;
-}
-std::ostream& operator<<(std::ostream& out, const QueryReply& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t QueryReply::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->call);
-          this->__isset.call = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report.read(iprot);
-          this->__isset.report = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t QueryReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QueryReply");
-
-  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->call);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->report.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(QueryReply &a, QueryReply &b) {
-  using ::std::swap;
-  swap(a.call, b.call);
-  swap(a.report, b.report);
-  swap(a.__isset, b.__isset);
-}
-
-QueryReply::QueryReply(const QueryReply& other68) {
-  call = other68.call;
-  report = other68.report;
-  __isset = other68.__isset;
-}
-QueryReply& QueryReply::operator=(const QueryReply& other69) {
-  call = other69.call;
-  report = other69.report;
-  __isset = other69.__isset;
-  return *this;
-}
-void QueryReply::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "QueryReply(";
-  out << "call=" << to_string(call);
-  out << ", " << "report=" << to_string(report);
-  out << ")";
-}
-
-
 Leaving::~Leaving() noexcept {
 }
 
@@ -4305,13 +3949,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Leaving::Leaving(const Leaving& other70) {
-  instance = other70.instance;
-  __isset = other70.__isset;
+Leaving::Leaving(const Leaving& other64) {
+  instance = other64.instance;
+  __isset = other64.__isset;
 }
-Leaving& Leaving::operator=(const Leaving& other71) {
-  instance = other71.instance;
-  __isset = other71.__isset;
+Leaving& Leaving::operator=(const Leaving& other65) {
+  instance = other65.instance;
+  __isset = other65.__isset;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -4397,13 +4041,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other72) {
-  instance = other72.instance;
-  __isset = other72.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other66) {
+  instance = other66.instance;
+  __isset = other66.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other73) {
-  instance = other73.instance;
-  __isset = other73.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other67) {
+  instance = other67.instance;
+  __isset = other67.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -4540,19 +4184,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other74) noexcept {
-  fingerprint = other74.fingerprint;
-  crashes = other74.crashes;
-  quarantined = other74.quarantined;
-  remaining_ms = other74.remaining_ms;
-  __isset = other74.__isset;
+Suspect::Suspect(const Suspect& other68) noexcept {
+  fingerprint = other68.fingerprint;
+  crashes = other68.crashes;
+  quarantined = other68.quarantined;
+  remaining_ms = other68.remaining_ms;
+  __isset = other68.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other75) noexcept {
-  fingerprint = other75.fingerprint;
-  crashes = other75.crashes;
-  quarantined = other75.quarantined;
-  remaining_ms = other75.remaining_ms;
-  __isset = other75.__isset;
+Suspect& Suspect::operator=(const Suspect& other69) noexcept {
+  fingerprint = other69.fingerprint;
+  crashes = other69.crashes;
+  quarantined = other69.quarantined;
+  remaining_ms = other69.remaining_ms;
+  __isset = other69.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -4600,11 +4244,6 @@
 __isset.submit = true;
 }
 
-void Frame::__set_accepted(const Accepted& val) {
-  this->accepted = val;
-__isset.accepted = true;
-}
-
 void Frame::__set_refused(const Refused& val) {
   this->refused = val;
 __isset.refused = true;
@@ -4650,16 +4289,6 @@
 __isset.operation_issued = true;
 }
 
-void Frame::__set_query(const Query& val) {
-  this->query = val;
-__isset.query = true;
-}
-
-void Frame::__set_query_reply(const QueryReply& val) {
-  this->query_reply = val;
-__isset.query_reply = true;
-}
-
 void Frame::__set_leaving(const Leaving& val) {
   this->leaving = val;
 __isset.leaving = true;
@@ -4765,14 +4394,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->accepted.read(iprot);
-          this->__isset.accepted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->refused.read(iprot);
@@ -4845,22 +4466,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->query.read(iprot);
-          this->__isset.query = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->query_reply.read(iprot);
-          this->__isset.query_reply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 19:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->leaving.read(iprot);
@@ -4956,11 +4561,6 @@
     xfer += this->submit.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.accepted) {
-    xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->accepted.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.refused) {
     xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_STRUCT, 8);
     xfer += this->refused.write(oprot);
@@ -5006,16 +4606,6 @@
     xfer += this->operation_issued.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.query) {
-    xfer += oprot->writeFieldBegin("query", ::apache::thrift::protocol::T_STRUCT, 17);
-    xfer += this->query.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.query_reply) {
-    xfer += oprot->writeFieldBegin("query_reply", ::apache::thrift::protocol::T_STRUCT, 18);
-    xfer += this->query_reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.leaving) {
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 19);
     xfer += this->leaving.write(oprot);
@@ -5059,7 +4649,6 @@
   swap(a.documents_request, b.documents_request);
   swap(a.document, b.document);
   swap(a.submit, b.submit);
-  swap(a.accepted, b.accepted);
   swap(a.refused, b.refused);
   swap(a.chunk, b.chunk);
   swap(a.answer_end, b.answer_end);
@@ -5069,8 +4658,6 @@
   swap(a.cancelled, b.cancelled);
   swap(a.issue_operation, b.issue_operation);
   swap(a.operation_issued, b.operation_issued);
-  swap(a.query, b.query);
-  swap(a.query_reply, b.query_reply);
   swap(a.leaving, b.leaving);
   swap(a.leaving_notice, b.leaving_notice);
   swap(a.suspect, b.suspect);
@@ -5080,59 +4667,53 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other76) {
-  hello = other76.hello;
-  proof = other76.proof;
-  heartbeat = other76.heartbeat;
-  documents_request = other76.documents_request;
-  document = other76.document;
-  submit = other76.submit;
-  accepted = other76.accepted;
-  refused = other76.refused;
-  chunk = other76.chunk;
-  answer_end = other76.answer_end;
-  acknowledge = other76.acknowledge;
-  resume = other76.resume;
-  cancel = other76.cancel;
-  cancelled = other76.cancelled;
-  issue_operation = other76.issue_operation;
-  operation_issued = other76.operation_issued;
-  query = other76.query;
-  query_reply = other76.query_reply;
-  leaving = other76.leaving;
-  leaving_notice = other76.leaving_notice;
-  suspect = other76.suspect;
-  document_announcement = other76.document_announcement;
-  instances_request = other76.instances_request;
-  instance_changes = other76.instance_changes;
-  __isset = other76.__isset;
-}
-Frame& Frame::operator=(const Frame& other77) {
-  hello = other77.hello;
-  proof = other77.proof;
-  heartbeat = other77.heartbeat;
-  documents_request = other77.documents_request;
-  document = other77.document;
-  submit = other77.submit;
-  accepted = other77.accepted;
-  refused = other77.refused;
-  chunk = other77.chunk;
-  answer_end = other77.answer_end;
-  acknowledge = other77.acknowledge;
-  resume = other77.resume;
-  cancel = other77.cancel;
-  cancelled = other77.cancelled;
-  issue_operation = other77.issue_operation;
-  operation_issued = other77.operation_issued;
-  query = other77.query;
-  query_reply = other77.query_reply;
-  leaving = other77.leaving;
-  leaving_notice = other77.leaving_notice;
-  suspect = other77.suspect;
-  document_announcement = other77.document_announcement;
-  instances_request = other77.instances_request;
-  instance_changes = other77.instance_changes;
-  __isset = other77.__isset;
+Frame::Frame(const Frame& other70) {
+  hello = other70.hello;
+  proof = other70.proof;
+  heartbeat = other70.heartbeat;
+  documents_request = other70.documents_request;
+  document = other70.document;
+  submit = other70.submit;
+  refused = other70.refused;
+  chunk = other70.chunk;
+  answer_end = other70.answer_end;
+  acknowledge = other70.acknowledge;
+  resume = other70.resume;
+  cancel = other70.cancel;
+  cancelled = other70.cancelled;
+  issue_operation = other70.issue_operation;
+  operation_issued = other70.operation_issued;
+  leaving = other70.leaving;
+  leaving_notice = other70.leaving_notice;
+  suspect = other70.suspect;
+  document_announcement = other70.document_announcement;
+  instances_request = other70.instances_request;
+  instance_changes = other70.instance_changes;
+  __isset = other70.__isset;
+}
+Frame& Frame::operator=(const Frame& other71) {
+  hello = other71.hello;
+  proof = other71.proof;
+  heartbeat = other71.heartbeat;
+  documents_request = other71.documents_request;
+  document = other71.document;
+  submit = other71.submit;
+  refused = other71.refused;
+  chunk = other71.chunk;
+  answer_end = other71.answer_end;
+  acknowledge = other71.acknowledge;
+  resume = other71.resume;
+  cancel = other71.cancel;
+  cancelled = other71.cancelled;
+  issue_operation = other71.issue_operation;
+  operation_issued = other71.operation_issued;
+  leaving = other71.leaving;
+  leaving_notice = other71.leaving_notice;
+  suspect = other71.suspect;
+  document_announcement = other71.document_announcement;
+  instances_request = other71.instances_request;
+  instance_changes = other71.instance_changes;
+  __isset = other71.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -5144,7 +4725,6 @@
   out << ", " << "documents_request="; (__isset.documents_request ? (out << to_string(documents_request)) : (out << "<null>"));
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "submit="; (__isset.submit ? (out << to_string(submit)) : (out << "<null>"));
-  out << ", " << "accepted="; (__isset.accepted ? (out << to_string(accepted)) : (out << "<null>"));
   out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
   out << ", " << "chunk="; (__isset.chunk ? (out << to_string(chunk)) : (out << "<null>"));
   out << ", " << "answer_end="; (__isset.answer_end ? (out << to_string(answer_end)) : (out << "<null>"));
@@ -5154,8 +4734,6 @@
   out << ", " << "cancelled="; (__isset.cancelled ? (out << to_string(cancelled)) : (out << "<null>"));
   out << ", " << "issue_operation="; (__isset.issue_operation ? (out << to_string(issue_operation)) : (out << "<null>"));
   out << ", " << "operation_issued="; (__isset.operation_issued ? (out << to_string(operation_issued)) : (out << "<null>"));
-  out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
-  out << ", " << "query_reply="; (__isset.query_reply ? (out << to_string(query_reply)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "leaving_notice="; (__isset.leaving_notice ? (out << to_string(leaving_notice)) : (out << "<null>"));
   out << ", " << "suspect="; (__isset.suspect ? (out << to_string(suspect)) : (out << "<null>"));
--- a/src/wire/gen/wire_types.h
+++ b/src/wire/gen/wire_types.h
@@ -49,8 +49,6 @@
 
 class Submit;
 
-class Accepted;
-
 class Refused;
 
 class Chunk;
@@ -69,10 +67,6 @@
 
 class OperationIssued;
 
-class Query;
-
-class QueryReply;
-
 class Leaving;
 
 class LeavingNotice;
@@ -956,7 +950,7 @@
 std::ostream& operator<<(std::ostream& out, const InstanceChanges& obj);
 
 typedef struct _Submit__isset {
-  _Submit__isset() : attempt(false), team(false), model(false), service_name(false), method(false), path(false), body(false), content_type(false), streamed(false), urgent(false), remaining_ms(false), operation_id(false), fingerprint(false), run_alone(false), request_id(false), low_water_mark(false), heat(false), document_revision(false), objective(false) {}
+  _Submit__isset() : attempt(false), team(false), model(false), service_name(false), method(false), path(false), body(false), content_type(false), streamed(false), urgent(false), remaining_ms(false), operation_id(false), fingerprint(false), run_alone(false), request_id(false), low_water_mark(false), document_revision(false), objective(false) {}
   bool attempt :1;
   bool team :1;
   bool model :1;
@@ -973,7 +967,6 @@
   bool run_alone :1;
   bool request_id :1;
   bool low_water_mark :1;
-  bool heat :1;
   bool document_revision :1;
   bool objective :1;
 } _Submit__isset;
@@ -999,7 +992,6 @@
            run_alone(0),
            request_id(),
            low_water_mark(0),
-           heat(0),
            document_revision(0),
            objective() {
   }
@@ -1021,7 +1013,6 @@
   bool run_alone;
   std::string request_id;
   int64_t low_water_mark;
-  double heat;
   int64_t document_revision;
   std::string objective;
 
@@ -1059,8 +1050,6 @@
 
   void __set_low_water_mark(const int64_t val);
 
-  void __set_heat(const double val);
-
   void __set_document_revision(const int64_t val);
 
   void __set_objective(const std::string& val);
@@ -1099,8 +1088,6 @@
       return false;
     if (!(low_water_mark == rhs.low_water_mark))
       return false;
-    if (!(heat == rhs.heat))
-      return false;
     if (!(document_revision == rhs.document_revision))
       return false;
     if (!(objective == rhs.objective))
@@ -1123,54 +1110,6 @@
 
 std::ostream& operator<<(std::ostream& out, const Submit& obj);
 
-typedef struct _Accepted__isset {
-  _Accepted__isset() : attempt(false), report(false) {}
-  bool attempt :1;
-  bool report :1;
-} _Accepted__isset;
-
-class Accepted : public virtual ::apache::thrift::TBase {
- public:
-
-  Accepted(const Accepted&);
-  Accepted& operator=(const Accepted&);
-  Accepted() noexcept {
-  }
-
-  virtual ~Accepted() noexcept;
-  AttemptId attempt;
-  ServerReport report;
-
-  _Accepted__isset __isset;
-
-  void __set_attempt(const AttemptId& val);
-
-  void __set_report(const ServerReport& val);
-
-  bool operator == (const Accepted & rhs) const
-  {
-    if (!(attempt == rhs.attempt))
-      return false;
-    if (!(report == rhs.report))
-      return false;
-    return true;
-  }
-  bool operator != (const Accepted &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Accepted & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Accepted &a, Accepted &b);
-
-std::ostream& operator<<(std::ostream& out, const Accepted& obj);
-
 typedef struct _Refused__isset {
   _Refused__isset() : attempt(false), code(false), message(false), retry_after_ms(false), report(false) {}
   bool attempt :1;
@@ -1714,105 +1653,6 @@
 
 std::ostream& operator<<(std::ostream& out, const OperationIssued& obj);
 
-typedef struct _Query__isset {
-  _Query__isset() : call(false), model(false) {}
-  bool call :1;
-  bool model :1;
-} _Query__isset;
-
-class Query : public virtual ::apache::thrift::TBase {
- public:
-
-  Query(const Query&);
-  Query& operator=(const Query&);
-  Query() noexcept
-        : call(0),
-          model() {
-  }
-
-  virtual ~Query() noexcept;
-  int64_t call;
-  std::string model;
-
-  _Query__isset __isset;
-
-  void __set_call(const int64_t val);
-
-  void __set_model(const std::string& val);
-
-  bool operator == (const Query & rhs) const
-  {
-    if (!(call == rhs.call))
-      return false;
-    if (!(model == rhs.model))
-      return false;
-    return true;
-  }
-  bool operator != (const Query &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Query & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Query &a, Query &b);
-
-std::ostream& operator<<(std::ostream& out, const Query& obj);
-
-typedef struct _QueryReply__isset {
-  _QueryReply__isset() : call(false), report(false) {}
-  bool call :1;
-  bool report :1;
-} _QueryReply__isset;
-
-class QueryReply : public virtual ::apache::thrift::TBase {
- public:
-
-  QueryReply(const QueryReply&);
-  QueryReply& operator=(const QueryReply&);
-  QueryReply() noexcept
-             : call(0) {
-  }
-
-  virtual ~QueryReply() noexcept;
-  int64_t call;
-  ServerReport report;
-
-  _QueryReply__isset __isset;
-
-  void __set_call(const int64_t val);
-
-  void __set_report(const ServerReport& val);
-
-  bool operator == (const QueryReply & rhs) const
-  {
-    if (!(call == rhs.call))
-      return false;
-    if (!(report == rhs.report))
-      return false;
-    return true;
-  }
-  bool operator != (const QueryReply &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const QueryReply & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(QueryReply &a, QueryReply &b);
-
-std::ostream& operator<<(std::ostream& out, const QueryReply& obj);
-
 typedef struct _Leaving__isset {
   _Leaving__isset() : instance(false) {}
   bool instance :1;
@@ -1964,14 +1804,13 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : hello(false), proof(false), heartbeat(false), documents_request(false), document(false), submit(false), accepted(false), refused(false), chunk(false), answer_end(false), acknowledge(false), resume(false), cancel(false), cancelled(false), issue_operation(false), operation_issued(false), query(false), query_reply(false), leaving(false), leaving_notice(false), suspect(false), document_announcement(false), instances_request(false), instance_changes(false) {}
+  _Frame__isset() : hello(false), proof(false), heartbeat(false), documents_request(false), document(false), submit(false), refused(false), chunk(false), answer_end(false), acknowledge(false), resume(false), cancel(false), cancelled(false), issue_operation(false), operation_issued(false), leaving(false), leaving_notice(false), suspect(false), document_announcement(false), instances_request(false), instance_changes(false) {}
   bool hello :1;
   bool proof :1;
   bool heartbeat :1;
   bool documents_request :1;
   bool document :1;
   bool submit :1;
-  bool accepted :1;
   bool refused :1;
   bool chunk :1;
   bool answer_end :1;
@@ -1981,8 +1820,6 @@
   bool cancelled :1;
   bool issue_operation :1;
   bool operation_issued :1;
-  bool query :1;
-  bool query_reply :1;
   bool leaving :1;
   bool leaving_notice :1;
   bool suspect :1;
@@ -2006,7 +1843,6 @@
   DocumentsRequest documents_request;
   Document document;
   Submit submit;
-  Accepted accepted;
   Refused refused;
   Chunk chunk;
   AnswerEnd answer_end;
@@ -2016,8 +1852,6 @@
   Cancelled cancelled;
   IssueOperation issue_operation;
   OperationIssued operation_issued;
-  Query query;
-  QueryReply query_reply;
   Leaving leaving;
   LeavingNotice leaving_notice;
   Suspect suspect;
@@ -2039,8 +1873,6 @@
 
   void __set_submit(const Submit& val);
 
-  void __set_accepted(const Accepted& val);
-
   void __set_refused(const Refused& val);
 
   void __set_chunk(const Chunk& val);
@@ -2059,10 +1891,6 @@
 
   void __set_operation_issued(const OperationIssued& val);
 
-  void __set_query(const Query& val);
-
-  void __set_query_reply(const QueryReply& val);
-
   void __set_leaving(const Leaving& val);
 
   void __set_leaving_notice(const LeavingNotice& val);
@@ -2101,10 +1929,6 @@
       return false;
     else if (__isset.submit && !(submit == rhs.submit))
       return false;
-    if (__isset.accepted != rhs.__isset.accepted)
-      return false;
-    else if (__isset.accepted && !(accepted == rhs.accepted))
-      return false;
     if (__isset.refused != rhs.__isset.refused)
       return false;
     else if (__isset.refused && !(refused == rhs.refused))
@@ -2141,14 +1965,6 @@
       return false;
     else if (__isset.operation_issued && !(operation_issued == rhs.operation_issued))
       return false;
-    if (__isset.query != rhs.__isset.query)
-      return false;
-    else if (__isset.query && !(query == rhs.query))
-      return false;
-    if (__isset.query_reply != rhs.__isset.query_reply)
-      return false;
-    else if (__isset.query_reply && !(query_reply == rhs.query_reply))
-      return false;
     if (__isset.leaving != rhs.__isset.leaving)
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
--- a/src/wire/wire.thrift
+++ b/src/wire/wire.thrift
@@ -127,17 +127,10 @@
   14: bool run_alone
   15: string request_id
   16: i64 low_water_mark    // no attempt below this number is still to be sent
-  17: double heat           // decayed requests per second for the adapter
   18: i64 document_revision // of the team's service document at the entry
   19: string objective      // "stalls" or "batch_efficiency"
 }
 
-// The attempt is queued or running.
-struct Accepted {
-  1: AttemptId attempt
-  2: ServerReport report
-}
-
 // The attempt has not run and never will.
 struct Refused {
   1: AttemptId attempt
@@ -203,17 +196,6 @@
   3: string code
 }
 
-// Asks a sidecar for its state; `model` sets `resident` in the reply.
-struct Query {
-  1: i64 call
-  2: string model
-}
-
-struct QueryReply {
-  1: i64 call
-  2: ServerReport report
-}
-
 struct Leaving {
   1: string instance
 }
@@ -229,6 +211,7 @@
   4: i64 remaining_ms
 }
 
+// Numbers 7, 17 and 18 are free.
 union Frame {
   1: Hello hello
   2: Proof proof
@@ -236,7 +219,6 @@
   4: DocumentsRequest documents_request
   5: Document document
   6: Submit submit
-  7: Accepted accepted
   8: Refused refused
   9: Chunk chunk
   10: AnswerEnd answer_end
@@ -246,8 +228,6 @@
   14: Cancelled cancelled
   15: IssueOperation issue_operation
   16: OperationIssued operation_issued
-  17: Query query
-  18: QueryReply query_reply
   19: Leaving leaving
   20: LeavingNotice leaving_notice
   21: Suspect suspect
