--- a/src/sidecar/engine_backend.cc
+++ b/src/sidecar/engine_backend.cc
@@ -471,6 +471,10 @@
                               const std::string& model,
                               const LoadResult& result,
                               Time began) {
+  if (index >= slots_.size()) {
+    // The engine restarted with fewer slots while it was loading.
+    return;
+  }
   const Time now = loop_.Now();
   SlotState& slot = slots_[index];
   slot.loading = false;
--- a/src/sidecar/engine_backend_test.cc
+++ b/src/sidecar/engine_backend_test.cc
@@ -43,15 +43,19 @@
   std::vector<Load> loads;
   std::vector<std::unique_ptr<HttpResponder>> generations;  // Never answered.
   int cancels = 0;
+  int states = 0;  // Answered.
+  std::string boot_id = "boot-1";
+  nlohmann::json slots = {nullptr, nullptr, nullptr};
 
  private:
   void Handle(const HttpRequest& request,
               std::unique_ptr<HttpResponder> responder) {
     if (request.path == "/v1/state") {
-      const nlohmann::json state = {{"boot_id", "boot-1"},
+      ++states;
+      const nlohmann::json state = {{"boot_id", boot_id},
                                     {"base_model", "base-1"},
                                     {"batch_size", 8},
-                                    {"slots", {nullptr, nullptr, nullptr}},
+                                    {"slots", slots},
                                     {"running", nlohmann::json::array()},
                                     {"queued", 0},
                                     {"fence", 0}};
@@ -167,6 +171,21 @@
   LONGS_EQUAL(1, Counter("stale_fences"));
 }
 
+// Guards against the end of a load in a slot that the engine no longer has
+// since it restarted.
+TEST(EngineBackend, LoadEndsAfterARestartWithFewerSlots) {
+  Submit(1);
+  RunUntil([this] { return !engine.loads.empty(); });
+  engine.boot_id = "boot-2";
+  engine.slots = nlohmann::json::array();
+  RunUntil([this] { return Counter("engine_restarts") == 1; });
+  const nlohmann::json loaded = {{"boot_id", "boot-1"}};
+  engine.loads[0].responder->Send({200, {}, loaded.dump()});
+  const int answered = engine.states;
+  RunUntil([&] { return engine.states > answered + 1; });
+  CHECK(backend->ready());
+}
+
 // Guards against an engine that goes on with a request whose deadline passed
 // while it ran, and keeps a batch place for nobody.
 TEST(EngineBackend, PassedDeadlineCancelsTheGeneration) {
