entry: keep one popularity table instead of two

Nothing read the entry's request rates any more; replicas follow the occupied batch places, which are recorded beside them for each request. The dump's adapters_remembered now counts that table. scripts/test: 235 passed, 0 failed.

--- a/include/amaranthcove/entry/server_chooser.h
+++ b/include/amaranthcove/entry/server_chooser.h
@@ -118,9 +118,8 @@
   const InstanceDirectory& directory_;
   const ServerChooserSettings settings_;
   policy::Random random_;
-  policy::PopularityTable popularity_;  // Requests per second.
-  // Occupied batch places. Shorter memory than for `popularity_`, so that an
-  // adapter that becomes hot gets its replicas within seconds.
+  // Occupied batch places by adapter. A memory of seconds, so that an adapter
+  // that becomes hot gets its replicas within seconds.
   policy::PopularityTable occupancy_{{.half_life = std::chrono::seconds(15)}};
   // Moving averages of run times, for `occupancy_`.
   double urgent_service_s_ = 1.0;
--- a/src/entry/server_chooser.cc
+++ b/src/entry/server_chooser.cc
@@ -47,7 +47,6 @@
 
 void ServerChooser::RecordRequest(const CallPlan& plan, Time now) {
   if (plan.kind == CallKind::kModel) {
-    popularity_.Record(AdapterKeyOf(plan), now);
     occupancy_.Record(AdapterKeyOf(plan), now,
                       plan.urgent ? urgent_service_s_ : patient_service_s_);
   }
@@ -59,7 +58,6 @@
 }
 
 void ServerChooser::Compact(Time now) {
-  popularity_.Compact(now);
   occupancy_.Compact(now);
 }
 
@@ -269,7 +267,7 @@
         {"leaving", state.report.leaving}};
   }
   return {{"servers", servers},
-          {"adapters_remembered", popularity_.size()},
+          {"adapters_remembered", occupancy_.size()},
           {"urgent_service_s", urgent_service_s_},
           {"patient_service_s", patient_service_s_}};
 }
