--- a/src/engine_client/engine_client_test.cc
+++ b/src/engine_client/engine_client_test.cc
@@ -40,7 +40,7 @@
   std::optional<GenerationEnd> end;
   GenerationRequest request;
   request.path = "/v1/completions";
-  request.stream_id = "s1";
+  request.stream_id = std::string("stream-1");
   request.deadline = SteadyNow() + std::chrono::milliseconds(200);
   client.Generate(std::move(request), {[](std::string_view) {},
                                        [&end](const GenerationResult& result) {
