--- /dev/null
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -0,0 +1,96 @@
+#ifndef AMARANTHCOVE_ADAPTER_AGENT_ADAPTER_PLAN_H_
+#define AMARANTHCOVE_ADAPTER_AGENT_ADAPTER_PLAN_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// An adapter, or a base model if `adapter` is empty, in one version; version 0
+// stands for the newest.
+struct AdapterState {
+  std::string model;
+  std::string adapter;
+  std::int64_t version = 0;
+
+  bool operator==(const AdapterState&) const = default;
+};
+
+// What an engine says of itself.
+struct EngineReport {
+  std::vector<std::string> models;
+  std::vector<AdapterState> resident;
+  std::vector<AdapterState> loading;
+  bool ordering = false;    // Carries out an order that excludes others.
+  std::int64_t orders = 0;  // Accepted since the engine's start.
+  int running = 0;
+  int queued = 0;
+  std::int64_t kv_used_tokens = 0;  // Memory that running requests need.
+  std::int64_t kv_total_tokens = 0;
+  std::int64_t started_at_ms = 0;
+};
+
+// An order to an engine.
+struct AdapterOrder {
+  enum class Action { kLoad, kUnload };
+  Action action = Action::kLoad;
+  AdapterState target;
+
+  bool operator==(const AdapterOrder&) const = default;
+};
+
+// An adapter that requests need, over all routers.
+struct WantedAdapter {
+  AdapterState target;  // The version is the least that serves.
+  int waiting = 0;
+  int running = 0;
+  int priority = 0;    // Of the most urgent waiting request; 0 is first.
+  Time waiting_since;  // Of the oldest waiting request.
+};
+
+// What an engine has room for.
+struct EngineRoom {
+  int adapter_places = 0;
+  double weights_mb = 0;
+};
+
+struct AgentModel {
+  std::string name;
+  double weights_mb = 0;
+};
+
+// When an adapter was last used, by model and adapter name.
+using LastUses = std::map<std::pair<std::string, std::string>, Time>;
+
+// Loads to one engine that may be under way at a time. The weight store slows
+// down beyond a number over all engines that agents cannot see.
+inline constexpr int kMaxLoadsUnderWay = 4;
+
+// The next order to an engine, if any.
+//
+// Adapters with waiting requests are loaded, the most urgent and then the
+// longest waiting first. If all places are taken, the adapter that was used
+// least recently makes room; adapters that requests use or wait for never do.
+// An engine without a base model gets the first model that is wanted and fits.
+std::optional<AdapterOrder> NextOrder(const EngineReport& report,
+                                      const EngineRoom& room,
+                                      std::span<const AgentModel> models,
+                                      std::span<const WantedAdapter> wanted,
+                                      const LastUses& last_uses);
+
+// Places of the engine that a new adapter could take: empty ones, and those of
+// adapters that nobody wants.
+int FreePlaces(const EngineReport& report,
+               const EngineRoom& room,
+               std::span<const WantedAdapter> wanted);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ADAPTER_AGENT_ADAPTER_PLAN_H_
--- /dev/null
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -0,0 +1,125 @@
+#ifndef AMARANTHCOVE_AGENT_LINK_AGENT_LINKS_H_
+#define AMARANTHCOVE_AGENT_LINK_AGENT_LINKS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/agent_link/datagram.h"
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/ids.h"
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// Names an adapter: its model and its own name.
+using AdapterName = std::pair<std::string, std::string>;
+
+// What the agent beside an engine has last told.
+struct EngineView {
+  Time received;
+  std::int64_t incarnation = 0;
+  std::int64_t sequence = 0;
+  std::vector<std::string> models;
+  std::map<AdapterName, std::int64_t> resident;  // Versions.
+  std::map<AdapterName, std::int64_t> loading;
+  int running = 0;
+  int queued = 0;
+  int free_places = 0;
+  int routers = 0;
+  bool reachable = true;
+};
+
+// An engine whose agent a router talks to.
+struct AgentEndpoint {
+  std::string engine;  // Id of the engine.
+  Address agent;
+  agent_wire::AdapterDemand facts;  // Room and models; the rest is filled in.
+};
+
+// A router's side of the datagrams to the agents beside engines: what it needs
+// there, and what it knows of them.
+//
+// Each datagram holds the whole demand. It is sent at once when a request
+// begins to wait for an adapter, and repeated while there is something to tell.
+//
+// Thread safety: none.
+class AgentLinks {
+ public:
+  using Send = std::function<void(const Address& agent, std::string_view)>;
+
+  // A view older than this says nothing about the engine any more.
+  static constexpr Duration kViewLifetime = std::chrono::milliseconds(1500);
+
+  AgentLinks(std::string router, Incarnation incarnation, Send send)
+      : router_(std::move(router)),
+        incarnation_(incarnation),
+        send_(std::move(send)) {}
+
+  // Replaces the engines. What is known of engines that stay is kept.
+  void SetEndpoints(std::vector<AgentEndpoint> endpoints);
+
+  // Takes a datagram. Returns the id of the engine whose view is new, if any.
+  // Datagrams of unknown senders and those overtaken by newer ones are dropped.
+  std::optional<std::string> Receive(const Address& sender,
+                                     std::string_view bytes,
+                                     Time now);
+
+  // The view of an engine, or null if there is none that is recent.
+  const EngineView* View(std::string_view engine, Time now) const;
+
+  // Counts requests that wait for an adapter, or use it, at an engine.
+  void AddWaiting(std::string_view engine,
+                  const AdapterName& adapter,
+                  std::int64_t version,
+                  int priority,
+                  Time now);
+  void RemoveWaiting(std::string_view engine, const AdapterName& adapter);
+  void AddRunning(std::string_view engine, const AdapterName& adapter);
+  void RemoveRunning(std::string_view engine, const AdapterName& adapter);
+
+  // The engine has refused a request for an adapter that its view lists.
+  void MarkAbsent(std::string_view engine, const AdapterName& adapter);
+
+  // Sends the demands that are due.
+  void Tick(Time now);
+
+  // The number of routers that the agents know, at least 1.
+  std::size_t router_count(Time now) const;
+
+ private:
+  struct Use {
+    int waiting = 0;
+    int running = 0;
+    std::int64_t version = 0;
+    int priority = 0;
+  };
+  struct Link {
+    AgentEndpoint endpoint;
+    std::optional<EngineView> view;
+    std::map<AdapterName, Use> uses;
+    Time next_send;
+    std::int64_t sequence = 0;
+    int waiting = 0;
+  };
+
+  Link* Find(std::string_view engine);
+  void SendDemand(Link& link, Time now);
+  void DropIfUnused(Link& link, const AdapterName& adapter);
+
+  const std::string router_;
+  const Incarnation incarnation_;
+  const Send send_;
+  std::map<std::string, Link, std::less<>> links_;
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_AGENT_LINK_AGENT_LINKS_H_
--- /dev/null
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTHCOVE_BACKEND_CHOICE_BACKEND_CHOICE_H_
+#define AMARANTHCOVE_BACKEND_CHOICE_BACKEND_CHOICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// Where an engine's copy of an adapter is.
+enum class AdapterPlace {
+  kResident,  // Serves at once; also for requests of the base model itself.
+  kLoading,
+  kAbsent,
+  kUnknown  // The engine's agent is silent.
+};
+
+// What is known of one engine when a generation is placed.
+struct EngineCandidate {
+  std::string_view id;
+  bool same_data_centre = true;
+  bool avoided = false;  // Recent failures.
+  bool tried = false;    // This request has been there.
+  AdapterPlace place = AdapterPlace::kAbsent;
+  bool has_model = true;  // False while the base model is not loaded.
+  // Position of the engine in the adapter's order of preference.
+  std::size_t affinity_rank = 0;
+  int running = 0;  // As its agent says.
+  int queued = 0;
+  int own_recent = 0;   // Sent from here since the agent's word.
+  int free_places = 1;  // For adapters.
+  int batch_size = 1;
+};
+
+// The expected delay until the first event, beyond what all engines share.
+// Milliseconds. Thread-safe.
+double ExpectedDelayMs(const EngineCandidate& candidate);
+
+// The index of the engine with the least expected delay, or none if there are
+// no candidates. Engines that were avoided or tried are chosen only if no
+// other is left. Thread-safe.
+std::optional<std::size_t> ChooseEngine(
+    std::span<const EngineCandidate> candidates);
+
+// The rank of each engine in the order of preference of `adapter`: the same in
+// every router, and little changed by engines that come and go. `ranks` has the
+// size of `engines`. Thread-safe.
+void RankByAffinity(std::string_view adapter,
+                    std::span<const std::string_view> engines,
+                    std::span<std::size_t> ranks);
+
+// What is known of one server of a plain service.
+struct PlainCandidate {
+  std::string_view id;
+  bool same_data_centre = true;
+  bool avoided = false;
+  bool tried = false;
+  double error_share = 0;
+  int in_flight = 0;  // From this instance.
+  int slots = 1;
+  std::uint64_t tie_break = 0;
+};
+
+// The index of the server for a plain call, or none without candidates. Servers
+// of the same data centre are preferred until this instance keeps a third of
+// their slots busy. Thread-safe.
+std::optional<std::size_t> ChoosePlainServer(
+    std::span<const PlainCandidate> candidates);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_BACKEND_CHOICE_BACKEND_CHOICE_H_
--- a/include/amaranthcove/log/log.h
+++ b/include/amaranthcove/log/log.h
@@ -9,15 +9,18 @@
 
 namespace amaranthcove {
 
+// Where log lines go.
+enum class LogOutput { kStderr, kStdout };
+
 // Keeps logging set up while it lives. Create it first in `main`.
 //
 // Thread safety: create and destroy it on one thread, once per process.
 // Preconditions: no other thread logs while it is created or destroyed.
 class Logging {
  public:
-  // Logs events of `level` and above to stderr, one line each:
+  // Logs events of `level` and above to `output`, one line each:
   // "2026-01-31T12:00:00.123Z WARN  component message", in UTC.
-  explicit Logging(LogLevel level);
+  explicit Logging(LogLevel level, LogOutput output = LogOutput::kStderr);
   ~Logging();
   Logging(const Logging&) = delete;
   Logging& operator=(const Logging&) = delete;
--- a/include/amaranthcove/metrics/metrics.h
+++ b/include/amaranthcove/metrics/metrics.h
@@ -7,6 +7,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 namespace amaranthcove {
@@ -33,6 +34,11 @@
                            const std::string& help,
                            const std::string& label = "",
                            const std::string& value = "");
+  // Buckets fit latencies in seconds, from 5 ms to 20 s.
+  prometheus::Histogram& Histogram(const std::string& name,
+                                   const std::string& help,
+                                   const std::string& label = "",
+                                   const std::string& value = "");
 
   // All metrics in the Prometheus text format.
   std::string Serialize() const;
--- a/include/amaranthcove/net/event_loop.h
+++ b/include/amaranthcove/net/event_loop.h
@@ -36,8 +36,9 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // The steady time at which the current round of events began.
-  Time Now() const { return now_; }
+  // The steady time. Socket events of a round that began with a long wait, or
+  // before the process was frozen, must not see the time before it.
+  Time Now() const { return SteadyNow(); }
 
   // Calls `callback` once, at `when` or soon after. A time in the past means
   // the next round.
--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -59,7 +59,18 @@
   using Handler =
       std::function<void(HttpRequest, std::unique_ptr<HttpResponder>)>;
 
+  // How an aborted answer in chunks ends.
+  enum class AbortMark {
+    // By a malformed chunk, which also callers notice that take a close between
+    // two chunks for the end.
+    kMalformedChunk,
+    // By the close of the connection alone, for callers that refuse bytes that
+    // are no HTTP.
+    kClose
+  };
+
   struct Options {
+    AbortMark abort_mark = AbortMark::kMalformedChunk;
     // Larger request bodies are answered 413. Bytes.
     std::size_t max_body_bytes = 4 << 20;
   };
@@ -88,8 +99,12 @@
 
   virtual Counters counters() const = 0;
 
-  // Closes the listener. Requests in progress go on; connections are closed
-  // after their current answer.
+  // From now on each answer closes its connection, so that callers move to
+  // other instances. New connections are still served.
+  virtual void CloseAfterAnswers() = 0;
+
+  // Closes the listener and the idle connections. Requests in progress go on;
+  // their connections are closed after the answer.
   virtual void StopAccepting() = 0;
 };
 
--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -54,6 +54,15 @@
     return queued_.size() + sending_.size();
   }
 
+  // Whether the peer ended the connection in order. False while it is open,
+  // and after a reset or a timeout.
+  bool closed_in_order() const { return closed_in_order_; }
+
+  // Makes the system report a peer that has not acknowledged anything for
+  // `limit`, whether bytes are on their way or not, as a closed connection.
+  // Precondition: `limit` is at least 1 s.
+  void SetSilenceLimit(Duration limit);
+
  private:
   friend class TcpListener;
 
@@ -72,6 +81,7 @@
   EventLoop& loop_;
   st_h2o_socket_t* socket_ = nullptr;
   bool connected_ = false;
+  bool closed_in_order_ = false;
   // Shared, so that a callback may destroy the connection that calls it.
   std::shared_ptr<const Callbacks> callbacks_;
   std::string queued_;
--- /dev/null
+++ b/include/amaranthcove/routing/route_table.h
@@ -0,0 +1,117 @@
+#ifndef AMARANTHCOVE_ROUTING_ROUTE_TABLE_H_
+#define AMARANTHCOVE_ROUTING_ROUTE_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// What may be repeated, and the form of the answer.
+enum class CallKind {
+  kIdempotent,     // May run more than once.
+  kNonIdempotent,  // Runs at most once for each attempt of a caller.
+  kStream          // A generation; as kNonIdempotent unless it is resumable.
+};
+
+// One of the services among which a route divides its requests.
+struct WeightedService {
+  std::string service;
+  std::uint32_t weight = 0;
+};
+
+// Which requests go to which service, and what may be done with them.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  CallKind kind = CallKind::kNonIdempotent;
+  // The longest time that a caller is kept waiting.
+  Duration timeout = std::chrono::seconds(10);
+  // An answer, or the first event of a stream, is on time until then.
+  Duration target_latency = std::chrono::seconds(1);
+  int priority = 0;  // 0 is the most urgent.
+  std::vector<WeightedService> services;
+  int max_attempts = 1;  // Backend servers that may run one request.
+  bool resumable = false;
+};
+
+// A base model that the engines of a service may hold.
+struct ModelSpec {
+  std::string name;
+  double weights_mb = 0;
+};
+
+// What an engine of a service has room for.
+struct EngineSpec {
+  int batch_size = 1;
+  std::int64_t kv_capacity_tokens = 0;
+  int adapter_places = 0;
+  double weights_mb = 0;  // For weights and adapters together.
+  std::vector<ModelSpec> models;
+};
+
+struct ServiceSpec {
+  std::string name;
+  std::optional<EngineSpec> engine;  // None for a plain service.
+};
+
+// What a caller may send, and how long it may stay idle.
+struct CallerLimits {
+  std::size_t max_header_bytes = 16 << 10;
+  std::size_t max_body_bytes = 4 << 20;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+// One version of the operator's configuration.
+struct RoutingConfig {
+  std::int64_t version = 0;
+  std::vector<Route> routes;
+  std::map<std::string, ServiceSpec, std::less<>> services;
+  CallerLimits limits;
+};
+
+// The routes of one configuration, indexed by host.
+//
+// Thread safety: immutable; reading is thread-safe.
+class RouteTable {
+ public:
+  RouteTable() = default;
+  explicit RouteTable(RoutingConfig config);
+  RouteTable(RouteTable&&) = default;
+  RouteTable& operator=(RouteTable&&) = default;
+
+  // The route of `host` with the longest prefix of `path`, or null. A port in
+  // `host` and a query in `path` are ignored.
+  const Route* Find(std::string_view host, std::string_view path) const;
+
+  // The service called `name`, or null.
+  const ServiceSpec* FindService(std::string_view name) const;
+
+  const RoutingConfig& config() const { return config_; }
+
+ private:
+  RoutingConfig config_;
+  // Routes by host, then by prefix.
+  std::map<std::string,
+           std::map<std::string, const Route*, std::less<>>,
+           std::less<>>
+      by_host_;
+};
+
+// Picks a service by weight; `random` is uniform. Empty without services.
+// Thread-safe.
+std::string_view PickService(std::span<const WeightedService> services,
+                             std::uint64_t random);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ROUTING_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/adapter_agent/adapter_agent.cc
@@ -0,0 +1,412 @@
+#include "amaranthcove/adapter_agent/adapter_agent.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/adapter_agent/adapter_plan.h"
+#include "amaranthcove/adapter_agent/demand_table.h"
+#include "amaranthcove/agent_link/datagram.h"
+#include "amaranthcove/base/ids.h"
+#include "amaranthcove/log/event_log.h"
+#include "amaranthcove/net/udp.h"
+#include "amaranthcove/net/upstream_client.h"
+#include "platform/engine_control.h"
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How often the engine is asked: more often while a load is under way, because
+// requests wait for its end.
+constexpr Duration kPollWhileLoading = milliseconds(10);
+constexpr Duration kPollInterval = milliseconds(80);
+
+// The engine is on the same host; it answers in a few milliseconds.
+constexpr Duration kCallLimit = milliseconds(700);
+
+// Routers forget an engine whose agent is silent for longer than this.
+constexpr Duration kStatusInterval = milliseconds(250);
+
+// Failed calls in a row after which the engine counts as not reachable.
+constexpr int kFailuresUntilUnreachable = 2;
+
+// No orders after another holder was found, for the length of a lease.
+constexpr Duration kFencedPause = std::chrono::seconds(3);
+
+// An agent is the only holder of its engine, so its token need not grow.
+constexpr std::int64_t kFirstFencingToken = 1;
+constexpr std::int64_t kFencingTokenStep = 1'000'000;
+
+constexpr int kOk = 200;
+
+std::vector<agent_wire::ResidentAdapter> ToWire(
+    const std::vector<AdapterState>& adapters) {
+  std::vector<agent_wire::ResidentAdapter> result;
+  result.reserve(adapters.size());
+  for (const AdapterState& adapter : adapters) {
+    agent_wire::ResidentAdapter item;
+    item.model = adapter.model;
+    item.adapter = adapter.adapter;
+    item.version = adapter.version;
+    result.push_back(std::move(item));
+  }
+  return result;
+}
+
+RouterDemand FromWire(const agent_wire::AdapterDemand& wire) {
+  RouterDemand demand;
+  demand.incarnation = wire.incarnation;
+  demand.sequence = wire.sequence;
+  demand.room = {wire.adapter_places, wire.weights_mb};
+  for (const agent_wire::BaseModel& model : wire.models) {
+    demand.models.push_back({model.name, model.weights_mb});
+  }
+  for (const agent_wire::AdapterUse& use : wire.uses) {
+    WantedAdapter wanted;
+    wanted.target = {use.model, use.adapter, use.version};
+    wanted.waiting = use.waiting;
+    wanted.running = use.running;
+    wanted.priority = use.priority;
+    demand.uses.push_back(std::move(wanted));
+  }
+  return demand;
+}
+
+std::string_view ActionName(AdapterOrder::Action action) {
+  return action == AdapterOrder::Action::kLoad ? "load" : "unload";
+}
+
+std::string_view AnswerName(platform::OrderAnswer answer) {
+  switch (answer) {
+    case platform::OrderAnswer::kAccepted:
+      return "accepted";
+    case platform::OrderAnswer::kAlreadySo:
+      return "done";
+    case platform::OrderAnswer::kConflict:
+      return "conflict";
+    case platform::OrderAnswer::kFenced:
+      return "fenced";
+    case platform::OrderAnswer::kImpossible:
+      return "impossible";
+  }
+  return "unknown";
+}
+
+class AdapterAgentImpl final : public AdapterAgent {
+ public:
+  AdapterAgentImpl(EventLoop& loop, const AgentSettings& settings)
+      : loop_(loop),
+        settings_(settings),
+        log_("adapter_agent", {}),
+        incarnation_(NewIncarnation()),
+        client_(UpstreamClient::Create(loop, {})) {}
+
+  ~AdapterAgentImpl() override {
+    loop_.Cancel(poll_timer_);
+    loop_.Cancel(limit_timer_);
+    loop_.Cancel(status_timer_);
+  }
+
+  Status Start() override;
+  bool ready() const override { return reachable_; }
+  nlohmann::json Dump() const override;
+
+ private:
+  void OnDatagram(const Address& sender, std::string_view bytes);
+  void PollAfter(Duration delay);
+  void Poll();
+  void Call(const HttpRequest& request,
+            std::function<void(const HttpResponse*)> done);
+  void OnReport(const HttpResponse* response);
+  void OnEngineFailure();
+  void OnNewReport(EngineReport report);
+  void PlanNext();
+  void SendOrder(const AdapterOrder& order);
+  void OnOrderAnswer(const AdapterOrder& order, const HttpResponse* response);
+  Duration PollInterval() const;
+  void SendStatus(const std::vector<Address>& routers);
+  void SendStatusToAll();
+
+  EventLoop& loop_;
+  const AgentSettings settings_;
+  EventLog log_;
+  const Incarnation incarnation_;
+  std::unique_ptr<UpstreamClient> client_;
+  std::unique_ptr<UdpSocket> udp_;
+  DemandTable demands_;
+  std::optional<EngineReport> report_;
+  bool reachable_ = false;
+  int failures_ = 0;
+  bool calling_ = false;
+  std::int64_t fencing_token_ = kFirstFencingToken;
+  Time no_orders_until_;
+  std::int64_t status_sequence_ = 0;
+  TimerId poll_timer_ = 0;
+  TimerId limit_timer_ = 0;
+  TimerId status_timer_ = 0;
+  std::uint64_t orders_ = 0;
+  std::uint64_t reports_ = 0;
+};
+
+Status AdapterAgentImpl::Start() {
+  auto udp =
+      UdpSocket::Bind(loop_, settings_.agent_address,
+                      [this](const Address& sender, std::string_view bytes) {
+                        OnDatagram(sender, bytes);
+                      });
+  if (!udp) {
+    return tl::unexpected(udp.error());
+  }
+  udp_ = std::move(*udp);
+  log_.SetNow(loop_.Now());
+  log_.Write(LogLevel::kWarn, "start",
+             {{"instance", settings_.instance},
+              {"engine", FormatAddress(settings_.engine)}});
+  Poll();
+  SendStatusToAll();
+  return {};
+}
+
+void AdapterAgentImpl::OnDatagram(const Address& sender,
+                                  std::string_view bytes) {
+  auto datagram = DecodeDatagram(bytes);
+  if (!datagram || !datagram->__isset.demand) {
+    log_.Write(LogLevel::kInfo, "datagram_refused",
+               {{"sender", FormatAddress(sender)}});
+    return;
+  }
+  const bool is_new =
+      demands_.Put(sender, FromWire(datagram->demand), loop_.Now());
+  if (!is_new) {
+    return;
+  }
+  if (report_ && demands_.room().adapter_places > 0 && !calling_) {
+    PlanNext();
+  }
+}
+
+void AdapterAgentImpl::PollAfter(Duration delay) {
+  loop_.Cancel(poll_timer_);
+  poll_timer_ = loop_.RunAfter(delay, [this] {
+    poll_timer_ = 0;
+    Poll();
+  });
+}
+
+void AdapterAgentImpl::Poll() {
+  log_.SetNow(loop_.Now());
+  demands_.Expire(loop_.Now());
+  if (calling_) {
+    return;
+  }
+  ++reports_;
+  Call(platform::ReportRequest(),
+       [this](const HttpResponse* response) { OnReport(response); });
+}
+
+// One call at a time; `done` gets null if the engine did not answer.
+void AdapterAgentImpl::Call(const HttpRequest& request,
+                            std::function<void(const HttpResponse*)> done) {
+  calling_ = true;
+  auto response = std::make_shared<HttpResponse>();
+  auto finish = std::make_shared<std::function<void(const HttpResponse*)>>(
+      [this, done = std::move(done)](const HttpResponse* result) {
+        calling_ = false;
+        loop_.Cancel(std::exchange(limit_timer_, 0));
+        done(result);
+      });
+  const UpstreamCallId call = client_->Start(
+      settings_.engine, request,
+      {[response](const HttpResponse& head) {
+         *response = head;
+         return true;
+       },
+       [response](std::string_view data) { response->body += data; },
+       [response, finish](UpstreamEnd end) {
+         (*finish)(end == UpstreamEnd::kComplete ? response.get() : nullptr);
+       }});
+  limit_timer_ = loop_.RunAfter(kCallLimit, [this, call, finish] {
+    limit_timer_ = 0;
+    client_->Cancel(call);
+    (*finish)(nullptr);
+  });
+}
+
+void AdapterAgentImpl::OnReport(const HttpResponse* response) {
+  if (response == nullptr || response->status != kOk) {
+    OnEngineFailure();
+    return;
+  }
+  auto report = platform::DecodeReport(response->body);
+  if (!report) {
+    log_.Write(LogLevel::kWarn, "report_refused",
+               {{"reason", report.error().message}});
+    OnEngineFailure();
+    return;
+  }
+  OnNewReport(std::move(*report));
+}
+
+void AdapterAgentImpl::OnEngineFailure() {
+  ++failures_;
+  if (failures_ == kFailuresUntilUnreachable && reachable_) {
+    reachable_ = false;
+    report_.reset();
+    log_.Write(LogLevel::kWarn, "engine_lost",
+               {{"engine", FormatAddress(settings_.engine)}});
+    SendStatus(demands_.Routers());
+  }
+  PollAfter(kPollInterval);
+}
+
+void AdapterAgentImpl::OnNewReport(EngineReport report) {
+  failures_ = 0;
+  const bool regained = !reachable_;
+  if (regained) {
+    reachable_ = true;
+    log_.Write(LogLevel::kWarn, "engine_regained",
+               {{"started_at_ms", std::to_string(report.started_at_ms)},
+                {"models", std::to_string(report.models.size())},
+                {"adapters", std::to_string(report.resident.size())}});
+  }
+  const bool changed = !report_ || report_->resident != report.resident ||
+                       report_->models != report.models;
+  report_ = std::move(report);
+  if (regained) {
+    SendStatus(demands_.Routers());
+  } else if (changed) {
+    SendStatus(demands_.WaitingRouters());
+  }
+  PlanNext();
+}
+
+Duration AdapterAgentImpl::PollInterval() const {
+  const bool loading = report_ && !report_->loading.empty();
+  return loading ? kPollWhileLoading : kPollInterval;
+}
+
+void AdapterAgentImpl::PlanNext() {
+  const std::vector<WantedAdapter> wanted = demands_.Wanted();
+  if (!report_ || loop_.Now() < no_orders_until_) {
+    PollAfter(kPollInterval);
+    return;
+  }
+  const std::optional<AdapterOrder> order =
+      NextOrder(*report_, demands_.room(), demands_.models(), wanted,
+                demands_.last_uses());
+  if (order) {
+    SendOrder(*order);
+    return;
+  }
+  PollAfter(PollInterval());
+}
+
+void AdapterAgentImpl::SendOrder(const AdapterOrder& order) {
+  ++orders_;
+  loop_.Cancel(std::exchange(poll_timer_, 0));
+  Call(platform::OrderRequest(order, settings_.instance, fencing_token_,
+                              report_->orders),
+       [this, order](const HttpResponse* response) {
+         OnOrderAnswer(order, response);
+       });
+}
+
+void AdapterAgentImpl::OnOrderAnswer(const AdapterOrder& order,
+                                     const HttpResponse* response) {
+  if (response == nullptr) {
+    // It may have been accepted; the next report shows what holds.
+    log_.Write(LogLevel::kWarn, "order_unanswered",
+               {{"action", std::string(ActionName(order.action))},
+                {"adapter", order.target.adapter}});
+    OnEngineFailure();
+    return;
+  }
+  const platform::OrderAnswer answer =
+      platform::DecodeOrderStatus(response->status);
+  log_.Write(LogLevel::kInfo, "order",
+             {{"action", std::string(ActionName(order.action))},
+              {"model", order.target.model},
+              {"adapter", order.target.adapter},
+              {"version", std::to_string(order.target.version)},
+              {"answer", std::string(AnswerName(answer))}});
+  if (answer == platform::OrderAnswer::kFenced) {
+    fencing_token_ += kFencingTokenStep;
+    no_orders_until_ = loop_.Now() + kFencedPause;
+  }
+  const bool refused = answer == platform::OrderAnswer::kImpossible ||
+                       answer == platform::OrderAnswer::kConflict;
+  if (refused) {
+    // Whatever stands in the way is seen in the next report.
+    PollAfter(kPollWhileLoading);
+    return;
+  }
+  Poll();
+}
+
+void AdapterAgentImpl::SendStatusToAll() {
+  SendStatus(demands_.Routers());
+  status_timer_ =
+      loop_.RunAfter(kStatusInterval, [this] { SendStatusToAll(); });
+}
+
+void AdapterAgentImpl::SendStatus(const std::vector<Address>& routers) {
+  if (routers.empty()) {
+    return;
+  }
+  agent_wire::EngineStatus status;
+  status.sequence = ++status_sequence_;
+  status.incarnation = incarnation_;
+  status.reachable = reachable_;
+  status.routers = static_cast<std::int32_t>(demands_.Routers().size());
+  if (report_) {
+    status.models = report_->models;
+    status.resident = ToWire(report_->resident);
+    status.loading = ToWire(report_->loading);
+    status.running = report_->running;
+    status.queued = report_->queued;
+    status.free_places =
+        FreePlaces(*report_, demands_.room(), demands_.Wanted());
+    status.kv_free_tokens = report_->kv_total_tokens - report_->kv_used_tokens;
+  }
+  agent_wire::AgentDatagram datagram;
+  datagram.__set_status(status);
+  const std::string bytes = EncodeDatagram(datagram);
+  for (const Address& router : routers) {
+    udp_->Send(router, bytes);
+  }
+}
+
+nlohmann::json AdapterAgentImpl::Dump() const {
+  nlohmann::json dump = {{"instance", settings_.instance},
+                         {"engine", FormatAddress(settings_.engine)},
+                         {"reachable", reachable_},
+                         {"adapter_agent",
+                          {{"counters",
+                            {{"orders", orders_},
+                             {"reports", reports_},
+                             {"dropped_log_lines", log_.dropped()},
+                             {"routers", demands_.Routers().size()}}}}}};
+  if (report_) {
+    dump["resident"] = report_->resident.size();
+    dump["loading"] = report_->loading.size();
+    dump["running"] = report_->running;
+    dump["queued"] = report_->queued;
+  }
+  return dump;
+}
+
+}  // namespace
+
+std::unique_ptr<AdapterAgent> AdapterAgent::Create(
+    EventLoop& loop,
+    const AgentSettings& settings) {
+  return std::make_unique<AdapterAgentImpl>(loop, settings);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/adapter_agent/adapter_plan_test.cc
@@ -0,0 +1,168 @@
+#include "amaranthcove/adapter_agent/adapter_plan.h"
+
+#include <array>
+
+#include "amaranthcove/adapter_agent/demand_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Action = AdapterOrder::Action;
+
+const Time kStart = Time(std::chrono::hours(1));
+constexpr EngineRoom kRoom = {3, 70'000};
+
+WantedAdapter MakeWanted(std::string adapter,
+                         int waiting,
+                         int running,
+                         std::int64_t version = 0) {
+  WantedAdapter wanted;
+  wanted.target = {"base", std::move(adapter), version};
+  wanted.waiting = waiting;
+  wanted.running = running;
+  wanted.waiting_since = kStart;
+  return wanted;
+}
+
+EngineReport MakeReport(std::initializer_list<const char*> resident) {
+  EngineReport report;
+  report.models = {"base"};
+  for (const char* adapter : resident) {
+    report.resident.push_back({"base", adapter, 1});
+  }
+  return report;
+}
+
+}  // namespace
+
+TEST_GROUP(AdapterPlan) {
+  LastUses last_uses_;
+  const std::array<AgentModel, 1> models_ = {{{"base", 65'000}}};
+
+  std::optional<AdapterOrder> Next(const EngineReport& report,
+                                   std::span<const WantedAdapter> wanted) {
+    return NextOrder(report, kRoom, models_, wanted, last_uses_);
+  }
+};
+
+// Guards against an adapter that is evicted while requests use or await it,
+// whatever the order of its last uses.
+TEST(AdapterPlan, AdaptersInUseAreNeverEvicted) {
+  const EngineReport report = MakeReport({"a", "b", "c"});
+  last_uses_[{"base", "a"}] = kStart;
+  last_uses_[{"base", "b"}] = kStart + seconds(1);
+  last_uses_[{"base", "c"}] = kStart + seconds(2);
+  std::array wanted = {MakeWanted("d", 1, 0), MakeWanted("a", 0, 1),
+                       MakeWanted("b", 1, 0), MakeWanted("c", 0, 0)};
+  const auto order = Next(report, wanted);
+  CHECK(order.has_value());
+  CHECK(order->action == Action::kUnload);
+  CHECK_EQUAL("c", order->target.adapter);
+  wanted[3] = MakeWanted("c", 0, 2);
+  CHECK(!Next(report, wanted).has_value());
+}
+
+// Guards against an order that exceeds the places of an engine, which crashes
+// it: adapters under way count.
+TEST(AdapterPlan, LoadsUnderWayHoldPlaces) {
+  EngineReport report = MakeReport({"a", "b"});
+  report.loading = {{"base", "c", 1}};
+  const std::array wanted = {MakeWanted("d", 1, 0), MakeWanted("a", 0, 1),
+                             MakeWanted("b", 0, 1)};
+  CHECK(!Next(report, wanted).has_value());
+  CHECK_EQUAL(0, FreePlaces(report, kRoom, wanted));
+}
+
+// Guards against patient requests that are loaded before urgent ones.
+TEST(AdapterPlan, LoadsTheMostUrgentThenTheOldest) {
+  const EngineReport report = MakeReport({});
+  std::array wanted = {MakeWanted("patient", 5, 0), MakeWanted("young", 1, 0),
+                       MakeWanted("old", 1, 0)};
+  wanted[0].priority = 2;
+  wanted[1].waiting_since = kStart + milliseconds(5);
+  CHECK_EQUAL("old", Next(report, wanted)->target.adapter);
+}
+
+// Guards against requests for a new version that wait for ever because an older
+// one is resident, and against needless orders when a newer one is.
+TEST(AdapterPlan, ReplacesOlderVersions) {
+  const EngineReport report = MakeReport({"a", "b", "c"});
+  const std::array newer = {MakeWanted("a", 1, 0, 2)};
+  CHECK(*Next(report, newer) ==
+        (AdapterOrder{Action::kLoad, {"base", "a", 2}}));
+  const std::array same = {MakeWanted("a", 1, 0, 1)};
+  CHECK(!Next(report, same).has_value());
+}
+
+// Guards against an engine that restarted empty and is never given its model,
+// and against adapter orders to it before.
+TEST(AdapterPlan, EmptyEngineGetsItsModelFirst) {
+  EngineReport report;
+  const std::array wanted = {MakeWanted("a", 1, 0)};
+  CHECK(*Next(report, wanted) ==
+        (AdapterOrder{Action::kLoad, {"base", "", 0}}));
+  CHECK(Next(report, {}).has_value());
+  report.ordering = true;
+  CHECK(!Next(report, wanted).has_value());
+  const std::array<AgentModel, 1> too_large = {{{"base", 80'000}}};
+  report.ordering = false;
+  CHECK(!NextOrder(report, kRoom, too_large, wanted, last_uses_).has_value());
+}
+
+TEST_GROUP(DemandTable) {
+  DemandTable table_;
+  const Address router_a_ = {"10.0.0.1", 7000};
+  const Address router_b_ = {"10.0.0.2", 7000};
+
+  static RouterDemand MakeDemand(std::int64_t sequence, WantedAdapter use) {
+    RouterDemand demand;
+    demand.incarnation = 1;
+    demand.sequence = sequence;
+    demand.uses = {std::move(use)};
+    demand.room = kRoom;
+    return demand;
+  }
+};
+
+// Guards against a reordered datagram that revives an old demand, and against a
+// restarted router whose demands count as old.
+TEST(DemandTable, NewestDemandOfTheNewestStartHolds) {
+  CHECK(table_.Put(router_a_, MakeDemand(5, MakeWanted("a", 1, 0)), kStart));
+  CHECK(!table_.Put(router_a_, MakeDemand(4, MakeWanted("b", 1, 0)), kStart));
+  CHECK_EQUAL("a", table_.Wanted()[0].target.adapter);
+  RouterDemand restarted = MakeDemand(1, MakeWanted("c", 1, 0));
+  restarted.incarnation = 2;
+  CHECK(table_.Put(router_a_, restarted, kStart));
+  CHECK_EQUAL("c", table_.Wanted()[0].target.adapter);
+}
+
+// Guards against demands of one router that hide those of another.
+TEST(DemandTable, SumsTheRouters) {
+  WantedAdapter urgent = MakeWanted("a", 2, 0, 3);
+  WantedAdapter patient = MakeWanted("a", 1, 4);
+  patient.priority = 2;
+  table_.Put(router_a_, MakeDemand(1, patient), kStart);
+  table_.Put(router_b_, MakeDemand(1, urgent), kStart + seconds(1));
+  const auto wanted = table_.Wanted();
+  CHECK_EQUAL(1, static_cast<int>(wanted.size()));
+  CHECK_EQUAL(3, wanted[0].waiting);
+  CHECK_EQUAL(4, wanted[0].running);
+  CHECK_EQUAL(0, wanted[0].priority);
+  CHECK_EQUAL(3, static_cast<int>(wanted[0].target.version));
+  CHECK(wanted[0].waiting_since == kStart);
+}
+
+// Guards against adapters that a router which has gone keeps in place.
+TEST(DemandTable, ForgetsSilentRouters) {
+  table_.Put(router_a_, MakeDemand(1, MakeWanted("a", 0, 1)), kStart);
+  table_.Expire(kStart + DemandTable::kDemandLifetime);
+  CHECK(table_.Wanted().empty());
+  CHECK(table_.Routers().empty());
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/agent_link/agent_link_test.cc
@@ -0,0 +1,119 @@
+#include "amaranthcove/agent_link/agent_links.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const Time kStart = Time(std::chrono::hours(1));
+const Address kAgent = {"10.0.0.9", 7000};
+const AdapterName kSilk = {"base", "silk"};
+
+std::string EncodeStatus(std::int64_t sequence,
+                         std::int64_t incarnation,
+                         std::int64_t silk_version) {
+  agent_wire::EngineStatus status;
+  status.sequence = sequence;
+  status.incarnation = incarnation;
+  status.reachable = true;
+  status.routers = 4;
+  if (silk_version > 0) {
+    agent_wire::ResidentAdapter adapter;
+    adapter.model = kSilk.first;
+    adapter.adapter = kSilk.second;
+    adapter.version = silk_version;
+    status.resident.push_back(adapter);
+  }
+  agent_wire::AgentDatagram datagram;
+  datagram.__set_status(status);
+  return EncodeDatagram(datagram);
+}
+
+}  // namespace
+
+TEST_GROUP(AgentLinks) {
+  std::vector<agent_wire::AdapterDemand> sent_;
+  AgentLinks links_{"router-1", 7,
+                    [this](const Address&, std::string_view bytes) {
+                      sent_.push_back(DecodeDatagram(bytes)->demand);
+                    }};
+
+  void setup() override {
+    links_.SetEndpoints({{"e1", kAgent, {}}});
+    links_.Tick(kStart);
+    sent_.clear();
+  }
+};
+
+// Guards against a lost datagram that leaves a request waiting: the demand is
+// sent at once and repeated while a request waits.
+TEST(AgentLinks, RepeatsTheDemandOfWaitingRequests) {
+  links_.AddWaiting("e1", kSilk, 3, 0, kStart);
+  links_.Tick(kStart);
+  CHECK_EQUAL(1, static_cast<int>(sent_.size()));
+  CHECK_EQUAL("silk", sent_[0].uses[0].adapter);
+  CHECK_EQUAL(1, sent_[0].uses[0].waiting);
+  CHECK_EQUAL(3, static_cast<int>(sent_[0].uses[0].version));
+  links_.Tick(kStart + milliseconds(100));
+  CHECK_EQUAL(2, static_cast<int>(sent_.size()));
+  CHECK(sent_[1].sequence > sent_[0].sequence);
+}
+
+// Guards against demands that are never withdrawn, which would keep an adapter
+// in its place for ever.
+TEST(AgentLinks, WithdrawsEndedUses) {
+  links_.AddWaiting("e1", kSilk, 0, 0, kStart);
+  links_.RemoveWaiting("e1", kSilk);
+  links_.AddRunning("e1", kSilk);
+  links_.RemoveRunning("e1", kSilk);
+  links_.Tick(kStart + milliseconds(500));
+  CHECK_EQUAL(1, static_cast<int>(sent_.size()));
+  CHECK(sent_[0].uses.empty());
+}
+
+// Guards against a reordered status that brings back an evicted adapter, and
+// against statuses of strangers.
+TEST(AgentLinks, NewestStatusOfTheAgentHolds) {
+  CHECK(!links_.Receive({"10.0.0.8", 7000}, EncodeStatus(1, 1, 1), kStart));
+  CHECK(links_.Receive(kAgent, EncodeStatus(2, 1, 0), kStart).has_value());
+  CHECK(!links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart).has_value());
+  CHECK(links_.View("e1", kStart)->resident.empty());
+  // A restarted agent counts from the beginning.
+  CHECK(links_.Receive(kAgent, EncodeStatus(1, 2, 5), kStart).has_value());
+  CHECK_EQUAL(5,
+              static_cast<int>(links_.View("e1", kStart)->resident.at(kSilk)));
+  CHECK_EQUAL(4, static_cast<int>(links_.router_count(kStart)));
+}
+
+// Guards against decisions by what a silent agent said long ago.
+TEST(AgentLinks, OldViewsAreNoViews) {
+  links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart);
+  CHECK(links_.View("e1", kStart + AgentLinks::kViewLifetime) != nullptr);
+  CHECK(links_.View("e1", kStart + AgentLinks::kViewLifetime +
+                              milliseconds(1)) == nullptr);
+  CHECK(links_.View("e2", kStart) == nullptr);
+}
+
+// Guards against hostile or broken datagrams.
+TEST(AgentLinks, BrokenDatagramsAreDropped) {
+  const std::string whole = EncodeStatus(1, 1, 1);
+  for (std::size_t size = 0; size + 1 < whole.size(); ++size) {
+    links_.Receive(kAgent, std::string_view(whole).substr(0, size), kStart);
+  }
+  links_.Receive(kAgent, std::string(2000, '\xff'), kStart);
+  CHECK(links_.View("e1", kStart) == nullptr);
+}
+
+// Guards against forgetting what an engine does when another one comes or goes.
+TEST(AgentLinks, ChangesOfOtherEnginesKeepTheView) {
+  links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart);
+  links_.SetEndpoints({{"e0", {"10.0.0.7", 7000}, {}}, {"e1", kAgent, {}}});
+  CHECK(links_.View("e1", kStart) != nullptr);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/agent_link/agent_links.cc
@@ -0,0 +1,204 @@
+#include "amaranthcove/agent_link/agent_links.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A demand with waiting requests is repeated soon, because a lost datagram
+// holds them up.
+constexpr Duration kRepeatWhileWaiting = milliseconds(100);
+constexpr Duration kRepeatWhileRunning = milliseconds(250);
+constexpr Duration kRepeatIdle = milliseconds(500);
+
+std::map<AdapterName, std::int64_t> ToVersions(
+    const std::vector<agent_wire::ResidentAdapter>& adapters) {
+  std::map<AdapterName, std::int64_t> versions;
+  for (const agent_wire::ResidentAdapter& adapter : adapters) {
+    std::int64_t& version = versions[{adapter.model, adapter.adapter}];
+    version = std::max(version, adapter.version);
+  }
+  return versions;
+}
+
+EngineView ToView(const agent_wire::EngineStatus& status, Time now) {
+  EngineView view;
+  view.received = now;
+  view.incarnation = status.incarnation;
+  view.sequence = status.sequence;
+  view.models = status.models;
+  view.resident = ToVersions(status.resident);
+  view.loading = ToVersions(status.loading);
+  view.running = status.running;
+  view.queued = status.queued;
+  view.free_places = status.free_places;
+  view.routers = status.routers;
+  view.reachable = status.reachable;
+  return view;
+}
+
+}  // namespace
+
+void AgentLinks::SetEndpoints(std::vector<AgentEndpoint> endpoints) {
+  std::map<std::string, Link, std::less<>> links;
+  for (AgentEndpoint& endpoint : endpoints) {
+    Link link;
+    const auto known = links_.find(endpoint.engine);
+    if (known != links_.end() &&
+        known->second.endpoint.agent == endpoint.agent) {
+      link = std::move(known->second);
+    }
+    link.endpoint = std::move(endpoint);
+    std::string engine = link.endpoint.engine;
+    links.emplace(std::move(engine), std::move(link));
+  }
+  links_ = std::move(links);
+}
+
+std::optional<std::string> AgentLinks::Receive(const Address& sender,
+                                               std::string_view bytes,
+                                               Time now) {
+  const auto datagram = DecodeDatagram(bytes);
+  if (!datagram || !datagram->__isset.status) {
+    return std::nullopt;
+  }
+  for (auto& [engine, link] : links_) {
+    if (link.endpoint.agent != sender) {
+      continue;
+    }
+    const agent_wire::EngineStatus& status = datagram->status;
+    if (link.view && link.view->incarnation == status.incarnation &&
+        link.view->sequence >= status.sequence) {
+      return std::nullopt;
+    }
+    link.view = ToView(status, now);
+    return engine;
+  }
+  return std::nullopt;
+}
+
+const EngineView* AgentLinks::View(std::string_view engine, Time now) const {
+  const auto link = links_.find(engine);
+  if (link == links_.end() || !link->second.view ||
+      now - link->second.view->received > kViewLifetime) {
+    return nullptr;
+  }
+  return &*link->second.view;
+}
+
+AgentLinks::Link* AgentLinks::Find(std::string_view engine) {
+  const auto link = links_.find(engine);
+  return link == links_.end() ? nullptr : &link->second;
+}
+
+void AgentLinks::AddWaiting(std::string_view engine,
+                            const AdapterName& adapter,
+                            std::int64_t version,
+                            int priority,
+                            Time now) {
+  Link* link = Find(engine);
+  if (link == nullptr) {
+    return;
+  }
+  Use& use = link->uses[adapter];
+  use.priority = use.waiting == 0 ? priority : std::min(use.priority, priority);
+  use.version = std::max(use.version, version);
+  ++use.waiting;
+  ++link->waiting;
+  link->next_send = now;
+}
+
+void AgentLinks::RemoveWaiting(std::string_view engine,
+                               const AdapterName& adapter) {
+  Link* link = Find(engine);
+  if (link == nullptr || !link->uses.contains(adapter)) {
+    return;
+  }
+  Use& use = link->uses[adapter];
+  if (use.waiting > 0) {
+    --use.waiting;
+    --link->waiting;
+  }
+  DropIfUnused(*link, adapter);
+}
+
+void AgentLinks::AddRunning(std::string_view engine,
+                            const AdapterName& adapter) {
+  if (Link* link = Find(engine)) {
+    ++link->uses[adapter].running;
+  }
+}
+
+void AgentLinks::RemoveRunning(std::string_view engine,
+                               const AdapterName& adapter) {
+  Link* link = Find(engine);
+  if (link == nullptr || !link->uses.contains(adapter)) {
+    return;
+  }
+  Use& use = link->uses[adapter];
+  use.running = std::max(use.running - 1, 0);
+  DropIfUnused(*link, adapter);
+}
+
+void AgentLinks::DropIfUnused(Link& link, const AdapterName& adapter) {
+  const auto use = link.uses.find(adapter);
+  if (use != link.uses.end() && use->second.waiting == 0 &&
+      use->second.running == 0) {
+    link.uses.erase(use);
+  }
+}
+
+void AgentLinks::MarkAbsent(std::string_view engine,
+                            const AdapterName& adapter) {
+  Link* link = Find(engine);
+  if (link != nullptr && link->view) {
+    link->view->resident.erase(adapter);
+  }
+}
+
+void AgentLinks::Tick(Time now) {
+  for (auto& [engine, link] : links_) {
+    if (now >= link.next_send) {
+      SendDemand(link, now);
+    }
+  }
+}
+
+void AgentLinks::SendDemand(Link& link, Time now) {
+  agent_wire::AgentDatagram datagram;
+  agent_wire::AdapterDemand demand = link.endpoint.facts;
+  demand.router = router_;
+  demand.incarnation = incarnation_;
+  demand.sequence = ++link.sequence;
+  for (const auto& [adapter, use] : link.uses) {
+    agent_wire::AdapterUse item;
+    item.model = adapter.first;
+    item.adapter = adapter.second;
+    item.version = use.version;
+    item.waiting = use.waiting;
+    item.running = use.running;
+    item.priority = use.priority;
+    demand.uses.push_back(std::move(item));
+  }
+  datagram.__set_demand(demand);
+  send_(link.endpoint.agent, EncodeDatagram(datagram));
+  link.next_send = now + (link.waiting > 0     ? kRepeatWhileWaiting
+                          : !link.uses.empty() ? kRepeatWhileRunning
+                                               : kRepeatIdle);
+}
+
+std::size_t AgentLinks::router_count(Time now) const {
+  int count = 1;
+  for (const auto& [engine, link] : links_) {
+    if (link.view && now - link.view->received <= kViewLifetime) {
+      count = std::max(count, link.view->routers);
+    }
+  }
+  return static_cast<std::size_t>(count);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/backend_choice/backend_choice.cc
@@ -0,0 +1,121 @@
+#include "amaranthcove/backend_choice/backend_choice.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/base/hash.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// Delays of the first event, in milliseconds.
+constexpr double kLoadingMs = 60;
+// An engine that held the adapter lately loads it from its own memory; the
+// first engines in the order of preference are likely to.
+constexpr double kPreferredLoadMs = 50;
+constexpr double kSecondLoadMs = 110;
+constexpr double kColdLoadMs = 280;
+constexpr double kUnknownMs = 400;
+// Loading a base model takes seconds.
+constexpr double kNoModelMs = 2000;
+// All adapter places are in use, so a load waits for a request to end.
+constexpr double kNoPlaceMs = 300;
+// Each request of the batch delays the next by its share of prompt reading.
+constexpr double kPerRunningMs = 8;
+// A request beyond the batch waits for another to end.
+constexpr double kPerQueuedMs = 40;
+constexpr double kOtherDataCentreMs = 4;
+
+double LoadMs(const EngineCandidate& candidate) {
+  if (!candidate.has_model) {
+    return kNoModelMs;
+  }
+  switch (candidate.place) {
+    case AdapterPlace::kResident:
+      return 0;
+    case AdapterPlace::kLoading:
+      return kLoadingMs;
+    case AdapterPlace::kUnknown:
+      return kUnknownMs;
+    case AdapterPlace::kAbsent:
+      break;
+  }
+  double load_ms = kColdLoadMs;
+  if (candidate.affinity_rank == 0) {
+    load_ms = kPreferredLoadMs;
+  } else if (candidate.affinity_rank == 1) {
+    load_ms = kSecondLoadMs;
+  }
+  return load_ms + (candidate.free_places > 0 ? 0 : kNoPlaceMs);
+}
+
+// In-flight requests of one instance count as busy above this share of slots,
+// since the other instances use the server as well.
+constexpr int kOwnSlotsDivisor = 3;
+constexpr double kErrorWeight = 20;
+
+}  // namespace
+
+double ExpectedDelayMs(const EngineCandidate& candidate) {
+  const int active = candidate.running + candidate.own_recent;
+  const int beyond =
+      std::max(active + candidate.queued + 1 - candidate.batch_size, 0);
+  return LoadMs(candidate) + kPerRunningMs * active + kPerQueuedMs * beyond +
+         (candidate.same_data_centre ? 0 : kOtherDataCentreMs);
+}
+
+std::optional<std::size_t> ChooseEngine(
+    std::span<const EngineCandidate> candidates) {
+  std::optional<std::size_t> best;
+  std::tuple<bool, bool, double, std::size_t> best_cost;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const EngineCandidate& candidate = candidates[i];
+    const std::tuple cost(candidate.tried, candidate.avoided,
+                          ExpectedDelayMs(candidate), candidate.affinity_rank);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void RankByAffinity(std::string_view adapter,
+                    std::span<const std::string_view> engines,
+                    std::span<std::size_t> ranks) {
+  const std::uint64_t seed = Hash64(adapter);
+  std::vector<std::pair<std::uint64_t, std::size_t>> order;
+  order.reserve(engines.size());
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    order.emplace_back(Hash64(engines[i], seed), i);
+  }
+  std::sort(order.begin(), order.end());
+  for (std::size_t rank = 0; rank < order.size(); ++rank) {
+    ranks[order[rank].second] = rank;
+  }
+}
+
+std::optional<std::size_t> ChoosePlainServer(
+    std::span<const PlainCandidate> candidates) {
+  std::optional<std::size_t> best;
+  std::tuple<bool, bool, double, std::uint64_t> best_cost;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlainCandidate& candidate = candidates[i];
+    const int own_slots = std::max(candidate.slots / kOwnSlotsDivisor, 1);
+    const double load = candidate.in_flight +
+                        (candidate.same_data_centre ? 0 : own_slots) +
+                        kErrorWeight * candidate.error_share;
+    const std::tuple cost(candidate.tried, candidate.avoided, load,
+                          candidate.tie_break);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/backend_choice/backend_choice_test.cc
@@ -0,0 +1,115 @@
+#include "amaranthcove/backend_choice/backend_choice.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+EngineCandidate MakeEngine(AdapterPlace place, int running, std::size_t rank) {
+  EngineCandidate engine;
+  engine.place = place;
+  engine.running = running;
+  engine.affinity_rank = rank;
+  engine.batch_size = 64;
+  return engine;
+}
+
+}  // namespace
+
+TEST_GROUP(ChooseEngine){};
+
+// Guards against loading an adapter again while an engine that holds it has
+// room, and against piling all requests of a popular adapter on one engine.
+TEST(ChooseEngine, SpreadsAPopularAdapterOnlyUnderLoad) {
+  const std::array calm = {MakeEngine(AdapterPlace::kResident, 10, 0),
+                           MakeEngine(AdapterPlace::kAbsent, 2, 1)};
+  CHECK_EQUAL(0, static_cast<int>(*ChooseEngine(calm)));
+  const std::array busy = {MakeEngine(AdapterPlace::kResident, 30, 0),
+                           MakeEngine(AdapterPlace::kAbsent, 2, 1)};
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(busy)));
+}
+
+// Guards against cold loads on engines that are idle by chance.
+TEST(ChooseEngine, AbsentAdapterGoesToItsPreferredEngine) {
+  const std::array engines = {MakeEngine(AdapterPlace::kAbsent, 0, 4),
+                              MakeEngine(AdapterPlace::kAbsent, 9, 0)};
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+}
+
+// Guards against waiting for a place where all adapters are in use.
+TEST(ChooseEngine, AvoidsEnginesWithoutAFreePlace) {
+  std::array engines = {MakeEngine(AdapterPlace::kAbsent, 5, 0),
+                        MakeEngine(AdapterPlace::kAbsent, 5, 1)};
+  engines[0].free_places = 0;
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+}
+
+// Guards against refusing while a failing engine is the only one left, and
+// against preferring it to others.
+TEST(ChooseEngine, AvoidedEnginesAreTheLastResort) {
+  std::array engines = {MakeEngine(AdapterPlace::kResident, 0, 0),
+                        MakeEngine(AdapterPlace::kUnknown, 60, 1)};
+  engines[0].avoided = true;
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+  engines[1].tried = true;
+  CHECK_EQUAL(0, static_cast<int>(*ChooseEngine(engines)));
+  CHECK(!ChooseEngine({}).has_value());
+}
+
+// Guards against an order of preference that is reshuffled when one engine
+// leaves, which would make most adapters cold at once.
+TEST(ChooseEngine, AffinitySurvivesTheLossOfAnEngine) {
+  const std::vector<std::string_view> nine = {"a", "b", "c", "d", "e",
+                                              "f", "g", "h", "i"};
+  const std::vector<std::string_view> eight(nine.begin(), nine.end() - 1);
+  std::vector<std::size_t> ranks(nine.size());
+  std::map<std::size_t, int> adapters_of_engine;
+  for (int n = 0; n < 900; ++n) {
+    const std::string adapter = "adapter-" + std::to_string(n);
+    RankByAffinity(adapter, nine, ranks);
+    std::size_t first = 0;
+    while (ranks[first] != 0) {
+      ++first;
+    }
+    ++adapters_of_engine[first];
+    if (first + 1 < nine.size()) {
+      RankByAffinity(adapter, eight, std::span(ranks).first(eight.size()));
+      CHECK_EQUAL(0, static_cast<int>(ranks[first]));
+    }
+  }
+  for (const auto& [engine, count] : adapters_of_engine) {
+    CHECK(count > 60 && count < 140);
+  }
+}
+
+TEST_GROUP(ChoosePlainServer){};
+
+// Guards against needless traffic between data centres, and against queueing in
+// the own one while another is idle.
+TEST(ChoosePlainServer, PrefersTheOwnDataCentreUntilItIsBusy) {
+  std::array<PlainCandidate, 2> servers;
+  servers[0].slots = servers[1].slots = 6;
+  servers[1].same_data_centre = false;
+  servers[0].in_flight = 1;
+  CHECK_EQUAL(0, static_cast<int>(*ChoosePlainServer(servers)));
+  servers[0].in_flight = 4;
+  CHECK_EQUAL(1, static_cast<int>(*ChoosePlainServer(servers)));
+}
+
+// Guards against repeating a call at the server that has just failed it.
+TEST(ChoosePlainServer, TriedServersAreTheLastResort) {
+  std::array<PlainCandidate, 2> servers;
+  servers[0].tried = true;
+  servers[1].in_flight = 5;
+  CHECK_EQUAL(1, static_cast<int>(*ChoosePlainServer(servers)));
+  servers[1].tried = true;
+  CHECK_EQUAL(0, static_cast<int>(*ChoosePlainServer(servers)));
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/backends/backend_directory.cc
@@ -0,0 +1,140 @@
+#include "amaranthcove/backends/backend_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace amaranthcove {
+
+namespace {
+
+using Change = BackendDirectory::Change;
+using Kind = BackendDirectory::Change::Kind;
+
+constexpr std::size_t kMaxRememberedLeft = 4096;
+
+bool IsSameStart(const BackendServer& a, const BackendServer& b) {
+  return a.started_at_ms == b.started_at_ms && a.address == b.address;
+}
+
+void Append(std::vector<Change>& changes, std::vector<Change> more) {
+  for (Change& change : more) {
+    changes.push_back(std::move(change));
+  }
+}
+
+}  // namespace
+
+std::vector<Change> BackendDirectory::Put(BackendServer server) {
+  const auto found = entries_.find(server.id);
+  if (found == entries_.end()) {
+    const auto left = left_.find(server.id);
+    if (left != left_.end() && left->second == server.started_at_ms) {
+      return {};
+    }
+    const Kind kind = server.leaving ? Kind::kLeaving : Kind::kAdded;
+    entries_[server.id] = {server, false};
+    return {{kind, std::move(server)}};
+  }
+  Entry& entry = found->second;
+  entry.missing = false;
+  const bool same_start = IsSameStart(entry.server, server);
+  const bool was_leaving = entry.server.leaving;
+  if (same_start && was_leaving) {
+    server.leaving = true;
+  }
+  entry.server = server;
+  if (!same_start) {
+    return {{Kind::kReplaced, std::move(server)}};
+  }
+  if (server.leaving && !was_leaving) {
+    return {{Kind::kLeaving, std::move(server)}};
+  }
+  return {};
+}
+
+std::vector<Change> BackendDirectory::Remove(std::string_view id, Time now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return {};
+  }
+  if (now < grace_end_ && !found->second.server.leaving) {
+    found->second.missing = true;
+    return {};
+  }
+  if (found->second.server.leaving) {
+    if (left_.size() >= kMaxRememberedLeft) {
+      left_.erase(left_.begin());
+    }
+    left_[found->first] = found->second.server.started_at_ms;
+  }
+  std::vector<Change> changes = {
+      {Kind::kGone, std::move(found->second.server)}};
+  entries_.erase(found);
+  return changes;
+}
+
+std::vector<Change> BackendDirectory::ReplaceAll(
+    std::vector<BackendServer> servers,
+    Time now) {
+  std::set<std::string> listed;
+  std::vector<Change> changes;
+  for (BackendServer& server : servers) {
+    listed.insert(server.id);
+    Append(changes, Put(std::move(server)));
+  }
+  std::vector<std::string> absent;
+  for (const auto& [id, entry] : entries_) {
+    if (!listed.contains(id)) {
+      absent.push_back(id);
+    }
+  }
+  for (const std::string& id : absent) {
+    Append(changes, Remove(id, now));
+  }
+  return changes;
+}
+
+void BackendDirectory::ContactRegained(Time now) {
+  grace_end_ = now + kReturnGrace;
+}
+
+std::vector<Change> BackendDirectory::Expire(Time now) {
+  std::vector<Change> changes;
+  if (now < grace_end_) {
+    return changes;
+  }
+  std::erase_if(entries_, [&changes](const auto& item) {
+    if (item.second.missing) {
+      changes.push_back({Kind::kGone, item.second.server});
+    }
+    return item.second.missing;
+  });
+  return changes;
+}
+
+const BackendServer* BackendDirectory::Find(std::string_view id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second.server;
+}
+
+std::vector<const BackendServer*> BackendDirectory::Serving(
+    std::string_view service) const {
+  std::vector<const BackendServer*> result;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.server.service == service && !entry.server.leaving) {
+      result.push_back(&entry.server);
+    }
+  }
+  return result;
+}
+
+std::vector<const BackendServer*> BackendDirectory::All() const {
+  std::vector<const BackendServer*> result;
+  result.reserve(entries_.size());
+  for (const auto& [id, entry] : entries_) {
+    result.push_back(&entry.server);
+  }
+  return result;
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/backends/backends_test.cc
@@ -0,0 +1,133 @@
+#include "amaranthcove/backends/backend_directory.h"
+#include "amaranthcove/backends/backend_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Kind = BackendDirectory::Change::Kind;
+
+BackendServer MakeServer(std::string id, bool leaving = false) {
+  BackendServer server;
+  server.id = std::move(id);
+  server.service = "care";
+  server.address = {"10.0.0.1", 80};
+  server.leaving = leaving;
+  server.started_at_ms = 1000;
+  return server;
+}
+
+const Time kStart = Time(std::chrono::hours(1));
+
+}  // namespace
+
+TEST_GROUP(BackendDirectory) {
+  BackendDirectory directory_;
+
+  bool IsServing(std::string_view id) const {
+    for (const BackendServer* server : directory_.Serving("care")) {
+      if (server->id == id) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+// Guards against new work for a server that has announced that it leaves, also
+// when a late copy of its earlier entry arrives afterwards.
+TEST(BackendDirectory, LeavingServerNeverReturns) {
+  directory_.Put(MakeServer("e1"));
+  CHECK(IsServing("e1"));
+  const auto changes = directory_.Put(MakeServer("e1", true));
+  CHECK_EQUAL(1, static_cast<int>(changes.size()));
+  CHECK(changes[0].kind == Kind::kLeaving);
+  directory_.Put(MakeServer("e1"));
+  CHECK(!IsServing("e1"));
+}
+
+// Guards against a restarted server that stays excluded for its predecessor.
+TEST(BackendDirectory, RestartWithTheSameIdServesAgain) {
+  directory_.Put(MakeServer("e1", true));
+  BackendServer restarted = MakeServer("e1");
+  restarted.started_at_ms = 2000;
+  const auto changes = directory_.Put(restarted);
+  CHECK(changes[0].kind == Kind::kReplaced);
+  CHECK(IsServing("e1"));
+}
+
+// Guards against dropping live servers whose entries expired in an outage of
+// the list, and against keeping those that do not come back.
+TEST(BackendDirectory, KeepsMissingServersForTheGrace) {
+  directory_.Put(MakeServer("e1"));
+  directory_.Put(MakeServer("e2"));
+  directory_.ContactRegained(kStart);
+  CHECK(directory_.ReplaceAll({}, kStart).empty());
+  CHECK(IsServing("e1"));
+  directory_.Put(MakeServer("e1"));
+  const auto changes = directory_.Expire(kStart + kReturnGrace);
+  CHECK_EQUAL(1, static_cast<int>(changes.size()));
+  CHECK_EQUAL("e2", changes[0].server.id);
+  CHECK(IsServing("e1"));
+}
+
+// Guards against the grace for a server that had announced that it leaves.
+TEST(BackendDirectory, LeavingServerHasNoGrace) {
+  directory_.Put(MakeServer("e1", true));
+  directory_.ContactRegained(kStart);
+  CHECK_EQUAL(1, static_cast<int>(directory_.Remove("e1", kStart).size()));
+}
+
+// Guards against a late heartbeat that brings back a server that has left.
+TEST(BackendDirectory, LateHeartbeatOfLeftServerIsIgnored) {
+  directory_.Put(MakeServer("e1", true));
+  directory_.Remove("e1", kStart);
+  CHECK(directory_.Put(MakeServer("e1")).empty());
+  CHECK(!IsServing("e1"));
+}
+
+// Guards against servers that stay listed after their removal.
+TEST(BackendDirectory, RemovalOutsideOfTheGraceIsImmediate) {
+  directory_.Put(MakeServer("e1"));
+  CHECK_EQUAL(1, static_cast<int>(directory_.Remove("e1", kStart).size()));
+  CHECK(directory_.empty());
+}
+
+TEST_GROUP(BackendHealth) {
+  BackendHealth health_;
+};
+
+// Guards against sending on to a server that refuses connections.
+TEST(BackendHealth, UnreachableServerIsAvoidedAtOnce) {
+  RecordResult(health_, BackendResult::kNotReachable, kStart);
+  CHECK(IsAvoided(health_, kStart + milliseconds(499)));
+  CHECK(!IsAvoided(health_, kStart + milliseconds(500)));
+}
+
+// Guards against excluding a sound service for the errors it makes by design
+// (one in seven), and against keeping one that fails most requests.
+TEST(BackendHealth, AvoidsServersThatFailMostRequests) {
+  for (int i = 0; i < 140; ++i) {
+    RecordResult(health_,
+                 i % 7 == 0 ? BackendResult::kError : BackendResult::kServed,
+                 kStart);
+    CHECK(!IsAvoided(health_, kStart));
+  }
+  for (int i = 0; i < 12; ++i) {
+    RecordResult(health_, BackendResult::kError, kStart);
+  }
+  CHECK(IsAvoided(health_, kStart));
+}
+
+// Guards against pauses that never grow for a server that stays down.
+TEST(BackendHealth, PausesGrow) {
+  RecordResult(health_, BackendResult::kNotReachable, kStart);
+  const Time second = health_.avoided_until;
+  RecordResult(health_, BackendResult::kNotReachable, second);
+  CHECK(health_.avoided_until - second == milliseconds(1000));
+}
+
+}  // namespace amaranthcove
--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -33,11 +33,11 @@
 
 class Logging::Implementation {
  public:
-  explicit Implementation(LogLevel level) {
+  Implementation(LogLevel level, LogOutput output) {
     // log4cplus starts four threads before `main` and keeps at least one of
     // them; no appender used here needs any.
     log4cplus::setThreadPoolSize(0);
-    const bool log_to_stderr = true;
+    const bool log_to_stderr = output == LogOutput::kStderr;
     const bool flush_each_line = true;
     log4cplus::SharedAppenderPtr appender(
         new log4cplus::ConsoleAppender(log_to_stderr, flush_each_line));
@@ -53,8 +53,8 @@
   log4cplus::Initializer initializer_;
 };
 
-Logging::Logging(LogLevel level)
-    : implementation_(std::make_unique<Implementation>(level)) {
+Logging::Logging(LogLevel level, LogOutput output)
+    : implementation_(std::make_unique<Implementation>(level, output)) {
   is_set_up = true;
 }
 
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -45,6 +45,20 @@
       .Add(LabelsOf(label, value));
 }
 
+prometheus::Histogram& MetricsRegistry::Histogram(const std::string& name,
+                                                  const std::string& help,
+                                                  const std::string& label,
+                                                  const std::string& value) {
+  static const prometheus::Histogram::BucketBoundaries boundaries = {
+      0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 10, 20};
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Labels(constant_labels_)
+      .Register(*registry_)
+      .Add(LabelsOf(label, value), boundaries);
+}
+
 std::string MetricsRegistry::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -41,6 +41,25 @@
                       });
 }
 
+std::string EncodeRequestHead(const Address& server,
+                              const HttpRequest& request) {
+  std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
+  if (FindHeader(request.headers, "host").empty()) {
+    head += "host: " + FormatAddress(server) + "\r\n";
+  }
+  for (const HttpHeader& header : request.headers) {
+    if (IsSendable(header)) {
+      head += header.name + ": " + header.value + "\r\n";
+    }
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return head + "\r\n";
+}
+
 }  // namespace internal
 
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -24,24 +24,6 @@
 
 constexpr std::size_t kMaxConnectionsPerServer = 4096;
 
-std::string EncodeHead(const Address& server, const HttpRequest& request) {
-  std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
-  if (FindHeader(request.headers, "host").empty()) {
-    head += "host: " + FormatAddress(server) + "\r\n";
-  }
-  for (const HttpHeader& header : request.headers) {
-    if (internal::IsSendable(header)) {
-      head += header.name + ": " + header.value + "\r\n";
-    }
-  }
-  const bool has_body = !request.body.empty() || request.method == "POST" ||
-                        request.method == "PUT" || request.method == "PATCH";
-  if (has_body) {
-    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
-  }
-  return head + "\r\n";
-}
-
 class HttpClientImpl final : public HttpClient {
  public:
   explicit HttpClientImpl(EventLoop& loop) : loop_(loop) {
@@ -72,7 +54,8 @@
     call.id = id;
     call.callbacks = std::move(callbacks);
     call.is_head_method = request.method == "HEAD";
-    call.buffers[0] = Buffer(call.head = EncodeHead(server, request));
+    call.buffers[0] =
+        Buffer(call.head = internal::EncodeRequestHead(server, request));
     call.buffers[1] = Buffer(call.body = std::move(request.body));
     call.timer = loop_.RunAt(deadline, [this, &call] {
       Disconnect(call);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -68,9 +68,15 @@
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(EventLoop& loop,
+           const HttpServer::Options& options,
            std::unordered_set<Exchange*>& open_exchanges,
-           const bool& closing)
-      : loop_(loop), open_exchanges_(open_exchanges), closing_(closing) {}
+           const bool& closing,
+           const bool& stopped)
+      : loop_(loop),
+        options_(options),
+        open_exchanges_(open_exchanges),
+        closing_(closing),
+        stopped_(stopped) {}
 
   void Attach(h2o_req_t* request) {
     request_ = request;
@@ -189,6 +195,11 @@
   }
 
   void Detach() {
+    if (stopped_) {
+      // Its answer began before the server stopped, so it did not say that the
+      // connection would be closed.
+      shutdown(socket_fd(), SHUT_RDWR);
+    }
     request_ = nullptr;
     generator_ = nullptr;
     open_exchanges_.erase(this);
@@ -294,11 +305,15 @@
     }
   }
 
-  // Passes on an invalid chunk, if the answer is chunked, and closes.
+  // Closes the connection without an end of the answer. h2o writes a malformed
+  // chunk first, unless the connection cannot be written any more.
   void SendError() {
     const auto self = shared_from_this();
     sent_last_ = true;
     request_->http1_is_persistent = 0;
+    if (options_.abort_mark == HttpServer::AbortMark::kClose) {
+      shutdown(socket_fd(), SHUT_WR);
+    }
     if (!started_) {
       started_ = true;
       request_->res.status = 500;
@@ -309,8 +324,10 @@
   }
 
   EventLoop& loop_;
+  const HttpServer::Options options_;
   std::unordered_set<Exchange*>& open_exchanges_;
   const bool& closing_;
+  const bool& stopped_;
   h2o_req_t* request_ = nullptr;  // Null once h2o has disposed of it.
   RequestGenerator* generator_ = nullptr;
   HttpResponse response_;
@@ -420,7 +437,7 @@
   ServerCore(EventLoop& loop,
              const HttpServer::Options& options,
              HttpServer::Handler handler)
-      : loop_(loop), handler_(std::move(handler)) {
+      : loop_(loop), options_(options), handler_(std::move(handler)) {
     h2o_config_init(&config_);
     static constexpr std::string_view kServerName = "amaranthcove";
     config_.server_name =
@@ -473,6 +490,21 @@
     context_.shutdown_requested = 1;
   }
 
+  // Closes the connections that have no request in progress.
+  void CloseIdle() {
+    stopped_ = true;
+    std::unordered_set<int> busy;
+    for (const Exchange* exchange : open_exchanges_) {
+      busy.insert(exchange->socket_fd());
+    }
+    for (const auto& [socket, has_requested] : connections_) {
+      const int fd = h2o_socket_get_fd(socket);
+      if (!busy.contains(fd)) {
+        shutdown(fd, SHUT_RDWR);
+      }
+    }
+  }
+
   // Ends everything; deletes itself when the last connection is closed.
   // Precondition: not called by the handler, which this destroys.
   void Orphan() {
@@ -535,8 +567,9 @@
 
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
     ServerCore* core = reinterpret_cast<RequestHandler*>(self)->core;
-    auto exchange = std::make_shared<Exchange>(
-        core->loop_, core->open_exchanges_, core->closing_);
+    auto exchange = std::make_shared<Exchange>(core->loop_, core->options_,
+                                               core->open_exchanges_,
+                                               core->closing_, core->stopped_);
     exchange->Attach(request);
     core->connections_[request->conn->callbacks->get_socket(request->conn)] =
         true;
@@ -607,6 +640,7 @@
   }
 
   EventLoop& loop_;
+  const HttpServer::Options options_;
   HttpServer::Handler handler_;
   h2o_globalconf_t config_ = {};
   h2o_context_t context_ = {};
@@ -617,6 +651,7 @@
   std::unordered_set<Exchange*> open_exchanges_;
   TimerId check_timer_ = 0;
   bool closing_ = false;
+  bool stopped_ = false;  // No connection gets another request.
   bool orphaned_ = false;
 };
 
@@ -643,6 +678,8 @@
 
   Counters counters() const override { return core_->counters(); }
 
+  void CloseAfterAnswers() override { core_->BeginClosing(); }
+
   void StopAccepting() override {
     if (listener_ == nullptr) {
       return;
@@ -650,6 +687,7 @@
     h2o_socket_read_stop(listener_);
     h2o_socket_close(std::exchange(listener_, nullptr));
     core_->BeginClosing();
+    core_->CloseIdle();
   }
 
  private:
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -298,6 +298,21 @@
   CHECK(slow.received.size() < kMoreThanSocketsBuffer);
 }
 
+// Guards against bytes that are no HTTP in an aborted answer, and against an
+// end that strict callers take for the whole answer.
+TEST(Http, AbortMayEndByTheCloseAlone) {
+  HttpServer::Options options;
+  options.abort_mark = HttpServer::AbortMark::kClose;
+  ListenAndKeep(options);
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  responders[0]->Start({200, {}, "part"});
+  responders[0]->Abort();
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  CHECK(peer.received.ends_with("4\r\npart\r\n"));
+}
+
 // Guards against an interrupted stream whose error event is lost because the
 // piece before it was still being sent.
 TEST(Http, AbortSendsWhatWasWritten) {
@@ -474,4 +489,23 @@
   CHECK(answer.end == HttpCallEnd::kConnectFailed);
 }
 
+// Guards against a request that arrives on an idle connection when the process
+// is about to end, and is then cut off: such a connection is closed before.
+TEST(Http, StopAcceptingClosesIdleConnections) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  responders[0]->Send({200, {}, "done"});
+  RunUntil(loop, [&peer] {
+    static_cast<void>(peer.ReadAvailable());
+    return peer.received.ends_with("done");
+  });
+  server->StopAccepting();
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  loop.RunOnce(std::chrono::milliseconds(20));
+  CHECK_EQUAL(1, static_cast<int>(responders.size()));
+}
+
 }  // namespace amaranthcove
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -103,6 +104,24 @@
   DisableNagle(h2o_socket_get_fd(socket_));
 }
 
+void TcpConnection::SetSilenceLimit(Duration limit) {
+  if (socket_ == nullptr) {
+    return;
+  }
+  const int fd = h2o_socket_get_fd(socket_);
+  const int limit_ms = static_cast<int>(ToMilliseconds(limit));
+  const int on = 1;
+  const int probe_interval_s = 1;
+  const int probes = std::max(1, limit_ms / 1000);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_interval_s,
+             sizeof(probe_interval_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s,
+             sizeof(probe_interval_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 void TcpConnection::Open(Callbacks callbacks) {
   callbacks_ = std::make_shared<const Callbacks>(std::move(callbacks));
   connected_ = true;
@@ -134,6 +153,7 @@
 void TcpConnection::OnReadable(st_h2o_socket_t* socket, const char* error) {
   auto* connection = static_cast<TcpConnection*>(socket->data);
   if (error != nullptr) {
+    connection->closed_in_order_ = error == h2o_socket_error_closed;
     connection->Fail();
     return;
   }
--- /dev/null
+++ b/src/net/upstream_client.cc
@@ -0,0 +1,448 @@
+#include "amaranthcove/net/upstream_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <http_parser.h>
+
+#include "amaranthcove/net/tcp.h"
+#include "src/net/http_fields.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// Connections are not used in the last part of the peer's idle timeout, because
+// a request that crosses the close may or may not have run.
+constexpr double kUsedShareOfIdleTimeout = 0.7;
+
+// The seconds of "timeout=N" in a Keep-Alive field; 0 without any.
+int ParseKeepAliveTimeout(std::string_view value) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t at = value.find(kKey);
+  if (at == std::string_view::npos) {
+    return 0;
+  }
+  const std::string_view digits = value.substr(at + kKey.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::max(seconds, 0);
+}
+
+class UpstreamClientImpl;
+
+// One connection and the call on it, if any.
+class Connection {
+ public:
+  Connection(UpstreamClientImpl& owner, const Address& server)
+      : owner_(owner), server_(server) {}
+
+  void Open(EventLoop& loop, Duration silence_limit);
+  void Send(UpstreamCallId call,
+            const HttpRequest& request,
+            UpstreamClient::Callbacks callbacks);
+
+  // Forgets the call, whose callbacks are not called any more.
+  UpstreamClient::Callbacks TakeCallbacks() {
+    call_ = 0;
+    return std::exchange(callbacks_, {});
+  }
+
+  // Stops reading and writing.
+  void Close() { tcp_.reset(); }
+
+  const Address& server() const { return server_; }
+  UpstreamCallId call() const { return call_; }
+  bool opened() const { return opened_; }
+  Time idle_since() const { return idle_since_; }
+  void set_idle_since(Time now) { idle_since_ = now; }
+  Duration max_idle(Duration fallback) const {
+    return stated_idle_.value_or(fallback);
+  }
+
+ private:
+  static Connection& Self(http_parser* parser) {
+    return *static_cast<Connection*>(parser->data);
+  }
+  static int OnHeaderField(http_parser* parser, const char* at, size_t length);
+  static int OnHeaderValue(http_parser* parser, const char* at, size_t length);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, size_t length);
+  static int OnMessageComplete(http_parser* parser);
+  static int OnMessageBegin(http_parser* parser);
+  static const http_parser_settings& ParserSettings();
+
+  void ResetParser() {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    head_ = {};
+    in_value_ = true;
+    accepted_ = false;
+    has_bytes_ = false;
+  }
+  void OnData(std::string_view bytes);
+  void OnClosed();
+  void OnAnswerComplete(bool has_more_bytes);
+
+  UpstreamClientImpl& owner_;
+  const Address server_;
+  std::unique_ptr<TcpConnection> tcp_;
+  http_parser parser_{};
+  HttpResponse head_;
+  bool in_value_ = true;   // The last header piece was (part of) a value.
+  bool accepted_ = false;  // The present answer belongs to the call.
+  bool complete_ = false;  // The present answer has ended.
+  bool reusable_ = false;
+  bool has_bytes_ = false;
+  bool opened_ = false;
+  bool is_head_method_ = false;
+  UpstreamCallId call_ = 0;
+  UpstreamClient::Callbacks callbacks_;
+  Time idle_since_;
+  std::optional<Duration> stated_idle_;
+};
+
+class UpstreamClientImpl final : public UpstreamClient {
+ public:
+  UpstreamClientImpl(EventLoop& loop, const Options& options)
+      : loop_(loop), options_(options) {}
+
+  ~UpstreamClientImpl() override {
+    loop_.Cancel(cleanup_timer_);
+    for (const auto& [id, timer] : connect_timers_) {
+      loop_.Cancel(timer);
+    }
+  }
+
+  UpstreamCallId Start(const Address& server,
+                       const HttpRequest& request,
+                       Callbacks callbacks) override {
+    const UpstreamCallId call = next_call_++;
+    Connection* connection = TakeIdle(server);
+    if (connection == nullptr) {
+      connection = OpenConnection(server);
+      connect_timers_[call] = loop_.RunAfter(
+          options_.connect_timeout, [this, call] { OnConnectTimeout(call); });
+    }
+    calls_[call] = connection;
+    connection->Send(call, request, std::move(callbacks));
+    return call;
+  }
+
+  void Cancel(UpstreamCallId call) override {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+      return;
+    }
+    Connection& connection = *found->second;
+    connection.TakeCallbacks();
+    Drop(connection, call);
+  }
+
+  void CloseIdle(const Address& server) override {
+    const auto found = idle_.find(server);
+    if (found == idle_.end()) {
+      return;
+    }
+    for (Connection* connection : std::exchange(found->second, {})) {
+      Bury(*connection);
+    }
+    idle_.erase(server);
+  }
+
+  Counters counters() const override { return counters_; }
+
+  void OnOpened(Connection& connection) {
+    CancelConnectTimer(connection.call());
+  }
+
+  // The call of `connection` has ended; the connection may be used again.
+  void OnCallComplete(Connection& connection, bool reusable) {
+    const UpstreamCallId call = connection.call();
+    Callbacks callbacks = connection.TakeCallbacks();
+    if (reusable) {
+      ForgetCall(call);
+      connection.set_idle_since(SteadyNow());
+      idle_[connection.server()].push_back(&connection);
+    } else {
+      Drop(connection, call);
+    }
+    callbacks.on_end(UpstreamEnd::kComplete);
+  }
+
+  void OnConnectionLost(Connection& connection) {
+    const UpstreamCallId call = connection.call();
+    if (call == 0) {
+      RemoveIdle(connection);
+      Bury(connection);
+      return;
+    }
+    const bool sent = connection.opened();
+    Callbacks callbacks = connection.TakeCallbacks();
+    Drop(connection, call);
+    callbacks.on_end(sent ? UpstreamEnd::kBroken : UpstreamEnd::kNotSent);
+  }
+
+  void CountStrayAnswer() { ++counters_.stray_answers; }
+
+ private:
+  Connection* TakeIdle(const Address& server) {
+    const auto found = idle_.find(server);
+    if (found == idle_.end()) {
+      return nullptr;
+    }
+    std::vector<Connection*>& idle = found->second;
+    const Time now = SteadyNow();
+    while (!idle.empty()) {
+      // The most recently used one is the least likely to be closed soon.
+      Connection* connection = idle.back();
+      idle.pop_back();
+      if (now - connection->idle_since() <
+          connection->max_idle(options_.max_idle)) {
+        return connection;
+      }
+      Bury(*connection);
+    }
+    return nullptr;
+  }
+
+  Connection* OpenConnection(const Address& server) {
+    auto owned = std::make_unique<Connection>(*this, server);
+    Connection* connection = owned.get();
+    connections_.emplace(connection, std::move(owned));
+    ++counters_.connections_opened;
+    connection->Open(loop_, options_.silence_limit);
+    return connection;
+  }
+
+  void OnConnectTimeout(UpstreamCallId call) {
+    connect_timers_.erase(call);
+    const auto found = calls_.find(call);
+    if (found != calls_.end() && !found->second->opened()) {
+      OnConnectionLost(*found->second);
+    }
+  }
+
+  void CancelConnectTimer(UpstreamCallId call) {
+    const auto found = connect_timers_.find(call);
+    if (found != connect_timers_.end()) {
+      loop_.Cancel(found->second);
+      connect_timers_.erase(found);
+    }
+  }
+
+  void ForgetCall(UpstreamCallId call) {
+    CancelConnectTimer(call);
+    calls_.erase(call);
+  }
+
+  void Drop(Connection& connection, UpstreamCallId call) {
+    ForgetCall(call);
+    Bury(connection);
+  }
+
+  void RemoveIdle(Connection& connection) {
+    const auto found = idle_.find(connection.server());
+    if (found != idle_.end()) {
+      std::erase(found->second, &connection);
+    }
+  }
+
+  // Closes a connection now and destroys it later: it may be on the stack.
+  void Bury(Connection& connection) {
+    const auto found = connections_.find(&connection);
+    if (found == connections_.end()) {
+      return;
+    }
+    connection.Close();
+    buried_.push_back(std::move(found->second));
+    connections_.erase(found);
+    if (cleanup_timer_ == 0) {
+      cleanup_timer_ = loop_.RunAfter(Duration::zero(), [this] {
+        cleanup_timer_ = 0;
+        buried_.clear();
+      });
+    }
+  }
+
+  EventLoop& loop_;
+  const Options options_;
+  Counters counters_;
+  UpstreamCallId next_call_ = 1;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<UpstreamCallId, Connection*> calls_;
+  std::unordered_map<UpstreamCallId, TimerId> connect_timers_;
+  std::map<Address, std::vector<Connection*>> idle_;
+  std::vector<std::unique_ptr<Connection>> buried_;
+  TimerId cleanup_timer_ = 0;
+};
+
+void Connection::Open(EventLoop& loop, Duration silence_limit) {
+  tcp_ =
+      TcpConnection::Connect(loop, server_,
+                             {[this, silence_limit] {
+                                opened_ = true;
+                                tcp_->SetSilenceLimit(silence_limit);
+                                owner_.OnOpened(*this);
+                              },
+                              [this](std::string_view bytes) { OnData(bytes); },
+                              [this] { OnClosed(); }});
+}
+
+void Connection::Send(UpstreamCallId call,
+                      const HttpRequest& request,
+                      UpstreamClient::Callbacks callbacks) {
+  call_ = call;
+  callbacks_ = std::move(callbacks);
+  is_head_method_ = request.method == "HEAD";
+  ResetParser();
+  std::string bytes = internal::EncodeRequestHead(server_, request);
+  bytes += request.body;
+  tcp_->Write(bytes);
+}
+
+const http_parser_settings& Connection::ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings result;
+    http_parser_settings_init(&result);
+    result.on_message_begin = &Connection::OnMessageBegin;
+    result.on_header_field = &Connection::OnHeaderField;
+    result.on_header_value = &Connection::OnHeaderValue;
+    result.on_headers_complete = &Connection::OnHeadersComplete;
+    result.on_body = &Connection::OnBody;
+    result.on_message_complete = &Connection::OnMessageComplete;
+    return result;
+  }();
+  return settings;
+}
+
+int Connection::OnMessageBegin(http_parser* parser) {
+  Connection& self = Self(parser);
+  self.head_ = {};
+  self.in_value_ = true;
+  self.accepted_ = false;
+  self.complete_ = false;
+  return 0;
+}
+
+int Connection::OnHeaderField(http_parser* parser,
+                              const char* at,
+                              size_t length) {
+  Connection& self = Self(parser);
+  if (self.in_value_) {
+    self.head_.headers.emplace_back();
+    self.in_value_ = false;
+  }
+  self.head_.headers.back().name.append(at, length);
+  return 0;
+}
+
+int Connection::OnHeaderValue(http_parser* parser,
+                              const char* at,
+                              size_t length) {
+  Connection& self = Self(parser);
+  if (self.head_.headers.empty()) {
+    return -1;
+  }
+  self.in_value_ = true;
+  self.head_.headers.back().value.append(at, length);
+  return 0;
+}
+
+int Connection::OnHeadersComplete(http_parser* parser) {
+  Connection& self = Self(parser);
+  self.head_.status = static_cast<int>(parser->status_code);
+  constexpr int kFirstFinalStatus = 200;
+  if (self.head_.status < kFirstFinalStatus) {
+    return 0;
+  }
+  const int seconds =
+      ParseKeepAliveTimeout(FindHeader(self.head_.headers, "keep-alive"));
+  if (seconds > 0) {
+    self.stated_idle_ = std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(seconds) * kUsedShareOfIdleTimeout);
+  }
+  self.accepted_ = self.call_ != 0 && self.callbacks_.on_head(self.head_);
+  if (!self.accepted_) {
+    self.owner_.CountStrayAnswer();
+  }
+  return self.is_head_method_ ? 1 : 0;
+}
+
+int Connection::OnBody(http_parser* parser, const char* at, size_t length) {
+  Connection& self = Self(parser);
+  if (self.accepted_ && self.call_ != 0) {
+    self.callbacks_.on_data(std::string_view(at, length));
+  }
+  return 0;
+}
+
+int Connection::OnMessageComplete(http_parser* parser) {
+  Connection& self = Self(parser);
+  constexpr int kFirstFinalStatus = 200;
+  if (parser->status_code < kFirstFinalStatus || !self.accepted_) {
+    return 0;
+  }
+  self.complete_ = true;
+  self.reusable_ = http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+void Connection::OnData(std::string_view bytes) {
+  if (call_ == 0) {
+    // Bytes that belong to no request.
+    owner_.CountStrayAnswer();
+    owner_.OnConnectionLost(*this);
+    return;
+  }
+  has_bytes_ = true;
+  const std::size_t used = http_parser_execute(&parser_, &ParserSettings(),
+                                               bytes.data(), bytes.size());
+  if (call_ == 0) {
+    return;  // Cancelled by a callback.
+  }
+  if (complete_) {
+    OnAnswerComplete(used < bytes.size());
+    return;
+  }
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+    owner_.OnConnectionLost(*this);
+  }
+}
+
+void Connection::OnAnswerComplete(bool has_more_bytes) {
+  complete_ = false;
+  if (has_more_bytes) {
+    owner_.CountStrayAnswer();
+  }
+  owner_.OnCallComplete(*this, reusable_ && !has_more_bytes);
+}
+
+void Connection::OnClosed() {
+  if (call_ != 0 && has_bytes_ && tcp_ != nullptr && tcp_->closed_in_order()) {
+    // Ends an answer that lasts until its connection closes.
+    http_parser_execute(&parser_, &ParserSettings(), nullptr, 0);
+    if (call_ != 0 && complete_) {
+      complete_ = false;
+      owner_.OnCallComplete(*this, false);
+      return;
+    }
+  }
+  owner_.OnConnectionLost(*this);
+}
+
+}  // namespace
+
+std::unique_ptr<UpstreamClient> UpstreamClient::Create(EventLoop& loop,
+                                                       const Options& options) {
+  return std::make_unique<UpstreamClientImpl>(loop, options);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/net/upstream_client_test.cc
@@ -0,0 +1,206 @@
+#include "amaranthcove/net/upstream_client.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "amaranthcove/net/tcp.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+// Bounds a test whose event never comes; it decides no verdict otherwise.
+constexpr Duration kGiveUp = std::chrono::seconds(20);
+
+struct CallRecord {
+  std::optional<UpstreamEnd> end;
+  int status = 0;
+  std::string body;
+};
+
+}  // namespace
+
+// A server whose bytes the test writes itself.
+TEST_GROUP(UpstreamClient) {
+  EventLoop loop_;
+  std::vector<std::unique_ptr<TcpConnection>> accepted_;
+  std::vector<std::string> received_;
+  std::vector<bool> closed_;
+  std::unique_ptr<TcpListener> listener_;
+  std::unique_ptr<UpstreamClient> client_;
+
+  void setup() override {
+    auto listener = TcpListener::Listen(
+        loop_, {"127.0.0.1", 0},
+        [this](std::unique_ptr<TcpConnection> connection) {
+          const std::size_t index = accepted_.size();
+          accepted_.push_back(std::move(connection));
+          received_.emplace_back();
+          closed_.push_back(false);
+          accepted_[index]->Open({nullptr,
+                                  [this, index](std::string_view bytes) {
+                                    received_[index] += bytes;
+                                  },
+                                  [this, index] { closed_[index] = true; }});
+        });
+    listener_ = std::move(*listener);
+    client_ = UpstreamClient::Create(loop_, {});
+  }
+
+  void teardown() override {
+    client_.reset();
+    accepted_.clear();
+    listener_.reset();
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const Time limit = SteadyNow() + kGiveUp;
+    while (!condition() && SteadyNow() < limit) {
+      loop_.RunOnce(std::chrono::milliseconds(20));
+    }
+    return condition();
+  }
+
+  UpstreamCallId Start(CallRecord & record, std::string attempt = "a1") {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/x";
+    request.headers = {{"attempt-id", attempt}};
+    request.body = "body-" + attempt;
+    return client_->Start(
+        listener_->local_address(), request,
+        {[&record, attempt](const HttpResponse& head) {
+           const std::string_view id = FindHeader(head.headers, "attempt-id");
+           if (!id.empty() && id != attempt) {
+             return false;
+           }
+           record.status = head.status;
+           return true;
+         },
+         [&record](std::string_view data) { record.body += data; },
+         [&record](UpstreamEnd end) { record.end = end; }});
+  }
+
+  bool HasArrived(std::size_t connection, std::string_view text) {
+    return RunUntil([&] {
+      return received_.size() > connection &&
+             received_[connection].find(text) != std::string::npos;
+    });
+  }
+
+  void FinishFirstCall() {
+    CallRecord record;
+    Start(record);
+    CHECK(HasArrived(0, "body-a1"));
+    accepted_[0]->Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(RunUntil([&] { return record.end.has_value(); }));
+    CHECK(record.end == UpstreamEnd::kComplete);
+  }
+};
+
+// Guards against a new connection for each request.
+TEST(UpstreamClient, UsesKeptConnections) {
+  FinishFirstCall();
+  CallRecord record;
+  Start(record, "a2");
+  CHECK(HasArrived(0, "body-a2"));
+  accepted_[0]->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(RunUntil([&] { return record.end.has_value(); }));
+  CHECK_EQUAL(1, static_cast<int>(client_->counters().connections_opened));
+}
+
+// Guards against giving a caller the late answer to an earlier request.
+TEST(UpstreamClient, DropsAnswersToEarlierRequests) {
+  FinishFirstCall();
+  CallRecord record;
+  Start(record, "a2");
+  CHECK(HasArrived(0, "body-a2"));
+  accepted_[0]->Write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 4\r\n\r\nlate"
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nContent-Length: 4\r\n\r\nmine");
+  CHECK(RunUntil([&] { return record.end.has_value(); }));
+  CHECK(record.end == UpstreamEnd::kComplete);
+  CHECK_EQUAL("mine", record.body);
+}
+
+// Guards against the next request on a connection that has bytes nobody asked
+// for, which would be taken for its answer.
+TEST(UpstreamClient, ClosesConnectionsWithStrayBytes) {
+  FinishFirstCall();
+  accepted_[0]->Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+  CHECK(RunUntil([&] { return closed_[0]; }));
+  CallRecord record;
+  Start(record, "a2");
+  CHECK(HasArrived(1, "body-a2"));
+}
+
+// Guards against losing an answer without a length, and against taking one that
+// was reset for whole.
+TEST(UpstreamClient, AnswerWithoutLengthEndsWithAnOrderlyClose) {
+  CallRecord whole;
+  Start(whole);
+  CHECK(HasArrived(0, "body-a1"));
+  accepted_[0]->Write("HTTP/1.1 200 OK\r\n\r\nall");
+  CHECK(RunUntil([&] { return whole.body == "all"; }));
+  accepted_[0].reset();
+  CHECK(RunUntil([&] { return whole.end.has_value(); }));
+  CHECK(whole.end == UpstreamEnd::kComplete);
+
+  CallRecord cut;
+  Start(cut);
+  CHECK(HasArrived(1, "body-a1"));
+  accepted_[1]->Write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  CHECK(RunUntil([&] { return cut.body == "half"; }));
+  accepted_[1].reset();
+  CHECK(RunUntil([&] { return cut.end.has_value(); }));
+  CHECK(cut.end == UpstreamEnd::kBroken);
+}
+
+// Guards against calling a request not sent that a server may have run.
+TEST(UpstreamClient, TellsNotSentFromBroken) {
+  CallRecord broken;
+  Start(broken);
+  CHECK(HasArrived(0, "body-a1"));
+  accepted_[0].reset();
+  CHECK(RunUntil([&] { return broken.end.has_value(); }));
+  CHECK(broken.end == UpstreamEnd::kBroken);
+
+  const Address free_address = listener_->local_address();
+  listener_.reset();
+  CallRecord not_sent;
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/";
+  client_->Start(
+      free_address, request,
+      {[](const HttpResponse&) { return true; }, [](std::string_view) {},
+       [&](UpstreamEnd end) { not_sent.end = end; }});
+  CHECK(RunUntil([&] { return not_sent.end.has_value(); }));
+  CHECK(not_sent.end == UpstreamEnd::kNotSent);
+}
+
+// Guards against work that goes on at a server for a caller who has left.
+TEST(UpstreamClient, CancelClosesTheConnection) {
+  CallRecord record;
+  const UpstreamCallId call = Start(record);
+  CHECK(HasArrived(0, "body-a1"));
+  client_->Cancel(call);
+  CHECK(RunUntil([&] { return closed_[0]; }));
+  CHECK(!record.end.has_value());
+}
+
+// Guards against bytes that are no HTTP being passed on or crashing the parser.
+TEST(UpstreamClient, GarbageBreaksTheCall) {
+  CallRecord record;
+  Start(record);
+  CHECK(HasArrived(0, "body-a1"));
+  accepted_[0]->Write("\x16\x03\x01 this is no answer\r\n\r\n");
+  CHECK(RunUntil([&] { return record.end.has_value(); }));
+  CHECK(record.end == UpstreamEnd::kBroken);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/node/node_settings.cc
@@ -0,0 +1,158 @@
+#include "amaranthcove/node/node_settings.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "amaranthcove/ini/schema.h"
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+enum class NodeRole { kRouter, kAdapterAgent };
+
+constexpr std::pair<std::string_view, NodeRole> kRoles[] = {
+    {"router", NodeRole::kRouter},
+    {"adapter_agent", NodeRole::kAdapterAgent}};
+constexpr std::pair<std::string_view, LogLevel> kLogLevels[] = {
+    {"debug", LogLevel::kDebug},
+    {"info", LogLevel::kInfo},
+    {"warn", LogLevel::kWarn},
+    {"error", LogLevel::kError}};
+
+constexpr IniRange kPorts = {1, 65'535};
+constexpr IniRange kStopMs = {500, 600'000};
+constexpr IniRange kWindowMs = {100, 3'600'000};
+constexpr double kMaxRatio = 10;
+constexpr double kMaxExtra = 1'000'000;
+
+struct ProcessSection {
+  NodeRole role = NodeRole::kRouter;
+  std::string instance;
+  std::string data_centre;
+  Address admin_address;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+ProcessSection ReadProcess(IniSectionReader& reader) {
+  ProcessSection process;
+  process.role = reader.Enum<NodeRole>("role", kRoles);
+  process.instance = reader.Name("instance");
+  process.data_centre = reader.Name("data_centre");
+  process.admin_address = reader.ReadAddress("admin_address", true);
+  process.log_level =
+      reader.Enum<LogLevel>("log_level", kLogLevels, LogLevel::kInfo);
+  reader.RefuseUnknownKeys();
+  return process;
+}
+
+RouterSettings ReadRouter(IniSectionReader& reader) {
+  RouterSettings router;
+  router.http_address = reader.ReadAddress("http_address", true);
+  router.readiness_address = reader.ReadAddress("readiness_address", true);
+  router.agent_address = reader.ReadAddress("agent_address", true);
+  router.agent_port =
+      static_cast<std::uint16_t>(reader.Integer("agent_port", kPorts));
+  router.metadata_store = reader.ReadAddress("metadata_store", false);
+  router.retry_ratio =
+      reader.Number("retry_ratio", 0, kMaxRatio, router.retry_ratio);
+  router.retry_extra =
+      reader.Number("retry_extra", 0, kMaxExtra, router.retry_extra);
+  router.retry_window = milliseconds(reader.Integer(
+      "retry_window_ms", kWindowMs, ToMilliseconds(router.retry_window)));
+  router.stop_limit = milliseconds(reader.Integer(
+      "stop_limit_ms", kStopMs, ToMilliseconds(router.stop_limit)));
+  reader.RefuseUnknownKeys();
+  return router;
+}
+
+AgentSettings ReadAgent(IniSectionReader& reader) {
+  AgentSettings agent;
+  agent.agent_address = reader.ReadAddress("agent_address", true);
+  agent.engine = reader.ReadAddress("engine", false);
+  reader.RefuseUnknownKeys();
+  return agent;
+}
+
+const IniSection* FindSection(const std::vector<IniSection>& sections,
+                              std::string_view type) {
+  const auto found =
+      std::find_if(sections.begin(), sections.end(),
+                   [type](const IniSection& s) { return s.type == type; });
+  return found == sections.end() ? nullptr : &*found;
+}
+
+void RefuseOtherSections(const std::vector<IniSection>& sections,
+                         std::string_view expected,
+                         IniErrors& errors) {
+  for (const IniSection& section : sections) {
+    if ((section.type != "process" && section.type != expected) ||
+        !section.name.empty()) {
+      errors.push_back({section.line, IniSectionTitle(section), "",
+                        "only [process] and [" + std::string(expected) +
+                            "] are allowed for this role"});
+    }
+  }
+}
+
+template <typename Settings>
+Settings WithProcess(Settings settings, const ProcessSection& process) {
+  settings.instance = process.instance;
+  settings.data_centre = process.data_centre;
+  settings.admin_address = process.admin_address;
+  settings.log_level = process.log_level;
+  return settings;
+}
+
+}  // namespace
+
+bool IsNodeRole(const std::vector<IniSection>& sections) {
+  const IniSection* process = FindSection(sections, "process");
+  if (process == nullptr) {
+    return false;
+  }
+  return std::any_of(
+      process->entries.begin(), process->entries.end(),
+      [](const IniEntry& entry) {
+        return entry.key == "role" &&
+               (entry.value == "router" || entry.value == "adapter_agent");
+      });
+}
+
+tl::expected<NodeSettings, IniErrors> ParseNodeSettings(
+    const std::vector<IniSection>& sections) {
+  IniErrors errors;
+  const IniSection* process_section = FindSection(sections, "process");
+  if (process_section == nullptr) {
+    return tl::unexpected(
+        IniErrors{{0, "process", "", "the section is missing"}});
+  }
+  IniSectionReader process_reader(*process_section, errors);
+  const ProcessSection process = ReadProcess(process_reader);
+  const bool is_router = process.role == NodeRole::kRouter;
+  const std::string_view title = is_router ? "router" : "adapter_agent";
+  RefuseOtherSections(sections, title, errors);
+  const IniSection* section = FindSection(sections, title);
+  if (section == nullptr) {
+    errors.push_back({0, std::string(title), "", "the section is missing"});
+    SortIniErrors(errors);
+    return tl::unexpected(std::move(errors));
+  }
+  IniSectionReader reader(*section, errors);
+  NodeSettings settings;
+  if (is_router) {
+    settings = WithProcess(ReadRouter(reader), process);
+  } else {
+    settings = WithProcess(ReadAgent(reader), process);
+  }
+  if (!errors.empty()) {
+    SortIniErrors(errors);
+    return tl::unexpected(std::move(errors));
+  }
+  return settings;
+}
+
+}  // namespace amaranthcove
--- a/src/programs/amaranthd/main.cc
+++ b/src/programs/amaranthd/main.cc
@@ -1,14 +1,22 @@
-// The daemon: an entry or a sidecar, as its settings say.
+// The daemon: an entry, a sidecar, a router or an adapter agent, as its
+// settings say.
 
 #include <cstdio>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include <boost/program_options.hpp>
 
+#include "amaranthcove/base/file.h"
 #include "amaranthcove/daemon/daemon.h"
+#include "amaranthcove/ini/ini.h"
 #include "amaranthcove/log/log.h"
+#include "amaranthcove/node/node.h"
 #include "amaranthcove/settings/settings.h"
 
 namespace {
@@ -16,7 +24,44 @@
 constexpr int kExitRefused = 1;
 constexpr int kExitUsage = 2;
 
+constexpr std::size_t kMaxSettingsBytes = 65'536;
+
+// The sections of `file` if it configures a router or an adapter agent.
+std::optional<std::vector<amaranthcove::IniSection>> ReadNodeSections(
+    const std::string& file) {
+  const auto text = amaranthcove::ReadFile(file, kMaxSettingsBytes);
+  if (!text) {
+    return std::nullopt;
+  }
+  auto sections = amaranthcove::ParseIni(*text);
+  if (!sections || !amaranthcove::IsNodeRole(*sections)) {
+    return std::nullopt;
+  }
+  return std::move(*sections);
+}
+
+int RunWithNodeSettings(const std::string& file,
+                        const std::vector<amaranthcove::IniSection>& sections,
+                        bool check_only) {
+  const auto settings = amaranthcove::ParseNodeSettings(sections);
+  if (!settings) {
+    std::cerr << amaranthcove::FormatIniErrors(file, settings.error());
+    return kExitRefused;
+  }
+  if (check_only) {
+    std::cout << file << ": settings are valid\n";
+    return 0;
+  }
+  const amaranthcove::Logging logging(
+      std::visit([](const auto& role) { return role.log_level; }, *settings),
+      amaranthcove::LogOutput::kStdout);
+  return amaranthcove::RunNode(file, *settings);
+}
+
 int RunWithSettings(const std::string& file, bool check_only) {
+  if (const auto sections = ReadNodeSections(file)) {
+    return RunWithNodeSettings(file, *sections, check_only);
+  }
   const auto settings = amaranthcove::ReadSettings(file);
   if (!settings) {
     std::cerr << amaranthcove::FormatIniErrors(file, settings.error());
--- /dev/null
+++ b/src/relay/relay_policy.cc
@@ -0,0 +1,101 @@
+#include "amaranthcove/relay/relay_policy.h"
+
+#include <algorithm>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sends that did not run are repeated this often at most: each costs the
+// caller a round trip, and a refusal lets the caller try another router.
+constexpr int kMaxSendsNotRun = 4;
+
+// A repeated send needs at least this much time to be of use.
+constexpr Duration kMinTimeForSend = milliseconds(30);
+
+// Plain calls that may be repeated are given up after this multiple of their
+// target, streams after the other.
+constexpr int kPlainSilenceFactor = 2;
+constexpr int kStreamSilenceFactor = 3;
+constexpr Duration kMinPlainSilence = milliseconds(400);
+constexpr Duration kMinStreamSilence = milliseconds(1500);
+
+// Callers give up a stream after a pause of two seconds or more.
+constexpr Duration kStreamPauseLimit = milliseconds(1500);
+
+constexpr Duration kFirstRetryAfter = milliseconds(300);
+
+RelayStep StepWithoutRetry(const RelayProgress& progress, SendEnd end) {
+  if (progress.answer_begun) {
+    return end == SendEnd::kAnswered ? RelayStep::kPassOn
+                                     : RelayStep::kBreakOff;
+  }
+  switch (end) {
+    case SendEnd::kAnswered:
+    case SendEnd::kServerError:
+      return RelayStep::kPassOn;
+    case SendEnd::kNotSent:
+    case SendEnd::kNotRun:
+      return progress.may_have_run > 0 ? RelayStep::kFail : RelayStep::kRefuse;
+    case SendEnd::kBroken:
+      return RelayStep::kFail;
+    case SendEnd::kSilent:
+      return RelayStep::kTimeOut;
+  }
+  return RelayStep::kFail;
+}
+
+}  // namespace
+
+bool MayRepeat(const RelayProgress& progress) {
+  return progress.kind == CallKind::kIdempotent ||
+         (progress.kind == CallKind::kStream && progress.resumable);
+}
+
+bool MaySendAgain(const RelayProgress& progress, SendEnd end) {
+  if (end == SendEnd::kAnswered || progress.time_left < kMinTimeForSend) {
+    return false;
+  }
+  if (end == SendEnd::kNotSent || end == SendEnd::kNotRun) {
+    return progress.not_run < kMaxSendsNotRun;
+  }
+  return MayRepeat(progress) && progress.may_have_run < progress.max_attempts;
+}
+
+RelayStep NextStep(const RelayProgress& progress,
+                   SendEnd end,
+                   bool within_budget) {
+  if (within_budget && MaySendAgain(progress, end)) {
+    return RelayStep::kSendAgain;
+  }
+  return StepWithoutRetry(progress, end);
+}
+
+std::optional<Duration> FirstByteLimit(const Route& route,
+                                       const RelayProgress& progress) {
+  if (!MayRepeat(progress) || progress.may_have_run >= progress.max_attempts) {
+    return std::nullopt;
+  }
+  if (progress.kind == CallKind::kStream) {
+    return std::max(route.target_latency * kStreamSilenceFactor,
+                    kMinStreamSilence);
+  }
+  return std::max(route.target_latency * kPlainSilenceFactor, kMinPlainSilence);
+}
+
+std::optional<Duration> PauseLimit(const RelayProgress& progress) {
+  if (progress.kind != CallKind::kStream || !MayRepeat(progress) ||
+      progress.may_have_run >= progress.max_attempts) {
+    return std::nullopt;
+  }
+  return kStreamPauseLimit;
+}
+
+Duration RetryAfter(Duration time_left) {
+  // Callers honour at most a third of the time that they have left.
+  return std::min(kFirstRetryAfter, time_left / 4);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/relay/relay_test.cc
@@ -0,0 +1,123 @@
+#include "amaranthcove/relay/event_splitter.h"
+#include "amaranthcove/relay/relay_policy.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+RelayProgress MakeProgress(CallKind kind, bool resumable = false) {
+  RelayProgress progress;
+  progress.kind = kind;
+  progress.resumable = resumable;
+  progress.max_attempts = 2;
+  progress.may_have_run = 1;
+  progress.time_left = milliseconds(3000);
+  return progress;
+}
+
+constexpr std::array kAllEnds = {SendEnd::kNotSent,  SendEnd::kNotRun,
+                                 SendEnd::kAnswered, SendEnd::kServerError,
+                                 SendEnd::kBroken,   SendEnd::kSilent};
+
+}  // namespace
+
+TEST_GROUP(EventSplitter) {
+  EventSplitter splitter_;
+};
+
+// Guards against half an event that is passed on as a whole one.
+TEST(EventSplitter, PassesOnWholeEventsOnly) {
+  CHECK_EQUAL("", splitter_.Append("id: 1\ndata: a"));
+  CHECK_EQUAL("id: 1\ndata: a\n\n", splitter_.Append("\n\nid: 2\nda"));
+  CHECK_EQUAL("1", splitter_.last_id());
+  CHECK_EQUAL("id: 2\nda", splitter_.rest());
+  splitter_.DropRest();
+  CHECK_EQUAL("id: 2\ndata: b\n\n", splitter_.Append("id: 2\ndata: b\n\n"));
+  CHECK_EQUAL("2", splitter_.last_id());
+}
+
+// Guards against an id that is taken from the text of an event, and against
+// line ends of another kind.
+TEST(EventSplitter, ReadsIdsOfAnyLineEnd) {
+  splitter_.Append("id:7\r\ndata: id: 9\r\n\r\n");
+  CHECK_EQUAL("7", splitter_.last_id());
+}
+
+TEST_GROUP(RelayPolicy){};
+
+// Guards against a second run of a call that must not be repeated: after a send
+// that may have run, nothing but a failure or the answer may follow.
+TEST(RelayPolicy, NonIdempotentCallIsNeverRepeatedAfterItMayHaveRun) {
+  for (const CallKind kind : {CallKind::kNonIdempotent, CallKind::kStream}) {
+    const RelayProgress progress = MakeProgress(kind);
+    CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kFail);
+    CHECK(NextStep(progress, SendEnd::kSilent, true) == RelayStep::kTimeOut);
+    CHECK(NextStep(progress, SendEnd::kServerError, true) ==
+          RelayStep::kPassOn);
+    Route route;
+    CHECK(!FirstByteLimit(route, progress).has_value());
+    CHECK(!PauseLimit(progress).has_value());
+  }
+}
+
+// Guards against a refusal that says "not run" although an earlier send of the
+// same request may have run.
+TEST(RelayPolicy, RefusesOnlyWhatCertainlyDidNotRun) {
+  for (const CallKind kind :
+       {CallKind::kIdempotent, CallKind::kNonIdempotent, CallKind::kStream}) {
+    for (const SendEnd end : kAllEnds) {
+      RelayProgress progress = MakeProgress(kind);
+      CHECK(NextStep(progress, end, false) != RelayStep::kRefuse);
+      progress.may_have_run = 0;
+      progress.not_run = 1;
+      const bool certain = end == SendEnd::kNotSent || end == SendEnd::kNotRun;
+      CHECK_EQUAL(certain,
+                  NextStep(progress, end, false) == RelayStep::kRefuse);
+    }
+  }
+}
+
+// Guards against sends that did not run being given up although any kind of
+// request may be sent again then.
+TEST(RelayPolicy, SendsAgainWhatDidNotRun) {
+  RelayProgress progress = MakeProgress(CallKind::kNonIdempotent);
+  progress.may_have_run = 0;
+  progress.not_run = 1;
+  CHECK(NextStep(progress, SendEnd::kNotRun, true) == RelayStep::kSendAgain);
+  CHECK(NextStep(progress, SendEnd::kNotRun, false) == RelayStep::kRefuse);
+  progress.not_run = 4;
+  CHECK(NextStep(progress, SendEnd::kNotRun, true) == RelayStep::kRefuse);
+}
+
+// Guards against more servers running a request than its route allows, and
+// against retries that have no time left to succeed.
+TEST(RelayPolicy, KeepsTheLimitOfAttemptsAndTime) {
+  RelayProgress progress = MakeProgress(CallKind::kIdempotent);
+  CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kSendAgain);
+  CHECK(NextStep(progress, SendEnd::kServerError, true) ==
+        RelayStep::kSendAgain);
+  progress.may_have_run = 2;
+  CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kFail);
+  CHECK(NextStep(progress, SendEnd::kServerError, true) == RelayStep::kPassOn);
+  progress.may_have_run = 1;
+  progress.time_left = milliseconds(10);
+  CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kFail);
+}
+
+// Guards against an answer that breaks off and looks complete.
+TEST(RelayPolicy, BegunAnswerBreaksOffVisibly) {
+  RelayProgress progress = MakeProgress(CallKind::kStream);
+  progress.answer_begun = true;
+  CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kBreakOff);
+  progress.resumable = true;
+  CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kSendAgain);
+  CHECK(NextStep(progress, SendEnd::kBroken, false) == RelayStep::kBreakOff);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/fleet.cc
@@ -0,0 +1,259 @@
+#include "src/router/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "amaranthcove/base/hash.h"
+
+namespace amaranthcove {
+
+namespace {
+
+// Sends that are remembered between two views of an engine.
+constexpr std::size_t kMaxRecentSends = 256;
+
+agent_wire::AdapterDemand MakeFacts(const EngineSpec& spec) {
+  agent_wire::AdapterDemand facts;
+  facts.adapter_places = spec.adapter_places;
+  facts.weights_mb = spec.weights_mb;
+  for (const ModelSpec& model : spec.models) {
+    agent_wire::BaseModel item;
+    item.name = model.name;
+    item.weights_mb = model.weights_mb;
+    facts.models.push_back(std::move(item));
+  }
+  return facts;
+}
+
+AdapterName NameOf(const RequestFacts& facts) {
+  return {facts.model, facts.adapter};
+}
+
+AdapterPlace PlaceIn(const EngineView& view,
+                     const RequestFacts& facts,
+                     std::int64_t least_version) {
+  if (facts.adapter.empty()) {
+    return AdapterPlace::kResident;
+  }
+  const auto resident = view.resident.find(NameOf(facts));
+  if (resident != view.resident.end() && resident->second >= least_version) {
+    return AdapterPlace::kResident;
+  }
+  const auto loading = view.loading.find(NameOf(facts));
+  if (loading != view.loading.end() && loading->second >= least_version) {
+    return AdapterPlace::kLoading;
+  }
+  return AdapterPlace::kAbsent;
+}
+
+}  // namespace
+
+bool Fleet::SetConfig(RoutingConfig config) {
+  if (table_ && table_->config().version >= config.version) {
+    return false;
+  }
+  table_.emplace(std::move(config));
+  UpdateEndpoints();
+  return true;
+}
+
+void Fleet::UpdateEndpoints() {
+  if (!table_) {
+    return;
+  }
+  std::vector<AgentEndpoint> endpoints;
+  for (const BackendServer* server : directory_.All()) {
+    const ServiceSpec* service = table_->FindService(server->service);
+    if (service == nullptr || !service->engine) {
+      continue;
+    }
+    endpoints.push_back({server->id,
+                         {server->address.ip, options_.agent_port},
+                         MakeFacts(*service->engine)});
+  }
+  links_.SetEndpoints(std::move(endpoints));
+  const auto is_known = [this](const auto& item) {
+    return directory_.Find(item.first) != nullptr;
+  };
+  std::erase_if(health_, [&](const auto& item) { return !is_known(item); });
+  std::erase_if(activity_, [&](const auto& item) {
+    return item.second.in_flight == 0 && !is_known(item);
+  });
+}
+
+void Fleet::DeclareVersion(const AdapterName& adapter, std::int64_t version) {
+  std::int64_t& known = versions_[adapter];
+  known = std::max(known, version);
+}
+
+std::int64_t Fleet::LeastVersion(const AdapterName& adapter) const {
+  const auto version = versions_.find(adapter);
+  return version == versions_.end() ? 0 : version->second;
+}
+
+int Fleet::OwnRecentSends(std::string_view server, Time since) const {
+  const auto activity = activity_.find(server);
+  if (activity == activity_.end()) {
+    return 0;
+  }
+  const auto& sends = activity->second.recent_sends;
+  return static_cast<int>(std::count_if(
+      sends.begin(), sends.end(), [since](Time at) { return at >= since; }));
+}
+
+EngineCandidate Fleet::MakeCandidate(const BackendServer& server,
+                                     const RequestFacts& facts,
+                                     const std::set<std::string>& tried,
+                                     Time now) const {
+  EngineCandidate candidate;
+  candidate.id = server.id;
+  candidate.same_data_centre = server.data_centre == options_.data_centre;
+  candidate.batch_size = server.slots;
+  candidate.tried = tried.contains(server.id);
+  const auto health = health_.find(server.id);
+  candidate.avoided = health != health_.end() && IsAvoided(health->second, now);
+  const EngineView* view = links_.View(server.id, now);
+  if (view == nullptr) {
+    candidate.place = AdapterPlace::kUnknown;
+    const auto activity = activity_.find(server.id);
+    candidate.running =
+        activity == activity_.end() ? 0 : activity->second.in_flight;
+    return candidate;
+  }
+  candidate.avoided = candidate.avoided || !view->reachable;
+  candidate.place = PlaceIn(*view, facts, LeastVersion(NameOf(facts)));
+  candidate.has_model = std::find(view->models.begin(), view->models.end(),
+                                  facts.model) != view->models.end();
+  candidate.running = view->running;
+  candidate.queued = view->queued;
+  candidate.free_places = view->free_places;
+  candidate.own_recent = OwnRecentSends(server.id, view->received);
+  return candidate;
+}
+
+std::optional<Placement> Fleet::PlaceGeneration(
+    std::string_view service,
+    const RequestFacts& facts,
+    const std::set<std::string>& tried,
+    Time now) const {
+  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  std::vector<EngineCandidate> candidates;
+  std::vector<std::string> addresses;
+  for (const BackendServer* server : servers) {
+    candidates.push_back(MakeCandidate(*server, facts, tried, now));
+    // By address: an engine keeps its copies of adapters over a restart.
+    addresses.push_back(FormatAddress(server->address));
+  }
+  const std::vector<std::string_view> names(addresses.begin(), addresses.end());
+  std::vector<std::size_t> ranks(names.size());
+  const std::string& key =
+      facts.adapter.empty() ? facts.shared_prefix : facts.adapter;
+  RankByAffinity(key, names, ranks);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].affinity_rank = ranks[i];
+  }
+  const std::optional<std::size_t> best = ChooseEngine(candidates);
+  if (!best) {
+    return std::nullopt;
+  }
+  return Placement{*servers[*best], candidates[*best].place,
+                   ExpectedDelayMs(candidates[*best]), candidates.size()};
+}
+
+std::optional<Placement> Fleet::PlacePlain(std::string_view service,
+                                           const std::set<std::string>& tried,
+                                           std::uint64_t random,
+                                           Time now) const {
+  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  std::vector<PlainCandidate> candidates;
+  for (const BackendServer* server : servers) {
+    PlainCandidate candidate;
+    candidate.id = server->id;
+    candidate.same_data_centre = server->data_centre == options_.data_centre;
+    candidate.tried = tried.contains(server->id);
+    candidate.slots = server->slots;
+    candidate.tie_break = Hash64(server->id, random);
+    const auto health = health_.find(server->id);
+    if (health != health_.end()) {
+      candidate.avoided = IsAvoided(health->second, now);
+      candidate.error_share = health->second.error_share;
+    }
+    const auto activity = activity_.find(server->id);
+    if (activity != activity_.end()) {
+      candidate.in_flight = activity->second.in_flight;
+    }
+    candidates.push_back(candidate);
+  }
+  const std::optional<std::size_t> best = ChoosePlainServer(candidates);
+  if (!best) {
+    return std::nullopt;
+  }
+  return Placement{*servers[*best], AdapterPlace::kResident, 0,
+                   candidates.size()};
+}
+
+bool Fleet::IsAdapterReady(std::string_view engine,
+                           const RequestFacts& facts,
+                           Time now,
+                           std::optional<std::int64_t>& version) const {
+  if (facts.adapter.empty()) {
+    return true;
+  }
+  const EngineView* view = links_.View(engine, now);
+  if (view == nullptr) {
+    return false;
+  }
+  const auto resident = view->resident.find(NameOf(facts));
+  if (resident == view->resident.end() ||
+      resident->second < LeastVersion(NameOf(facts))) {
+    return false;
+  }
+  if (resident->second > 0) {
+    version = resident->second;
+  }
+  return true;
+}
+
+bool Fleet::IsServing(const BackendServer& server) const {
+  const BackendServer* known = directory_.Find(server.id);
+  return known != nullptr && !known->leaving &&
+         known->started_at_ms == server.started_at_ms;
+}
+
+void Fleet::BeginSend(const std::string& server, Time now) {
+  Activity& activity = activity_[server];
+  ++activity.in_flight;
+  if (activity.recent_sends.size() >= kMaxRecentSends) {
+    activity.recent_sends.erase(
+        activity.recent_sends.begin(),
+        activity.recent_sends.begin() + kMaxRecentSends / 2);
+  }
+  activity.recent_sends.push_back(now);
+}
+
+void Fleet::EndSend(const std::string& server) {
+  const auto activity = activity_.find(server);
+  if (activity != activity_.end()) {
+    activity->second.in_flight = std::max(activity->second.in_flight - 1, 0);
+  }
+}
+
+void Fleet::RecordServerResult(const std::string& server,
+                               BackendResult result,
+                               Time now) {
+  RecordResult(health_[server], result, now);
+}
+
+RetryBudget& Fleet::BudgetOf(const std::string& service) {
+  return budgets_.try_emplace(service, options_.retry_budget).first->second;
+}
+
+void Fleet::AddRequest(const std::string& service, Time now) {
+  BudgetOf(service).AddRequest(now);
+}
+
+bool Fleet::TrySpendRetry(const std::string& service, Time now) {
+  return BudgetOf(service).TrySpend(links_.router_count(now), now);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/relay_call.cc
@@ -0,0 +1,502 @@
+#include "src/router/relay_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "amaranthcove/base/hash.h"
+#include "platform/backend_request.h"
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// After this time another engine may serve sooner than the one waited for.
+constexpr Duration kWaitBeforePlacingAnew = milliseconds(500);
+
+std::string_view SendEndName(SendEnd end) {
+  switch (end) {
+    case SendEnd::kNotSent:
+      return "not_reachable";
+    case SendEnd::kNotRun:
+      return "not_run";
+    case SendEnd::kAnswered:
+      return "answered";
+    case SendEnd::kServerError:
+      return "server_error";
+    case SendEnd::kBroken:
+      return "broken";
+    case SendEnd::kSilent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+std::string_view PlaceName(AdapterPlace place) {
+  switch (place) {
+    case AdapterPlace::kResident:
+      return "resident";
+    case AdapterPlace::kLoading:
+      return "loading";
+    case AdapterPlace::kAbsent:
+      return "absent";
+    case AdapterPlace::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+// Seconds with three decimals.
+std::string FormatSeconds(Duration duration) {
+  const std::string digits = std::to_string(ToMilliseconds(duration) + 1000000);
+  return std::to_string(ToMilliseconds(duration) / 1000) + "." +
+         digits.substr(digits.size() - 3);
+}
+
+}  // namespace
+
+std::string_view RelayOutcomeName(RelayOutcome outcome) {
+  switch (outcome) {
+    case RelayOutcome::kAnswered:
+      return "answered";
+    case RelayOutcome::kRefused:
+      return "refused";
+    case RelayOutcome::kFailed:
+      return "failed";
+    case RelayOutcome::kTimedOut:
+      return "timed_out";
+    case RelayOutcome::kBrokenOff:
+      return "broken_off";
+    case RelayOutcome::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+RelayCall::RelayCall(Environment& environment,
+                     HttpRequest request,
+                     RequestFacts facts,
+                     const Route& route,
+                     std::unique_ptr<HttpResponder> responder)
+    : environment_(environment),
+      request_(std::move(request)),
+      facts_(std::move(facts)),
+      route_(route),
+      responder_(std::move(responder)) {
+  progress_.kind = route_.kind;
+  progress_.resumable = route_.resumable;
+  progress_.max_attempts = route_.max_attempts;
+}
+
+RelayCall::~RelayCall() {
+  EventLoop& loop = environment_.loop;
+  loop.Cancel(deadline_timer_);
+  loop.Cancel(wait_timer_);
+  loop.Cancel(silence_timer_);
+  environment_.upstream.Cancel(call_);
+}
+
+bool RelayCall::IsGeneration() const {
+  if (facts_.model.empty()) {
+    return false;
+  }
+  const ServiceSpec* service = environment_.fleet.table().FindService(service_);
+  return service != nullptr && service->engine.has_value();
+}
+
+void RelayCall::Start(Time now,
+                      std::function<void(const RelayResult&)> on_done) {
+  on_done_ = std::move(on_done);
+  started_ = now;
+  const Duration limit =
+      std::min(route_.timeout, facts_.patience.value_or(route_.timeout));
+  deadline_ = now + limit;
+  service_ = PickService(route_.services, Hash64(facts_.attempt_id));
+  environment_.fleet.AddRequest(service_, now);
+  responder_->OnCallerGone([this] { OnCallerGone(); });
+  deadline_timer_ =
+      environment_.loop.RunAt(deadline_, [this] { OnDeadline(); });
+  Place(now);
+}
+
+void RelayCall::Place(Time now) {
+  progress_.time_left = deadline_ - now;
+  Fleet& fleet = environment_.fleet;
+  const std::optional<Placement> placement =
+      IsGeneration()
+          ? fleet.PlaceGeneration(service_, facts_, tried_, now)
+          : fleet.PlacePlain(service_, tried_, Hash64(facts_.attempt_id), now);
+  if (!placement) {
+    environment_.log.Write(
+        LogLevel::kWarn, "no_server",
+        {{"request", facts_.attempt_id}, {"service", service_}});
+    TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
+    return;
+  }
+  placement_ = *placement;
+  std::optional<std::int64_t> version;
+  if (!IsGeneration() ||
+      fleet.IsAdapterReady(placement_.server.id, facts_, now, version)) {
+    Send(version, now);
+    return;
+  }
+  WaitForAdapter(now);
+}
+
+void RelayCall::WaitForAdapter(Time now) {
+  state_ = State::kWaiting;
+  wait_started_ = now;
+  const AdapterName adapter(facts_.model, facts_.adapter);
+  Fleet& fleet = environment_.fleet;
+  fleet.links().AddWaiting(placement_.server.id, adapter,
+                           fleet.LeastVersion(adapter), route_.priority, now);
+  environment_.demand_changed();
+  wait_timer_ = environment_.loop.RunAfter(kWaitBeforePlacingAnew, [this] {
+    wait_timer_ = 0;
+    OnWaitTooLong(environment_.loop.Now());
+  });
+}
+
+void RelayCall::StopWaiting() {
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  state_ = State::kNew;
+  waited_ += environment_.loop.Now() - wait_started_;
+  environment_.loop.Cancel(std::exchange(wait_timer_, 0));
+  environment_.fleet.links().RemoveWaiting(placement_.server.id,
+                                           {facts_.model, facts_.adapter});
+}
+
+void RelayCall::OnWaitTooLong(Time now) {
+  StopWaiting();
+  const std::string& engine = placement_.server.id;
+  if (environment_.fleet.links().View(engine, now) == nullptr &&
+      environment_.fleet.IsServing(placement_.server)) {
+    // Nobody can say what a silent agent's engine holds; the engine refuses a
+    // request for an adapter that it lacks.
+    Send(std::nullopt, now);
+    return;
+  }
+  Place(now);
+}
+
+void RelayCall::OnServerChanged(std::string_view server, Time now) {
+  if (state_ != State::kWaiting || placement_.server.id != server) {
+    return;
+  }
+  if (!environment_.fleet.IsServing(placement_.server)) {
+    StopWaiting();
+    Place(now);
+    return;
+  }
+  std::optional<std::int64_t> version;
+  if (environment_.fleet.IsAdapterReady(server, facts_, now, version)) {
+    StopWaiting();
+    Send(version, now);
+  }
+}
+
+void RelayCall::Send(std::optional<std::int64_t> version, Time now) {
+  state_ = State::kSending;
+  sent_ = now;
+  sent_version_ = version;
+  const std::string& id = placement_.server.id;
+  tried_.insert(id);
+  ++progress_.may_have_run;
+  has_head_ = false;
+  streaming_ = false;
+  head_ = {};
+  environment_.fleet.BeginSend(id, now);
+  SendOptions options;
+  options.expected_server = id;
+  options.time_left = deadline_ - now;
+  if (IsGeneration()) {
+    options.priority = route_.priority;
+    options.expected_version = version;
+    environment_.fleet.links().AddRunning(id, {facts_.model, facts_.adapter});
+  }
+  if (progress_.answer_begun && !splitter_.last_id().empty()) {
+    options.last_event_id = splitter_.last_id();
+  }
+  RestartSilenceTimer(FirstByteLimit(route_, progress_));
+  call_ = environment_.upstream.Start(
+      placement_.server.address,
+      platform::EncodeBackendRequest(request_, options),
+      {[this](const HttpResponse& head) { return OnHead(head); },
+       [this](std::string_view data) { OnData(data); },
+       [this](UpstreamEnd end) {
+         call_ = 0;
+         OnUpstreamEnd(end, environment_.loop.Now());
+       }});
+}
+
+bool RelayCall::OnHead(const HttpResponse& head) {
+  const AnswerFacts facts = platform::DecodeAnswer(head);
+  if (!facts.attempt_id.empty() && facts.attempt_id != facts_.attempt_id) {
+    return false;  // A late answer to an earlier request.
+  }
+  has_head_ = true;
+  answer_ = facts;
+  head_ = head;
+  streaming_ = route_.kind == CallKind::kStream && head.status == kOk;
+  if (!streaming_) {
+    RestartSilenceTimer(std::nullopt);
+  }
+  return true;
+}
+
+void RelayCall::OnData(std::string_view data) {
+  if (streaming_) {
+    OnStreamData(data);
+  } else {
+    head_.body += data;
+  }
+}
+
+void RelayCall::OnStreamData(std::string_view data) {
+  std::string events = splitter_.Append(data);
+  if (events.empty()) {
+    return;
+  }
+  RestartSilenceTimer(PauseLimit(progress_));
+  if (progress_.answer_begun) {
+    responder_->Write(events);
+    return;
+  }
+  progress_.answer_begun = true;
+  HttpResponse start = head_;
+  start.body = std::move(events);
+  responder_->Start(std::move(start));
+}
+
+void RelayCall::OnUpstreamEnd(UpstreamEnd end, Time now) {
+  switch (end) {
+    case UpstreamEnd::kNotSent:
+      FinishSend(SendEnd::kNotSent, now);
+      return;
+    case UpstreamEnd::kBroken:
+      FinishSend(SendEnd::kBroken, now);
+      return;
+    case UpstreamEnd::kComplete:
+      break;
+  }
+  if (streaming_) {
+    CompleteStream(now);
+  } else if (answer_.not_run) {
+    FinishSend(SendEnd::kNotRun, now);
+  } else if (head_.status >= kFirstServerError || progress_.answer_begun) {
+    // A begun stream cannot go on with an answer that is no stream.
+    FinishSend(SendEnd::kServerError, now);
+  } else {
+    FinishSend(SendEnd::kAnswered, now);
+  }
+}
+
+void RelayCall::CompleteStream(Time now) {
+  EndActivity();
+  RecordHealth(SendEnd::kAnswered, now);
+  if (progress_.answer_begun) {
+    responder_->Write(splitter_.rest());
+  } else {
+    HttpResponse start = head_;
+    start.body = splitter_.rest();
+    responder_->Start(std::move(start));
+  }
+  responder_->End();
+  Done(RelayOutcome::kAnswered, kOk, now);
+}
+
+void RelayCall::EndActivity() {
+  environment_.loop.Cancel(std::exchange(silence_timer_, 0));
+  environment_.fleet.EndSend(placement_.server.id);
+  if (IsGeneration()) {
+    environment_.fleet.links().RemoveRunning(placement_.server.id,
+                                             {facts_.model, facts_.adapter});
+  }
+}
+
+void RelayCall::RecordHealth(SendEnd end, Time now) {
+  BackendResult result = BackendResult::kServed;
+  switch (end) {
+    case SendEnd::kNotSent:
+      result = BackendResult::kNotReachable;
+      break;
+    case SendEnd::kNotRun:
+      return;  // Full, or not holding the adapter: no sign of a fault.
+    case SendEnd::kAnswered:
+      break;
+    case SendEnd::kServerError:
+      result = BackendResult::kError;
+      break;
+    case SendEnd::kBroken:
+      result = BackendResult::kBroken;
+      break;
+    case SendEnd::kSilent:
+      if (has_head_) {
+        return;  // A long stream that was cut by its deadline.
+      }
+      result = BackendResult::kSilent;
+      break;
+  }
+  environment_.fleet.RecordServerResult(placement_.server.id, result, now);
+}
+
+void RelayCall::FinishSend(SendEnd end, Time now) {
+  state_ = State::kNew;
+  EndActivity();
+  RecordHealth(end, now);
+  LogSendEnd(end, now);
+  if (end == SendEnd::kNotSent || end == SendEnd::kNotRun) {
+    --progress_.may_have_run;
+    ++progress_.not_run;
+  }
+  if (end == SendEnd::kNotRun && IsGeneration()) {
+    environment_.fleet.links().MarkAbsent(placement_.server.id,
+                                          {facts_.model, facts_.adapter});
+  }
+  splitter_.DropRest();
+  progress_.time_left = deadline_ - now;
+  const bool within_budget = MaySendAgain(progress_, end) &&
+                             (end == SendEnd::kNotSent ||
+                              environment_.fleet.TrySpendRetry(service_, now));
+  TakeStep(NextStep(progress_, end, within_budget), now);
+}
+
+void RelayCall::LogSendEnd(SendEnd end, Time now) {
+  if (end == SendEnd::kAnswered) {
+    return;
+  }
+  environment_.log.Write(
+      LogLevel::kInfo, "send_failed",
+      {{"request", facts_.attempt_id},
+       {"server", placement_.server.id},
+       {"end", std::string(SendEndName(end))},
+       {"status", std::to_string(has_head_ ? head_.status : 0)},
+       {"after_ms", std::to_string(ToMilliseconds(now - sent_))},
+       {"begun", progress_.answer_begun ? "1" : "0"}});
+}
+
+void RelayCall::RestartSilenceTimer(std::optional<Duration> limit) {
+  environment_.loop.Cancel(std::exchange(silence_timer_, 0));
+  if (limit) {
+    silence_timer_ = environment_.loop.RunAfter(*limit, [this] {
+      silence_timer_ = 0;
+      OnSilence();
+    });
+  }
+}
+
+void RelayCall::OnSilence() {
+  if (state_ != State::kSending) {
+    return;
+  }
+  // The connection is closed, by which the server stops its work.
+  environment_.upstream.Cancel(std::exchange(call_, 0));
+  FinishSend(SendEnd::kSilent, environment_.loop.Now());
+}
+
+void RelayCall::OnDeadline() {
+  deadline_timer_ = 0;
+  const Time now = environment_.loop.Now();
+  progress_.time_left = Duration::zero();
+  if (state_ == State::kWaiting) {
+    StopWaiting();
+    TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
+    return;
+  }
+  environment_.upstream.Cancel(std::exchange(call_, 0));
+  FinishSend(SendEnd::kSilent, now);
+}
+
+void RelayCall::OnCallerGone() {
+  if (state_ == State::kDone) {
+    return;
+  }
+  StopWaiting();
+  if (state_ == State::kSending) {
+    environment_.upstream.Cancel(std::exchange(call_, 0));
+    EndActivity();
+  }
+  Done(RelayOutcome::kCallerGone, 0, environment_.loop.Now());
+}
+
+void RelayCall::TakeStep(RelayStep step, Time now) {
+  switch (step) {
+    case RelayStep::kSendAgain:
+      Place(now);
+      return;
+    case RelayStep::kPassOn: {
+      const int status = head_.status;
+      responder_->Send(std::move(head_));
+      Done(RelayOutcome::kAnswered, status, now);
+      return;
+    }
+    case RelayStep::kRefuse:
+      AnswerOwn(RelayOutcome::kRefused, kServiceUnavailable, now);
+      return;
+    case RelayStep::kFail:
+      AnswerOwn(RelayOutcome::kFailed, kBadGateway, now);
+      return;
+    case RelayStep::kTimeOut:
+      AnswerOwn(RelayOutcome::kTimedOut, kGatewayTimeout, now);
+      return;
+    case RelayStep::kBreakOff:
+      responder_->Abort();
+      Done(RelayOutcome::kBrokenOff, kOk, now);
+      return;
+  }
+}
+
+void RelayCall::AnswerOwn(RelayOutcome outcome, int status, Time now) {
+  HttpResponse response;
+  response.status = status;
+  response.headers = {{"Content-Type", "application/json"}};
+  if (outcome == RelayOutcome::kRefused) {
+    response.headers.push_back(
+        {"Retry-After", FormatSeconds(RetryAfter(deadline_ - now))});
+  }
+  const bool not_run = outcome == RelayOutcome::kRefused;
+  response.body = std::string(R"({"error":{"code":")") +
+                  std::string(RelayOutcomeName(outcome)) + R"(","outcome":")" +
+                  (not_run ? "not_run" : "unknown") + R"("}})";
+  responder_->Send(std::move(response));
+  Done(outcome, status, now);
+}
+
+void RelayCall::Done(RelayOutcome outcome, int status, Time now) {
+  state_ = State::kDone;
+  environment_.loop.Cancel(std::exchange(deadline_timer_, 0));
+  environment_.loop.Cancel(std::exchange(silence_timer_, 0));
+  environment_.log.Write(
+      LogLevel::kInfo, "request_end",
+      {{"request", facts_.attempt_id},
+       {"route", route_.name},
+       {"service", service_},
+       {"server", placement_.server.id},
+       {"adapter", facts_.adapter},
+       {"place", std::string(PlaceName(placement_.place))},
+       {"candidates", std::to_string(placement_.candidates)},
+       {"outcome", std::string(RelayOutcomeName(outcome))},
+       {"status", std::to_string(status)},
+       {"may_have_run", std::to_string(progress_.may_have_run)},
+       {"not_run", std::to_string(progress_.not_run)},
+       {"waited_ms", std::to_string(ToMilliseconds(waited_))},
+       {"total_ms", std::to_string(ToMilliseconds(now - started_))},
+       {"limit_ms", std::to_string(ToMilliseconds(deadline_ - started_))}});
+  RelayResult result;
+  result.outcome = outcome;
+  result.status = status;
+  result.service = service_;
+  result.duration = now - started_;
+  on_done_(result);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/router.cc
@@ -0,0 +1,532 @@
+#include "amaranthcove/router/router.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/base/ids.h"
+#include "amaranthcove/log/event_log.h"
+#include "amaranthcove/net/http_server.h"
+#include "amaranthcove/net/udp.h"
+#include "amaranthcove/net/upstream_client.h"
+#include "platform/backend_request.h"
+#include "platform/metadata_store.h"
+#include "src/router/fleet.h"
+#include "src/router/relay_call.h"
+#include "src/router/request_metrics.h"
+#include "src/router/store_feed.h"
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+
+// How often demands, graces and stops are looked at.
+constexpr Duration kTickInterval = milliseconds(50);
+
+// The platform needs two answers, a second apart, to send connections
+// elsewhere.
+constexpr Duration kServeAfterStop = milliseconds(2600);
+
+// Answers that are still being written when the last request ends.
+constexpr Duration kLastWrites = milliseconds(150);
+
+// The stop limit is met with this much to spare.
+constexpr Duration kStopMargin = milliseconds(700);
+
+// Changes of the backend list are gathered for this long; heartbeats change
+// entries all the time, and each call to the store has a price.
+constexpr Duration kBackendPause = milliseconds(500);
+constexpr Duration kOperatorPause = milliseconds(100);
+
+std::string_view ChangeName(BackendDirectory::Change::Kind kind) {
+  switch (kind) {
+    case BackendDirectory::Change::Kind::kAdded:
+      return "added";
+    case BackendDirectory::Change::Kind::kLeaving:
+      return "leaving";
+    case BackendDirectory::Change::Kind::kGone:
+      return "gone";
+    case BackendDirectory::Change::Kind::kReplaced:
+      return "replaced";
+  }
+  return "unknown";
+}
+
+class RouterImpl final : public Router {
+ public:
+  RouterImpl(EventLoop& loop,
+             MetricsRegistry& metrics,
+             const RouterSettings& settings)
+      : loop_(loop),
+        settings_(settings),
+        log_("router", {}),
+        links_(settings.instance,
+               NewIncarnation(),
+               [this](const Address& agent, std::string_view bytes) {
+                 udp_->Send(agent, bytes);
+               }),
+        fleet_({settings.data_centre,
+                settings.agent_port,
+                {settings.retry_ratio, settings.retry_extra,
+                 settings.retry_window}},
+               links_),
+        upstream_(UpstreamClient::Create(loop, {})),
+        store_client_(UpstreamClient::Create(loop, {})),
+        request_metrics_(metrics),
+        environment_{loop_, *upstream_, fleet_, log_,
+                     [this] { SendDemandsSoon(); }},
+        backend_feed_(loop,
+                      *store_client_,
+                      log_,
+                      MakeFeedOptions(platform::kBackendsPrefix, kBackendPause),
+                      {[this](auto items) { OnBackendListing(items); },
+                       [this](auto items) { OnBackendChanges(items); },
+                       [this] { OnStoreRegained(); }}),
+        operator_feed_(
+            loop,
+            *store_client_,
+            log_,
+            MakeFeedOptions(platform::kOperatorPrefix, kOperatorPause),
+            {[this](auto items) { OnOperatorItems(items); },
+             [this](auto items) { OnOperatorItems(items); }, [] {}}) {}
+
+  ~RouterImpl() override {
+    loop_.Cancel(tick_timer_);
+    loop_.Cancel(demand_timer_);
+    loop_.Cancel(cleanup_timer_);
+    loop_.Cancel(stop_timer_);
+  }
+
+  Status Start() override;
+  void Leave(std::function<void()> on_stopped) override;
+  bool ready() const override;
+  nlohmann::json Dump() const override;
+
+ private:
+  StoreFeed::Options MakeFeedOptions(std::string_view prefix,
+                                     Duration pause) const {
+    StoreFeed::Options options;
+    options.store = settings_.metadata_store;
+    options.prefix = prefix;
+    options.pause = pause;
+    return options;
+  }
+
+  Status Listen();
+  void OnRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder);
+  void Refuse(const RequestFacts& facts,
+              int status,
+              std::string_view reason,
+              HttpResponder& responder);
+  void OnReadinessRequest(const HttpRequest& request, HttpResponder& responder);
+  void OnCallDone(std::uint64_t call, const RelayResult& result);
+  void OnBackendListing(const std::vector<platform::StoreItem>& items);
+  void OnBackendChanges(const std::vector<platform::StoreItem>& items);
+  void ApplyDirectoryChanges(std::vector<BackendDirectory::Change> changes);
+  void OnOperatorItems(const std::vector<platform::StoreItem>& items);
+  void OnConfig(const platform::StoreItem& item);
+  void OnAdapterVersion(const platform::StoreItem& item);
+  void OnStoreRegained();
+  void OnDatagram(const Address& sender, std::string_view bytes);
+  void NotifyCalls(std::string_view server);
+  void SendDemandsSoon();
+  void Tick();
+  void CheckStopped();
+
+  EventLoop& loop_;
+  const RouterSettings settings_;
+  EventLog log_;
+  std::unique_ptr<UdpSocket> udp_;
+  AgentLinks links_;
+  Fleet fleet_;
+  std::unique_ptr<UpstreamClient> upstream_;
+  std::unique_ptr<UpstreamClient> store_client_;
+  RequestMetrics request_metrics_;
+  RelayCall::Environment environment_;
+  StoreFeed backend_feed_;
+  StoreFeed operator_feed_;
+  bool has_backends_ = false;
+
+  std::uint64_t next_call_ = 1;
+  std::map<std::uint64_t, std::unique_ptr<RelayCall>> calls_;
+  std::vector<std::uint64_t> done_calls_;
+
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> readiness_server_;
+
+  TimerId tick_timer_ = 0;
+  TimerId demand_timer_ = 0;
+  TimerId cleanup_timer_ = 0;
+  TimerId stop_timer_ = 0;
+  bool leaving_ = false;
+  Time leave_started_;
+  std::function<void()> on_stopped_;
+};
+
+Status RouterImpl::Listen() {
+  auto udp =
+      UdpSocket::Bind(loop_, settings_.agent_address,
+                      [this](const Address& sender, std::string_view bytes) {
+                        OnDatagram(sender, bytes);
+                      });
+  if (!udp) {
+    return tl::unexpected(udp.error());
+  }
+  udp_ = std::move(*udp);
+  HttpServer::Options options;
+  options.abort_mark = HttpServer::AbortMark::kClose;
+  auto server = HttpServer::Listen(
+      loop_, settings_.http_address, options,
+      [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
+        OnRequest(std::move(request), std::move(responder));
+      });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  server_ = std::move(*server);
+  auto readiness = HttpServer::Listen(
+      loop_, settings_.readiness_address, {},
+      [this](const HttpRequest& request,
+             const std::unique_ptr<HttpResponder>& responder) {
+        OnReadinessRequest(request, *responder);
+      });
+  if (!readiness) {
+    return tl::unexpected(readiness.error());
+  }
+  readiness_server_ = std::move(*readiness);
+  return {};
+}
+
+Status RouterImpl::Start() {
+  if (Status listening = Listen(); !listening) {
+    return listening;
+  }
+  log_.SetNow(loop_.Now());
+  log_.Write(LogLevel::kWarn, "start",
+             {{"instance", settings_.instance},
+              {"http", FormatAddress(settings_.http_address)},
+              {"store", FormatAddress(settings_.metadata_store)}});
+  backend_feed_.Start();
+  operator_feed_.Start();
+  Tick();
+  return {};
+}
+
+bool RouterImpl::ready() const {
+  return !leaving_ && fleet_.has_config() && has_backends_;
+}
+
+void RouterImpl::OnReadinessRequest(const HttpRequest& request,
+                                    HttpResponder& responder) {
+  HttpResponse response;
+  if (!platform::IsReadinessPath(request.path)) {
+    response.status = kNotFound;
+  } else {
+    response.status = ready() ? kOk : kServiceUnavailable;
+  }
+  responder.Send(std::move(response));
+}
+
+void RouterImpl::OnRequest(HttpRequest request,
+                           std::unique_ptr<HttpResponder> responder) {
+  const Time now = loop_.Now();
+  log_.SetNow(now);
+  RequestFacts facts = platform::DecodeRequest(request);
+  if (!fleet_.has_config() || !has_backends_) {
+    Refuse(facts, kServiceUnavailable, "no_configuration", *responder);
+    return;
+  }
+  const Route* route = fleet_.table().Find(facts.host, request.path);
+  if (route == nullptr) {
+    Refuse(facts, kNotFound, "no_route", *responder);
+    return;
+  }
+  const std::uint64_t id = next_call_++;
+  auto call = std::make_unique<RelayCall>(environment_, std::move(request),
+                                          std::move(facts), *route,
+                                          std::move(responder));
+  RelayCall& started = *call;
+  calls_.emplace(id, std::move(call));
+  started.Start(
+      now, [this, id](const RelayResult& result) { OnCallDone(id, result); });
+}
+
+void RouterImpl::Refuse(const RequestFacts& facts,
+                        int status,
+                        std::string_view reason,
+                        HttpResponder& responder) {
+  log_.Write(LogLevel::kWarn, "request_refused",
+             {{"request", facts.attempt_id},
+              {"host", facts.host},
+              {"status", std::to_string(status)},
+              {"reason", std::string(reason)}});
+  HttpResponse response;
+  response.status = status;
+  response.headers = {{"Content-Type", "application/json"}};
+  if (status == kServiceUnavailable) {
+    response.headers.push_back({"Retry-After", "0.3"});
+  }
+  response.body = R"({"error":{"code":")" + std::string(reason) +
+                  R"(","outcome":"not_run"}})";
+  responder.Send(std::move(response));
+  request_metrics_.CountRefusal(reason);
+}
+
+void RouterImpl::OnCallDone(std::uint64_t call, const RelayResult& result) {
+  request_metrics_.Count(result);
+  done_calls_.push_back(call);
+  if (cleanup_timer_ == 0) {
+    // Later, because the call is on the stack.
+    cleanup_timer_ = loop_.RunAfter(Duration::zero(), [this] {
+      cleanup_timer_ = 0;
+      for (const std::uint64_t done : std::exchange(done_calls_, {})) {
+        calls_.erase(done);
+      }
+    });
+  }
+}
+
+void RouterImpl::OnBackendListing(
+    const std::vector<platform::StoreItem>& items) {
+  std::vector<BackendServer> servers;
+  for (const platform::StoreItem& item : items) {
+    auto server = platform::DecodeBackend(item.key, item.value);
+    if (server) {
+      servers.push_back(std::move(*server));
+    } else {
+      log_.Write(LogLevel::kInfo, "unreadable_backend",
+                 {{"key", item.key}, {"reason", server.error().message}});
+    }
+  }
+  has_backends_ = true;
+  ApplyDirectoryChanges(
+      fleet_.directory().ReplaceAll(std::move(servers), loop_.Now()));
+}
+
+void RouterImpl::OnBackendChanges(
+    const std::vector<platform::StoreItem>& items) {
+  std::vector<BackendDirectory::Change> changes;
+  const auto append = [&changes](std::vector<BackendDirectory::Change> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(changes));
+  };
+  for (const platform::StoreItem& item : items) {
+    if (item.deleted) {
+      append(fleet_.directory().Remove(platform::BackendId(item.key),
+                                       loop_.Now()));
+      continue;
+    }
+    auto server = platform::DecodeBackend(item.key, item.value);
+    if (server) {
+      append(fleet_.directory().Put(std::move(*server)));
+    } else {
+      // An entry of another writer names no server to use.
+      log_.Write(LogLevel::kInfo, "unreadable_backend",
+                 {{"key", item.key}, {"reason", server.error().message}});
+    }
+  }
+  ApplyDirectoryChanges(std::move(changes));
+}
+
+void RouterImpl::ApplyDirectoryChanges(
+    std::vector<BackendDirectory::Change> changes) {
+  if (changes.empty()) {
+    return;
+  }
+  for (const BackendDirectory::Change& change : changes) {
+    log_.Write(LogLevel::kWarn, "backend_changed",
+               {{"server", change.server.id},
+                {"change", std::string(ChangeName(change.kind))},
+                {"service", change.server.service},
+                {"address", FormatAddress(change.server.address)}});
+  }
+  fleet_.UpdateEndpoints();
+  for (const BackendDirectory::Change& change : changes) {
+    if (change.kind != BackendDirectory::Change::Kind::kAdded) {
+      upstream_->CloseIdle(change.server.address);
+    }
+    NotifyCalls(change.server.id);
+  }
+}
+
+void RouterImpl::OnOperatorItems(
+    const std::vector<platform::StoreItem>& items) {
+  for (const platform::StoreItem& item : items) {
+    if (item.deleted) {
+      continue;
+    }
+    switch (platform::KindOf(item.key)) {
+      case platform::ItemKind::kConfig:
+        OnConfig(item);
+        break;
+      case platform::ItemKind::kAdapterVersion:
+        OnAdapterVersion(item);
+        break;
+      case platform::ItemKind::kBackend:
+      case platform::ItemKind::kOther:
+        break;
+    }
+  }
+}
+
+void RouterImpl::OnConfig(const platform::StoreItem& item) {
+  auto config = platform::DecodeConfig(item.value);
+  if (!config) {
+    log_.Write(LogLevel::kWarn, "config_refused",
+               {{"revision", std::to_string(item.revision)},
+                {"reason", config.error().message}});
+    return;
+  }
+  const std::int64_t version = config->version;
+  const std::size_t routes = config->routes.size();
+  if (fleet_.SetConfig(std::move(*config))) {
+    log_.Write(LogLevel::kWarn, "config_applied",
+               {{"version", std::to_string(version)},
+                {"revision", std::to_string(item.revision)},
+                {"routes", std::to_string(routes)}});
+  }
+}
+
+void RouterImpl::OnAdapterVersion(const platform::StoreItem& item) {
+  const auto version = platform::DecodeAdapterVersion(item.value);
+  if (!version) {
+    log_.Write(LogLevel::kWarn, "adapter_version_refused",
+               {{"key", item.key}, {"reason", version.error().message}});
+    return;
+  }
+  fleet_.DeclareVersion({version->model, version->adapter}, version->version);
+  log_.Write(LogLevel::kInfo, "adapter_version",
+             {{"model", version->model},
+              {"adapter", version->adapter},
+              {"version", std::to_string(version->version)}});
+}
+
+void RouterImpl::OnStoreRegained() {
+  fleet_.directory().ContactRegained(loop_.Now());
+}
+
+void RouterImpl::OnDatagram(const Address& sender, std::string_view bytes) {
+  const auto engine = links_.Receive(sender, bytes, loop_.Now());
+  if (engine) {
+    NotifyCalls(*engine);
+  }
+}
+
+void RouterImpl::NotifyCalls(std::string_view server) {
+  // Calls are only erased later, so the map does not change here.
+  for (const auto& [id, call] : calls_) {
+    call->OnServerChanged(server, loop_.Now());
+  }
+}
+
+void RouterImpl::SendDemandsSoon() {
+  if (demand_timer_ == 0) {
+    demand_timer_ = loop_.RunAfter(Duration::zero(), [this] {
+      demand_timer_ = 0;
+      links_.Tick(loop_.Now());
+    });
+  }
+}
+
+void RouterImpl::Tick() {
+  const Time now = loop_.Now();
+  log_.SetNow(now);
+  links_.Tick(now);
+  ApplyDirectoryChanges(fleet_.directory().Expire(now));
+  tick_timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
+  if (leaving_) {
+    CheckStopped();
+  }
+}
+
+void RouterImpl::Leave(std::function<void()> on_stopped) {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  leave_started_ = loop_.Now();
+  on_stopped_ = std::move(on_stopped);
+  log_.Write(LogLevel::kWarn, "stop_begins",
+             {{"requests", std::to_string(calls_.size())}});
+  server_->CloseAfterAnswers();
+}
+
+void RouterImpl::CheckStopped() {
+  const Duration since = loop_.Now() - leave_started_;
+  if (since < kServeAfterStop) {
+    return;
+  }
+  // Does nothing the second time.
+  server_->StopAccepting();
+  const bool out_of_time = since >= settings_.stop_limit - kStopMargin;
+  if (stop_timer_ != 0 || (!calls_.empty() && !out_of_time)) {
+    return;
+  }
+  log_.Write(LogLevel::kWarn, "stop",
+             {{"requests", std::to_string(calls_.size())},
+              {"after_ms", std::to_string(ToMilliseconds(since))}});
+  stop_timer_ = loop_.RunAfter(kLastWrites, [this] {
+    stop_timer_ = 0;
+    // A request that was read just before its connection was closed goes on.
+    const Duration now_since = loop_.Now() - leave_started_;
+    if (calls_.empty() || now_since >= settings_.stop_limit - kStopMargin) {
+      on_stopped_();
+    }
+  });
+}
+
+nlohmann::json RouterImpl::Dump() const {
+  const Time now = loop_.Now();
+  nlohmann::json servers = nlohmann::json::array();
+  for (const BackendServer* server : fleet_.directory().All()) {
+    nlohmann::json item = {{"id", server->id},
+                           {"service", server->service},
+                           {"address", FormatAddress(server->address)},
+                           {"data_centre", server->data_centre},
+                           {"leaving", server->leaving}};
+    if (const EngineView* view = links_.View(server->id, now)) {
+      item["running"] = view->running;
+      item["queued"] = view->queued;
+      item["resident"] = view->resident.size();
+      item["free_places"] = view->free_places;
+      item["view_age_ms"] = ToMilliseconds(now - view->received);
+    }
+    const auto health = fleet_.health().find(server->id);
+    if (health != fleet_.health().end()) {
+      item["error_share"] = health->second.error_share;
+      item["avoided"] = IsAvoided(health->second, now);
+    }
+    servers.push_back(std::move(item));
+  }
+  return {
+      {"instance", settings_.instance},
+      {"ready", ready()},
+      {"config_version",
+       fleet_.has_config() ? fleet_.table().config().version : 0},
+      {"servers", servers},
+      {"router",
+       {{"counters",
+         {{"store_calls", backend_feed_.calls() + operator_feed_.calls()},
+          {"upstream_connections", upstream_->counters().connections_opened},
+          {"stray_answers", upstream_->counters().stray_answers},
+          {"dropped_log_lines", log_.dropped()},
+          {"requests_in_progress", calls_.size()}}}}}};
+}
+
+}  // namespace
+
+std::unique_ptr<Router> Router::Create(EventLoop& loop,
+                                       MetricsRegistry& metrics,
+                                       const RouterSettings& settings) {
+  return std::make_unique<RouterImpl>(loop, metrics, settings);
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/router_test.cc
@@ -0,0 +1,145 @@
+#include "src/router/fleet.h"
+#include "src/router/store_feed.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const Time kStart = Time(std::chrono::hours(1));
+const AdapterName kSilk = {"base", "silk"};
+
+RoutingConfig MakeConfig(std::int64_t version) {
+  RoutingConfig config;
+  config.version = version;
+  ServiceSpec service;
+  service.name = "care";
+  service.engine.emplace();
+  service.engine->adapter_places = 16;
+  config.services["care"] = service;
+  return config;
+}
+
+BackendServer MakeEngine(int number) {
+  BackendServer server;
+  server.id = "e" + std::to_string(number);
+  server.service = "care";
+  server.address = {"10.0.0." + std::to_string(number), 80};
+  server.data_centre = "sofia-a";
+  server.slots = 64;
+  return server;
+}
+
+RequestFacts MakeFacts() {
+  RequestFacts facts;
+  facts.model = kSilk.first;
+  facts.adapter = kSilk.second;
+  return facts;
+}
+
+std::string EncodeStatus(std::int64_t silk_version, int running) {
+  agent_wire::EngineStatus status;
+  status.sequence = 1;
+  status.incarnation = 1;
+  status.reachable = true;
+  status.models = {"base"};
+  status.running = running;
+  status.free_places = 8;
+  if (silk_version > 0) {
+    agent_wire::ResidentAdapter adapter;
+    adapter.model = kSilk.first;
+    adapter.adapter = kSilk.second;
+    adapter.version = silk_version;
+    status.resident.push_back(adapter);
+  }
+  agent_wire::AgentDatagram datagram;
+  datagram.__set_status(status);
+  return EncodeDatagram(datagram);
+}
+
+}  // namespace
+
+TEST_GROUP(Fleet) {
+  AgentLinks links_{"r1", 1, [](const Address&, std::string_view) {}};
+  Fleet fleet_{{"sofia-a", 7000, {0.2, 112, std::chrono::seconds(10)}}, links_};
+
+  void setup() override {
+    for (int number = 1; number <= 3; ++number) {
+      fleet_.directory().Put(MakeEngine(number));
+    }
+    fleet_.SetConfig(MakeConfig(5));
+    for (int number = 1; number <= 3; ++number) {
+      const std::string status =
+          EncodeStatus(number == 2 ? 4 : 0, number == 2 ? 3 : 0);
+      links_.Receive({"10.0.0." + std::to_string(number), 7000}, status,
+                     kStart);
+    }
+  }
+};
+
+// Guards against a configuration that goes back to an older version.
+TEST(Fleet, ConfigurationNeverGoesBack) {
+  CHECK(!fleet_.SetConfig(MakeConfig(4)));
+  CHECK(!fleet_.SetConfig(MakeConfig(5)));
+  CHECK(fleet_.SetConfig(MakeConfig(9)));
+  CHECK_EQUAL(9, static_cast<int>(fleet_.table().config().version));
+}
+
+// Guards against sends to an engine that lacks the adapter, or holds it in a
+// version older than the declared one.
+TEST(Fleet, PlacesWhereTheDeclaredVersionIs) {
+  const auto placement =
+      fleet_.PlaceGeneration("care", MakeFacts(), {}, kStart);
+  CHECK_EQUAL("e2", placement->server.id);
+  CHECK(placement->place == AdapterPlace::kResident);
+  std::optional<std::int64_t> version;
+  CHECK(fleet_.IsAdapterReady("e2", MakeFacts(), kStart, version));
+  CHECK_EQUAL(4, static_cast<int>(*version));
+  CHECK(!fleet_.IsAdapterReady("e1", MakeFacts(), kStart, version));
+  fleet_.DeclareVersion(kSilk, 5);
+  fleet_.DeclareVersion(kSilk, 3);
+  CHECK(!fleet_.IsAdapterReady("e2", MakeFacts(), kStart, version));
+}
+
+// Guards against new work for an engine that leaves, and for another start
+// behind the same id.
+TEST(Fleet, LeavingEnginesGetNoWork) {
+  const BackendServer before = *fleet_.directory().Find("e2");
+  BackendServer leaving = before;
+  leaving.leaving = true;
+  fleet_.directory().Put(leaving);
+  CHECK(!fleet_.IsServing(before));
+  CHECK(fleet_.PlaceGeneration("care", MakeFacts(), {}, kStart)->server.id !=
+        "e2");
+}
+
+// Guards against refusing everything when all agents are silent.
+TEST(Fleet, PlacesWithoutAgents) {
+  const Time later = kStart + std::chrono::seconds(10);
+  const auto placement = fleet_.PlaceGeneration("care", MakeFacts(), {}, later);
+  CHECK(placement.has_value());
+  CHECK(placement->place == AdapterPlace::kUnknown);
+}
+
+// Guards against a burst between two views of an engine that all goes there.
+TEST(Fleet, CountsOwnSendsSinceTheLastView) {
+  for (int i = 0; i < 40; ++i) {
+    fleet_.BeginSend("e2", kStart + milliseconds(i));
+  }
+  CHECK(fleet_.PlaceGeneration("care", MakeFacts(), {}, kStart)->server.id !=
+        "e2");
+}
+
+TEST_GROUP(StoreFeed){};
+
+// Guards against a store that is pressed harder the longer it is down.
+TEST(StoreFeed, RetryDelaysGrowToABound) {
+  CHECK(StoreRetryDelay(1) == milliseconds(100));
+  CHECK(StoreRetryDelay(2) == milliseconds(200));
+  CHECK(StoreRetryDelay(50) == milliseconds(800));
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/store_feed.cc
@@ -0,0 +1,185 @@
+#include "src/router/store_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kFirstRetryDelay = milliseconds(100);
+constexpr Duration kMaxRetryDelay = milliseconds(800);
+
+// A slow store takes some hundred milliseconds for an answer.
+constexpr Duration kListLimit = milliseconds(2000);
+constexpr Duration kWatchSlack = milliseconds(1200);
+
+// Shorter gaps are no loss of contact: heartbeats outlast them.
+constexpr Duration kGapWithoutLoss = milliseconds(1000);
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+Duration StoreRetryDelay(int failures_in_a_row) {
+  Duration delay = kFirstRetryDelay;
+  for (int i = 1; i < failures_in_a_row && delay < kMaxRetryDelay; ++i) {
+    delay *= 2;
+  }
+  return std::min(delay, kMaxRetryDelay);
+}
+
+StoreFeed::StoreFeed(EventLoop& loop,
+                     UpstreamClient& client,
+                     EventLog& log,
+                     Options options,
+                     Callbacks callbacks)
+    : loop_(loop),
+      client_(client),
+      log_(log),
+      options_(std::move(options)),
+      callbacks_(std::move(callbacks)) {}
+
+StoreFeed::~StoreFeed() {
+  loop_.Cancel(timer_);
+  loop_.Cancel(limit_timer_);
+  client_.Cancel(call_);
+}
+
+void StoreFeed::Start() {
+  last_contact_ = loop_.Now();
+  Call();
+}
+
+void StoreFeed::CallAfter(Duration delay) {
+  loop_.Cancel(timer_);
+  timer_ = loop_.RunAfter(delay, [this] {
+    timer_ = 0;
+    Call();
+  });
+}
+
+void StoreFeed::Call() {
+  if (mode_ == Mode::kWatching) {
+    Fetch(
+        platform::WatchRequest(options_.prefix, revision_, options_.watch_wait),
+        options_.watch_wait + kWatchSlack);
+    return;
+  }
+  const std::string after = listing_.empty() ? "" : listing_.back().key;
+  Fetch(platform::ListRequest(options_.prefix, after), kListLimit);
+}
+
+void StoreFeed::Fetch(const HttpRequest& request, Duration limit) {
+  ++calls_;
+  response_ = {};
+  limit_timer_ = loop_.RunAfter(limit, [this] {
+    limit_timer_ = 0;
+    client_.Cancel(std::exchange(call_, 0));
+    OnFailure("no answer in time");
+  });
+  call_ =
+      client_.Start(options_.store, request,
+                    {[this](const HttpResponse& head) {
+                       response_ = head;
+                       return true;
+                     },
+                     [this](std::string_view data) { response_.body += data; },
+                     [this](UpstreamEnd end) {
+                       call_ = 0;
+                       loop_.Cancel(std::exchange(limit_timer_, 0));
+                       OnDone(end == UpstreamEnd::kComplete);
+                     }});
+}
+
+void StoreFeed::OnDone(bool complete) {
+  if (!complete) {
+    OnFailure("the connection broke");
+    return;
+  }
+  if (mode_ == Mode::kWatching && platform::IsHistoryLost(response_.status)) {
+    log_.Write(
+        LogLevel::kWarn, "store_history_lost",
+        {{"prefix", options_.prefix}, {"revision", std::to_string(revision_)}});
+    mode_ = Mode::kListing;
+    listing_.clear();
+    has_first_page_ = false;
+    Call();
+    return;
+  }
+  if (response_.status != kOk) {
+    OnFailure("status " + std::to_string(response_.status));
+    return;
+  }
+  auto answer = mode_ == Mode::kListing
+                    ? platform::DecodeListAnswer(response_.body)
+                    : platform::DecodeWatchAnswer(response_.body);
+  if (!answer) {
+    OnFailure(answer.error().message);
+    return;
+  }
+  OnSuccess();
+  if (mode_ == Mode::kListing) {
+    OnListAnswer(std::move(*answer));
+  } else {
+    OnWatchAnswer(std::move(*answer));
+  }
+}
+
+void StoreFeed::OnListAnswer(platform::StoreAnswer answer) {
+  if (!has_first_page_) {
+    // Pages are no snapshot: changes since the first page are watched for.
+    has_first_page_ = true;
+    revision_ = answer.revision;
+  }
+  std::move(answer.items.begin(), answer.items.end(),
+            std::back_inserter(listing_));
+  if (answer.has_more && !answer.items.empty()) {
+    Call();
+    return;
+  }
+  mode_ = Mode::kWatching;
+  callbacks_.on_listing(std::exchange(listing_, {}));
+  CallAfter(Duration::zero());
+}
+
+void StoreFeed::OnWatchAnswer(platform::StoreAnswer answer) {
+  revision_ = std::max(revision_, answer.revision);
+  const bool changed = !answer.items.empty();
+  if (changed) {
+    callbacks_.on_changes(std::move(answer.items));
+  }
+  CallAfter(changed ? options_.pause : Duration::zero());
+}
+
+void StoreFeed::OnFailure(const std::string& reason) {
+  ++failures_;
+  if (failures_ == 1) {
+    log_.Write(LogLevel::kWarn, "store_lost",
+               {{"prefix", options_.prefix}, {"reason", reason}});
+  }
+  // Pages of a listing that was interrupted may be old by now.
+  listing_.clear();
+  has_first_page_ = false;
+  CallAfter(StoreRetryDelay(failures_));
+}
+
+void StoreFeed::OnSuccess() {
+  const Time now = loop_.Now();
+  const Duration gap = now - last_contact_;
+  last_contact_ = now;
+  if (failures_ == 0) {
+    return;
+  }
+  failures_ = 0;
+  log_.Write(LogLevel::kWarn, "store_regained",
+             {{"prefix", options_.prefix},
+              {"gap_ms", std::to_string(ToMilliseconds(gap))}});
+  if (gap >= kGapWithoutLoss) {
+    callbacks_.on_regained();
+  }
+}
+
+}  // namespace amaranthcove
--- /dev/null
+++ b/src/router/store_feed.h
@@ -0,0 +1,94 @@
+#ifndef AMARANTHCOVE_SRC_ROUTER_STORE_FEED_H_
+#define AMARANTHCOVE_SRC_ROUTER_STORE_FEED_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/time.h"
+#include "amaranthcove/log/event_log.h"
+#include "amaranthcove/net/event_loop.h"
+#include "amaranthcove/net/upstream_client.h"
+#include "platform/metadata_store.h"
+
+namespace amaranthcove {
+
+// When a failed call to the metadata store is made again. The delay doubles
+// with each failure in a row. Thread-safe.
+Duration StoreRetryDelay(int failures_in_a_row);
+
+// Follows the keys of the metadata store with one prefix: lists them, then
+// watches for changes, and lists again when the store has lost the history.
+//
+// Thread safety: belongs to the loop's thread.
+class StoreFeed {
+ public:
+  struct Options {
+    Address store;
+    std::string prefix;
+    // How long one watch waits, and the pause after a watch that returned
+    // something: changes of the pause arrive together.
+    Duration watch_wait = std::chrono::milliseconds(2000);
+    Duration pause = std::chrono::milliseconds(300);
+  };
+
+  struct Callbacks {
+    // All keys with the prefix.
+    std::function<void(std::vector<platform::StoreItem>)> on_listing;
+    // Keys that were written or deleted, in order.
+    std::function<void(std::vector<platform::StoreItem>)> on_changes;
+    // The store answers again after it did not for a while.
+    std::function<void()> on_regained;
+  };
+
+  // Preconditions: all references outlive the feed.
+  StoreFeed(EventLoop& loop,
+            UpstreamClient& client,
+            EventLog& log,
+            Options options,
+            Callbacks callbacks);
+  ~StoreFeed();
+  StoreFeed(const StoreFeed&) = delete;
+  StoreFeed& operator=(const StoreFeed&) = delete;
+
+  void Start();
+
+  bool in_contact() const { return failures_ == 0; }
+  std::int64_t revision() const { return revision_; }
+  std::uint64_t calls() const { return calls_; }
+
+ private:
+  enum class Mode { kListing, kWatching };
+
+  void Call();
+  void Fetch(const HttpRequest& request, Duration limit);
+  void OnDone(bool complete);
+  void OnListAnswer(platform::StoreAnswer answer);
+  void OnWatchAnswer(platform::StoreAnswer answer);
+  void OnFailure(const std::string& reason);
+  void OnSuccess();
+  void CallAfter(Duration delay);
+
+  EventLoop& loop_;
+  UpstreamClient& client_;
+  EventLog& log_;
+  const Options options_;
+  const Callbacks callbacks_;
+  Mode mode_ = Mode::kListing;
+  std::int64_t revision_ = 0;
+  bool has_first_page_ = false;
+  std::vector<platform::StoreItem> listing_;
+  HttpResponse response_;
+  UpstreamCallId call_ = 0;
+  TimerId timer_ = 0;        // The next call.
+  TimerId limit_timer_ = 0;  // Of the present call.
+  int failures_ = 0;
+  Time last_contact_;
+  std::uint64_t calls_ = 0;
+};
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_SRC_ROUTER_STORE_FEED_H_
--- /dev/null
+++ b/src/routing/route_table_test.cc
@@ -0,0 +1,76 @@
+#include "amaranthcove/routing/route_table.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+Route MakeRoute(std::string name, std::string host, std::string prefix) {
+  Route route;
+  route.name = std::move(name);
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  return route;
+}
+
+std::string FindName(const RouteTable& table,
+                     std::string_view host,
+                     std::string_view path) {
+  const Route* route = table.Find(host, path);
+  return route == nullptr ? "" : route->name;
+}
+
+}  // namespace
+
+TEST_GROUP(RouteTable){RouteTable MakeTable(){RoutingConfig config;
+config.routes = {MakeRoute("all", "desk.example", "/"),
+                 MakeRoute("orders", "desk.example", "/orders/"),
+                 MakeRoute("rush", "desk.example", "/orders/rush/"),
+                 MakeRoute("other", "care.example", "/orders/")};
+return RouteTable(std::move(config));
+}  // namespace amaranthcove
+}
+;
+
+// Guards against a shorter prefix that hides a longer one.
+TEST(RouteTable, PrefersTheLongestPrefix) {
+  const RouteTable table = MakeTable();
+  CHECK_EQUAL("rush", FindName(table, "desk.example", "/orders/rush/7"));
+  CHECK_EQUAL("orders", FindName(table, "desk.example", "/orders/7"));
+  CHECK_EQUAL("all", FindName(table, "desk.example", "/stock/7"));
+}
+
+// Guards against prefixes that match in the middle of a path segment, against
+// hosts that share routes, and against queries that take part in the match.
+TEST(RouteTable, MatchesWholeSegmentsOfOneHost) {
+  const RouteTable table = MakeTable();
+  CHECK_EQUAL("all", FindName(table, "desk.example", "/orders"));
+  CHECK_EQUAL("all", FindName(table, "desk.example", "/orders?next=/orders/"));
+  CHECK_EQUAL("", FindName(table, "care.example", "/stock/7"));
+  CHECK_EQUAL("", FindName(table, "unknown.example", "/orders/7"));
+  CHECK_EQUAL("orders", FindName(table, "DESK.example:8080", "/orders/7"));
+  CHECK_EQUAL("", FindName(table, "desk.example", ""));
+}
+
+// Guards against a copy of the table whose index points into the original.
+TEST(RouteTable, IndexSurvivesMove) {
+  RouteTable table = MakeTable();
+  const RouteTable moved = std::move(table);
+  CHECK_EQUAL("rush", FindName(moved, "desk.example", "/orders/rush/7"));
+}
+
+// Guards against shares that do not follow the weights.
+TEST(RouteTable, PicksServicesByWeight) {
+  const std::array<WeightedService, 2> services = {{{"a", 9}, {"b", 1}}};
+  int picked_b = 0;
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    picked_b += PickService(services, random) == "b" ? 1 : 0;
+  }
+  CHECK_EQUAL(10, picked_b);
+  CHECK(PickService({}, 3).empty());
+}
+
+}  // namespace amaranthcove
