router, agent: one start per address, uses told at once, unloads not repeated

Adapters with uses shorter than the 250 ms between demands looked idle and were evicted, and each poll repeated an unload that waited for runs (566 conflicts in 2 s), which blocked loads.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,6 +67,10 @@
   double weights_mb = 0;
 };
 
+// Adapters that the engine was told to unload and still holds: it waits for
+// their runs.
+using Unloading = std::set<std::pair<std::string, std::string>>;
+
 // When an adapter was last used, by model and adapter name.
 using LastUses = std::map<std::pair<std::string, std::string>, Time>;
 
@@ -78,12 +83,14 @@
 // Adapters with waiting requests are loaded, the most urgent and then the
 // longest waiting first. If all places are taken, the adapter that was used
 // least recently makes room; adapters that requests use or wait for never do.
+// Places that are being vacated are waited for before another is.
 // An engine without a base model gets the first model that is wanted and fits.
 std::optional<AdapterOrder> NextOrder(const EngineReport& report,
                                       const EngineRoom& room,
                                       std::span<const AgentModel> models,
                                       std::span<const WantedAdapter> wanted,
-                                      const LastUses& last_uses);
+                                      const LastUses& last_uses,
+                                      const Unloading& unloading);
 
 // Places of the engine that a new adapter could take: empty ones, and those of
 // adapters that nobody wants.
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -42,13 +42,17 @@
   std::string engine;  // Id of the engine.
   Address agent;
   agent_wire::AdapterDemand facts;  // Room and models; the rest is filled in.
+  // Start of the engine as the instance list says; statuses of another start
+  // at the same address are not about this engine.
+  std::int64_t started_at_ms = 0;
 };
 
 // A router's side of the datagrams to the agents beside engines: what it needs
 // there, and what it knows of them.
 //
-// Each datagram holds the whole demand. It is sent at once when a request
-// begins to wait for an adapter, and repeated while there is something to tell.
+// Each datagram holds the whole demand, with the uses that ended since the last
+// one. It is sent at once when a request begins to wait for an adapter, soon
+// when one begins to use it, and repeated while there is something to tell.
 //
 // Thread safety: none.
 class AgentLinks {
@@ -82,7 +86,9 @@
                   int priority,
                   Time now);
   void RemoveWaiting(std::string_view engine, const AdapterName& adapter);
-  void AddRunning(std::string_view engine, const AdapterName& adapter);
+  void AddRunning(std::string_view engine,
+                  const AdapterName& adapter,
+                  Time now);
   void RemoveRunning(std::string_view engine, const AdapterName& adapter);
 
   // The engine has refused a request for an adapter that its view lists.
@@ -112,7 +118,6 @@
 
   Link* Find(std::string_view engine);
   void SendDemand(Link& link, Time now);
-  void DropIfUnused(Link& link, const AdapterName& adapter);
 
   const std::string router_;
   const Incarnation incarnation_;
--- a/include/amaranthcove/backends/backend_directory.h
+++ b/include/amaranthcove/backends/backend_directory.h
@@ -35,6 +35,9 @@
 
 // What a process believes about the backend servers, by the instance list.
 //
+// Two starts never share an address: the later one supersedes the other, whose
+// entry may stay listed for some heartbeats.
+//
 // A server that was seen leaving stays so until it is seen with another start.
 // Servers that are missing right after a gap in contact are kept for
 // `kReturnGrace`, because the list may have dropped live servers in the gap.
@@ -64,10 +67,14 @@
   // Drops servers whose grace has ended.
   std::vector<Change> Expire(Time now);
 
+  // Whether another server with a later start has the address of `server`.
+  bool IsSuperseded(const BackendServer& server) const;
+
   // The server with `id`, or null.
   const BackendServer* Find(std::string_view id) const;
 
-  // Servers of `service` that take new work, ordered by id. The pointers are
+  // Servers of `service` that take new work, ordered by id. Superseded servers
+  // do not. The pointers are
   // valid until the next change.
   std::vector<const BackendServer*> Serving(std::string_view service) const;
 
@@ -86,6 +93,8 @@
   // Starts that were removed after they had announced that they leave, by id. A
   // late heartbeat must not bring them back.
   std::map<std::string, std::int64_t, std::less<>> left_;
+  // The latest start at each address.
+  std::map<Address, std::int64_t> latest_starts_;
   Time grace_end_;
 };
 
--- a/include/amaranthcove/relay/request_facts.h
+++ b/include/amaranthcove/relay/request_facts.h
@@ -38,6 +38,8 @@
 struct AnswerFacts {
   bool not_run = false;  // The server states that it did not run the request.
   std::string attempt_id;
+  // Id of the server that answered; empty if it does not say.
+  std::string server_id;
 };
 
 }  // namespace amaranthcove
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/adapter_agent/adapter_agent.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,10 @@
 // Routers forget an engine whose agent is silent for longer than this.
 constexpr Duration kStatusInterval = milliseconds(250);
 
+// An unload waits for the runs of its adapter; another victim is chosen for the
+// same need after this time.
+constexpr Duration kUnloadPatience = milliseconds(500);
+
 // Failed calls in a row after which the engine counts as not reachable.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -129,6 +134,7 @@
   void PlanNext();
   void SendOrder(const AdapterOrder& order);
   void OnOrderAnswer(const AdapterOrder& order, const HttpResponse* response);
+  Unloading CurrentUnloading();
   Duration PollInterval() const;
   void SendStatus(const std::vector<Address>& routers);
   void SendStatusToAll();
@@ -146,6 +152,8 @@
   bool calling_ = false;
   std::int64_t fencing_token_ = kFirstFencingToken;
   Time no_orders_until_;
+  // Unloads that the engine has not carried out, until they are tried again.
+  std::map<std::pair<std::string, std::string>, Time> unloading_until_;
   std::int64_t status_sequence_ = 0;
   TimerId poll_timer_ = 0;
   TimerId limit_timer_ = 0;
@@ -286,8 +294,23 @@
   PlanNext();
 }
 
+Unloading AdapterAgentImpl::CurrentUnloading() {
+  std::erase_if(unloading_until_, [this](const auto& item) {
+    return loop_.Now() >= item.second;
+  });
+  Unloading result;
+  for (const AdapterState& adapter : report_->resident) {
+    std::pair key(adapter.model, adapter.adapter);
+    if (unloading_until_.contains(key)) {
+      result.insert(std::move(key));
+    }
+  }
+  return result;
+}
+
 Duration AdapterAgentImpl::PollInterval() const {
-  const bool loading = report_ && !report_->loading.empty();
+  const bool loading =
+      report_ && (!report_->loading.empty() || !unloading_until_.empty());
   return loading ? kPollWhileLoading : kPollInterval;
 }
 
@@ -299,7 +322,7 @@
   }
   const std::optional<AdapterOrder> order =
       NextOrder(*report_, demands_.room(), demands_.models(), wanted,
-                demands_.last_uses());
+                demands_.last_uses(), CurrentUnloading());
   if (order) {
     SendOrder(*order);
     return;
@@ -339,6 +362,11 @@
     fencing_token_ += kFencingTokenStep;
     no_orders_until_ = loop_.Now() + kFencedPause;
   }
+  if (order.action == AdapterOrder::Action::kUnload &&
+      answer != platform::OrderAnswer::kAlreadySo) {
+    unloading_until_[{order.target.model, order.target.adapter}] =
+        loop_.Now() + kUnloadPatience;
+  }
   const bool refused = answer == platform::OrderAnswer::kImpossible ||
                        answer == platform::OrderAnswer::kConflict;
   if (refused) {
@@ -363,6 +391,7 @@
   status.sequence = ++status_sequence_;
   status.incarnation = incarnation_;
   status.reachable = reachable_;
+  status.started_at_ms = report_ ? report_->started_at_ms : 0;
   status.routers = static_cast<std::int32_t>(demands_.Routers().size());
   if (report_) {
     status.models = report_->models;
--- a/src/adapter_agent/adapter_plan.cc
+++ b/src/adapter_agent/adapter_plan.cc
@@ -48,6 +48,15 @@
   return resident == nullptr || resident->version < item.target.version;
 }
 
+// Adapters that need a place and have none yet.
+int NeededPlaces(const EngineReport& report,
+                 std::span<const WantedAdapter> wanted) {
+  return static_cast<int>(std::count_if(wanted.begin(), wanted.end(),
+                                        [&report](const WantedAdapter& item) {
+                                          return NeedsLoad(report, item);
+                                        }));
+}
+
 std::optional<AdapterOrder> ModelOrder(const EngineReport& report,
                                        const EngineRoom& room,
                                        std::span<const AgentModel> models,
@@ -75,11 +84,13 @@
 
 const AdapterState* LeastRecentlyUsed(const EngineReport& report,
                                       std::span<const WantedAdapter> wanted,
-                                      const LastUses& last_uses) {
+                                      const LastUses& last_uses,
+                                      const Unloading& unloading) {
   const AdapterState* oldest = nullptr;
   Time oldest_use;
   for (const AdapterState& adapter : report.resident) {
-    if (IsWanted(wanted, adapter)) {
+    if (IsWanted(wanted, adapter) ||
+        unloading.contains({adapter.model, adapter.adapter})) {
       continue;
     }
     const auto use = last_uses.find({adapter.model, adapter.adapter});
@@ -105,7 +116,8 @@
                                       const EngineRoom& room,
                                       std::span<const AgentModel> models,
                                       std::span<const WantedAdapter> wanted,
-                                      const LastUses& last_uses) {
+                                      const LastUses& last_uses,
+                                      const Unloading& unloading) {
   if (report.models.empty()) {
     return ModelOrder(report, room, models, wanted);
   }
@@ -128,7 +140,11 @@
   if (replaces || PlacesTaken(report) < room.adapter_places) {
     return AdapterOrder{AdapterOrder::Action::kLoad, target};
   }
-  const AdapterState* oldest = LeastRecentlyUsed(report, wanted, last_uses);
+  if (static_cast<int>(unloading.size()) >= NeededPlaces(report, wanted)) {
+    return std::nullopt;
+  }
+  const AdapterState* oldest =
+      LeastRecentlyUsed(report, wanted, last_uses, unloading);
   if (oldest == nullptr) {
     return std::nullopt;
   }
@@ -143,11 +159,7 @@
   for (const AdapterState& adapter : report.resident) {
     held += IsWanted(wanted, adapter) ? 1 : 0;
   }
-  int to_come = 0;
-  for (const WantedAdapter& item : wanted) {
-    to_come += NeedsLoad(report, item) ? 1 : 0;
-  }
-  return std::max(room.adapter_places - held - to_come, 0);
+  return std::max(room.adapter_places - held - NeededPlaces(report, wanted), 0);
 }
 
 }  // namespace amaranthcove
--- a/src/adapter_agent/adapter_plan_test.cc
+++ b/src/adapter_agent/adapter_plan_test.cc
@@ -42,11 +42,12 @@
 
 TEST_GROUP(AdapterPlan) {
   LastUses last_uses_;
+  Unloading unloading_;
   const std::array<AgentModel, 1> models_ = {{{"base", 65'000}}};
 
   std::optional<AdapterOrder> Next(const EngineReport& report,
                                    std::span<const WantedAdapter> wanted) {
-    return NextOrder(report, kRoom, models_, wanted, last_uses_);
+    return NextOrder(report, kRoom, models_, wanted, last_uses_, unloading_);
   }
 };
 
@@ -62,11 +63,23 @@
   const auto order = Next(report, wanted);
   CHECK(order.has_value());
   CHECK(order->action == Action::kUnload);
-  CHECK_EQUAL("c", order->target.adapter);
+  CHECK("c" == order->target.adapter);
   wanted[3] = MakeWanted("c", 0, 2);
   CHECK(!Next(report, wanted).has_value());
 }
 
+// Guards against orders that are repeated while the engine waits for the runs
+// of an adapter that it was told to unload, and against vacating more places
+// than are needed.
+TEST(AdapterPlan, WaitsForPlacesThatAreBeingVacated) {
+  const EngineReport report = MakeReport({"a", "b", "c"});
+  unloading_ = {{"base", "a"}};
+  const std::array one = {MakeWanted("d", 1, 0)};
+  CHECK(!Next(report, one).has_value());
+  const std::array two = {MakeWanted("d", 1, 0), MakeWanted("e", 1, 0)};
+  CHECK("b" == Next(report, two)->target.adapter);
+}
+
 // Guards against an order that exceeds the places of an engine, which crashes
 // it: adapters under way count.
 TEST(AdapterPlan, LoadsUnderWayHoldPlaces) {
@@ -85,7 +98,7 @@
                        MakeWanted("old", 1, 0)};
   wanted[0].priority = 2;
   wanted[1].waiting_since = kStart + milliseconds(5);
-  CHECK_EQUAL("old", Next(report, wanted)->target.adapter);
+  CHECK("old" == Next(report, wanted)->target.adapter);
 }
 
 // Guards against requests for a new version that wait for ever because an older
@@ -111,7 +124,8 @@
   CHECK(!Next(report, wanted).has_value());
   const std::array<AgentModel, 1> too_large = {{{"base", 80'000}}};
   report.ordering = false;
-  CHECK(!NextOrder(report, kRoom, too_large, wanted, last_uses_).has_value());
+  CHECK(!NextOrder(report, kRoom, too_large, wanted, last_uses_, unloading_)
+             .has_value());
 }
 
 TEST_GROUP(DemandTable) {
@@ -134,11 +148,11 @@
 TEST(DemandTable, NewestDemandOfTheNewestStartHolds) {
   CHECK(table_.Put(router_a_, MakeDemand(5, MakeWanted("a", 1, 0)), kStart));
   CHECK(!table_.Put(router_a_, MakeDemand(4, MakeWanted("b", 1, 0)), kStart));
-  CHECK_EQUAL("a", table_.Wanted()[0].target.adapter);
+  CHECK("a" == table_.Wanted()[0].target.adapter);
   RouterDemand restarted = MakeDemand(1, MakeWanted("c", 1, 0));
   restarted.incarnation = 2;
   CHECK(table_.Put(router_a_, restarted, kStart));
-  CHECK_EQUAL("c", table_.Wanted()[0].target.adapter);
+  CHECK("c" == table_.Wanted()[0].target.adapter);
 }
 
 // Guards against demands of one router that hide those of another.
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -47,6 +47,7 @@
   9: i64 kv_free_tokens
   10: i64 incarnation    // Of the agent.
   11: bool reachable     // Whether the engine answers its agent.
+  12: i64 started_at_ms  // Of the engine, as it says itself.
 }
 
 struct AgentDatagram {
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -44,7 +44,7 @@
                     }};
 
   void setup() override {
-    links_.SetEndpoints({{"e1", kAgent, {}}});
+    links_.SetEndpoints({{"e1", kAgent, {}, 0}});
     links_.Tick(kStart);
     sent_.clear();
   }
@@ -56,7 +56,7 @@
   links_.AddWaiting("e1", kSilk, 3, 0, kStart);
   links_.Tick(kStart);
   CHECK_EQUAL(1, static_cast<int>(sent_.size()));
-  CHECK_EQUAL("silk", sent_[0].uses[0].adapter);
+  CHECK("silk" == sent_[0].uses[0].adapter);
   CHECK_EQUAL(1, sent_[0].uses[0].waiting);
   CHECK_EQUAL(3, static_cast<int>(sent_[0].uses[0].version));
   links_.Tick(kStart + milliseconds(100));
@@ -69,11 +69,16 @@
 TEST(AgentLinks, WithdrawsEndedUses) {
   links_.AddWaiting("e1", kSilk, 0, 0, kStart);
   links_.RemoveWaiting("e1", kSilk);
-  links_.AddRunning("e1", kSilk);
+  links_.AddRunning("e1", kSilk, kStart);
   links_.RemoveRunning("e1", kSilk);
-  links_.Tick(kStart + milliseconds(500));
+  links_.Tick(kStart + milliseconds(10));
+  // A short use is told once, or the adapter would look idle.
   CHECK_EQUAL(1, static_cast<int>(sent_.size()));
-  CHECK(sent_[0].uses.empty());
+  CHECK_EQUAL(1, static_cast<int>(sent_[0].uses.size()));
+  CHECK_EQUAL(0, sent_[0].uses[0].running);
+  links_.Tick(kStart + milliseconds(600));
+  CHECK_EQUAL(2, static_cast<int>(sent_.size()));
+  CHECK(sent_[1].uses.empty());
 }
 
 // Guards against a reordered status that brings back an evicted adapter, and
@@ -90,6 +95,19 @@
   CHECK_EQUAL(4, static_cast<int>(links_.router_count(kStart)));
 }
 
+// Guards against giving the view of a restarted engine to the entry of its
+// predecessor at the same address.
+TEST(AgentLinks, StatusBelongsToTheStartThatItNames) {
+  links_.SetEndpoints({{"old", kAgent, {}, 1000}, {"new", kAgent, {}, 2000}});
+  agent_wire::AgentDatagram datagram;
+  agent_wire::EngineStatus status;
+  status.sequence = 1;
+  status.started_at_ms = 2000;
+  datagram.__set_status(status);
+  CHECK("new" == *links_.Receive(kAgent, EncodeDatagram(datagram), kStart));
+  CHECK(links_.View("old", kStart) == nullptr);
+}
+
 // Guards against decisions by what a silent agent said long ago.
 TEST(AgentLinks, OldViewsAreNoViews) {
   links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart);
@@ -105,14 +123,16 @@
   for (std::size_t size = 0; size + 1 < whole.size(); ++size) {
     links_.Receive(kAgent, std::string_view(whole).substr(0, size), kStart);
   }
-  links_.Receive(kAgent, std::string(2000, '\xff'), kStart);
+  const std::string noise(2000, '\xff');
+  links_.Receive(kAgent, noise, kStart);
   CHECK(links_.View("e1", kStart) == nullptr);
 }
 
 // Guards against forgetting what an engine does when another one comes or goes.
 TEST(AgentLinks, ChangesOfOtherEnginesKeepTheView) {
   links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart);
-  links_.SetEndpoints({{"e0", {"10.0.0.7", 7000}, {}}, {"e1", kAgent, {}}});
+  links_.SetEndpoints(
+      {{"e0", {"10.0.0.7", 7000}, {}, 0}, {"e1", kAgent, {}, 0}});
   CHECK(links_.View("e1", kStart) != nullptr);
 }
 
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -13,6 +13,8 @@
 // holds them up.
 constexpr Duration kRepeatWhileWaiting = milliseconds(100);
 constexpr Duration kRepeatWhileRunning = milliseconds(250);
+// Uses are told soon, so that an adapter in use is not taken for idle.
+constexpr Duration kDelayOfUses = milliseconds(10);
 constexpr Duration kRepeatIdle = milliseconds(500);
 
 std::map<AdapterName, std::int64_t> ToVersions(
@@ -49,7 +51,8 @@
     Link link;
     const auto known = links_.find(endpoint.engine);
     if (known != links_.end() &&
-        known->second.endpoint.agent == endpoint.agent) {
+        known->second.endpoint.agent == endpoint.agent &&
+        known->second.endpoint.started_at_ms == endpoint.started_at_ms) {
       link = std::move(known->second);
     }
     link.endpoint = std::move(endpoint);
@@ -71,6 +74,10 @@
       continue;
     }
     const agent_wire::EngineStatus& status = datagram->status;
+    if (status.started_at_ms != 0 && link.endpoint.started_at_ms != 0 &&
+        status.started_at_ms != link.endpoint.started_at_ms) {
+      continue;
+    }
     if (link.view && link.view->incarnation == status.incarnation &&
         link.view->sequence >= status.sequence) {
       return std::nullopt;
@@ -123,13 +130,14 @@
     --use.waiting;
     --link->waiting;
   }
-  DropIfUnused(*link, adapter);
 }
 
 void AgentLinks::AddRunning(std::string_view engine,
-                            const AdapterName& adapter) {
+                            const AdapterName& adapter,
+                            Time now) {
   if (Link* link = Find(engine)) {
     ++link->uses[adapter].running;
+    link->next_send = std::min(link->next_send, now + kDelayOfUses);
   }
 }
 
@@ -141,15 +149,6 @@
   }
   Use& use = link->uses[adapter];
   use.running = std::max(use.running - 1, 0);
-  DropIfUnused(*link, adapter);
-}
-
-void AgentLinks::DropIfUnused(Link& link, const AdapterName& adapter) {
-  const auto use = link.uses.find(adapter);
-  if (use != link.uses.end() && use->second.waiting == 0 &&
-      use->second.running == 0) {
-    link.uses.erase(use);
-  }
 }
 
 void AgentLinks::MarkAbsent(std::string_view engine,
@@ -186,6 +185,10 @@
   }
   datagram.__set_demand(demand);
   send_(link.endpoint.agent, EncodeDatagram(datagram));
+  // Uses that began and ended since the last datagram have been told now.
+  std::erase_if(link.uses, [](const auto& item) {
+    return item.second.waiting == 0 && item.second.running == 0;
+  });
   link.next_send = now + (link.waiting > 0     ? kRepeatWhileWaiting
                           : !link.uses.empty() ? kRepeatWhileRunning
                                                : kRepeatIdle);
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -749,6 +749,10 @@
 void EngineStatus::__set_reachable(const bool val) {
   this->reachable = val;
 }
+
+void EngineStatus::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
 {
   obj.printTo(out);
@@ -901,6 +905,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -986,6 +998,10 @@
   xfer += oprot->writeBool(this->reachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1004,6 +1020,7 @@
   swap(a.kv_free_tokens, b.kv_free_tokens);
   swap(a.incarnation, b.incarnation);
   swap(a.reachable, b.reachable);
+  swap(a.started_at_ms, b.started_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1019,6 +1036,7 @@
   kv_free_tokens = other38.kv_free_tokens;
   incarnation = other38.incarnation;
   reachable = other38.reachable;
+  started_at_ms = other38.started_at_ms;
   __isset = other38.__isset;
 }
 EngineStatus& EngineStatus::operator=(const EngineStatus& other39) {
@@ -1033,6 +1051,7 @@
   kv_free_tokens = other39.kv_free_tokens;
   incarnation = other39.incarnation;
   reachable = other39.reachable;
+  started_at_ms = other39.started_at_ms;
   __isset = other39.__isset;
   return *this;
 }
@@ -1050,6 +1069,7 @@
   out << ", " << "kv_free_tokens=" << to_string(kv_free_tokens);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "started_at_ms=" << to_string(started_at_ms);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -302,7 +302,7 @@
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false) {}
+  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false) {}
   bool sequence :1;
   bool models :1;
   bool resident :1;
@@ -314,6 +314,7 @@
   bool kv_free_tokens :1;
   bool incarnation :1;
   bool reachable :1;
+  bool started_at_ms :1;
 } _EngineStatus__isset;
 
 class EngineStatus : public virtual ::apache::thrift::TBase {
@@ -329,7 +330,8 @@
                  routers(0),
                  kv_free_tokens(0),
                  incarnation(0),
-                 reachable(0) {
+                 reachable(0),
+                 started_at_ms(0) {
   }
 
   virtual ~EngineStatus() noexcept;
@@ -344,6 +346,7 @@
   int64_t kv_free_tokens;
   int64_t incarnation;
   bool reachable;
+  int64_t started_at_ms;
 
   _EngineStatus__isset __isset;
 
@@ -369,6 +372,8 @@
 
   void __set_reachable(const bool val);
 
+  void __set_started_at_ms(const int64_t val);
+
   bool operator == (const EngineStatus & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -393,6 +398,8 @@
       return false;
     if (!(reachable == rhs.reachable))
       return false;
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineStatus &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -16,13 +16,13 @@
 // An engine that held the adapter lately loads it from its own memory; the
 // first engines in the order of preference are likely to.
 constexpr double kPreferredLoadMs = 50;
-constexpr double kSecondLoadMs = 110;
-constexpr double kColdLoadMs = 280;
-constexpr double kUnknownMs = 400;
+constexpr double kSecondLoadMs = 200;
+constexpr double kColdLoadMs = 400;
+constexpr double kUnknownMs = 600;
 // Loading a base model takes seconds.
 constexpr double kNoModelMs = 2000;
 // All adapter places are in use, so a load waits for a request to end.
-constexpr double kNoPlaceMs = 300;
+constexpr double kNoPlaceMs = 100;
 // Each request of the batch delays the next by its share of prompt reading.
 constexpr double kPerRunningMs = 8;
 // A request beyond the batch waits for another to end.
--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -1,5 +1,6 @@
 #include "amaranthcove/backends/backend_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -24,7 +25,15 @@
 
 }  // namespace
 
+bool BackendDirectory::IsSuperseded(const BackendServer& server) const {
+  const auto latest = latest_starts_.find(server.address);
+  return latest != latest_starts_.end() &&
+         latest->second > server.started_at_ms;
+}
+
 std::vector<Change> BackendDirectory::Put(BackendServer server) {
+  std::int64_t& latest = latest_starts_[server.address];
+  latest = std::max(latest, server.started_at_ms);
   const auto found = entries_.find(server.id);
   if (found == entries_.end()) {
     const auto left = left_.find(server.id);
@@ -121,7 +130,8 @@
     std::string_view service) const {
   std::vector<const BackendServer*> result;
   for (const auto& [id, entry] : entries_) {
-    if (entry.server.service == service && !entry.server.leaving) {
+    if (entry.server.service == service && !entry.server.leaving &&
+        !IsSuperseded(entry.server)) {
       result.push_back(&entry.server);
     }
   }
--- a/src/backends/backends_test.cc
+++ b/src/backends/backends_test.cc
@@ -70,7 +70,7 @@
   directory_.Put(MakeServer("e1"));
   const auto changes = directory_.Expire(kStart + kReturnGrace);
   CHECK_EQUAL(1, static_cast<int>(changes.size()));
-  CHECK_EQUAL("e2", changes[0].server.id);
+  CHECK("e2" == changes[0].server.id);
   CHECK(IsServing("e1"));
 }
 
@@ -89,6 +89,19 @@
   CHECK(!IsServing("e1"));
 }
 
+// Guards against sending to an engine that has died with its host while its
+// entry is still listed beside that of its successor at the same address.
+TEST(BackendDirectory, LaterStartSupersedesTheSameAddress) {
+  directory_.Put(MakeServer("old"));
+  BackendServer successor = MakeServer("new");
+  successor.started_at_ms = 2000;
+  directory_.Put(successor);
+  CHECK(!IsServing("old"));
+  CHECK(IsServing("new"));
+  directory_.Put(MakeServer("old"));
+  CHECK(!IsServing("old"));
+}
+
 // Guards against servers that stay listed after their removal.
 TEST(BackendDirectory, RemovalOutsideOfTheGraceIsImmediate) {
   directory_.Put(MakeServer("e1"));
--- a/src/log/event_log_test.cc
+++ b/src/log/event_log_test.cc
@@ -8,9 +8,9 @@
 
 // Guards against values that add fields or end the line.
 TEST(EventLog, QuotesValues) {
-  CHECK_EQUAL("plain-7", LogfmtValue("plain-7"));
-  CHECK_EQUAL("\"\"", LogfmtValue(""));
-  CHECK_EQUAL("\"a b=\\\"c\\\\\"", LogfmtValue("a b=\"c\\"));
+  CHECK("plain-7" == LogfmtValue("plain-7"));
+  CHECK("\"\"" == LogfmtValue(""));
+  CHECK("\"a b=\\\"c\\\\\"" == LogfmtValue("a b=\"c\\"));
 }
 
 // Guards against a flood of routine lines that hides refusals, and against a
--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -124,7 +124,7 @@
       "HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nContent-Length: 4\r\n\r\nmine");
   CHECK(RunUntil([&] { return record.end.has_value(); }));
   CHECK(record.end == UpstreamEnd::kComplete);
-  CHECK_EQUAL("mine", record.body);
+  CHECK("mine" == record.body);
 }
 
 // Guards against the next request on a connection that has bytes nobody asked
--- a/src/node/node_settings_test.cc
+++ b/src/node/node_settings_test.cc
@@ -33,7 +33,7 @@
 engine = 127.0.0.1:9301
 )";
 
-std::string ErrorsOf(std::string text) {
+std::string ErrorsOf(std::string_view text) {
   const auto sections = ParseIni(text);
   const auto settings = ParseNodeSettings(*sections);
   return settings ? "" : FormatIniErrors("f", settings.error());
--- a/src/programs/amaranthd/main.cc
+++ b/src/programs/amaranthd/main.cc
@@ -2,6 +2,7 @@
 // settings say.
 
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <optional>
@@ -55,7 +56,11 @@
   const amaranthcove::Logging logging(
       std::visit([](const auto& role) { return role.log_level; }, *settings),
       amaranthcove::LogOutput::kStdout);
-  return amaranthcove::RunNode(file, *settings);
+  const int exit_code = amaranthcove::RunNode(file, *settings);
+  std::cout.flush();
+  // log4cplus waits for its worker thread when it is torn down. That wait did
+  // not end under the platform's scheduler, and the process was killed.
+  std::_Exit(exit_code);
 }
 
 int RunWithSettings(const std::string& file, bool check_only) {
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -33,20 +33,20 @@
 
 // Guards against half an event that is passed on as a whole one.
 TEST(EventSplitter, PassesOnWholeEventsOnly) {
-  CHECK_EQUAL("", splitter_.Append("id: 1\ndata: a"));
-  CHECK_EQUAL("id: 1\ndata: a\n\n", splitter_.Append("\n\nid: 2\nda"));
-  CHECK_EQUAL("1", splitter_.last_id());
-  CHECK_EQUAL("id: 2\nda", splitter_.rest());
+  CHECK("" == splitter_.Append("id: 1\ndata: a"));
+  CHECK("id: 1\ndata: a\n\n" == splitter_.Append("\n\nid: 2\nda"));
+  CHECK("1" == splitter_.last_id());
+  CHECK("id: 2\nda" == splitter_.rest());
   splitter_.DropRest();
-  CHECK_EQUAL("id: 2\ndata: b\n\n", splitter_.Append("id: 2\ndata: b\n\n"));
-  CHECK_EQUAL("2", splitter_.last_id());
+  CHECK("id: 2\ndata: b\n\n" == splitter_.Append("id: 2\ndata: b\n\n"));
+  CHECK("2" == splitter_.last_id());
 }
 
 // Guards against an id that is taken from the text of an event, and against
 // line ends of another kind.
 TEST(EventSplitter, ReadsIdsOfAnyLineEnd) {
   splitter_.Append("id:7\r\ndata: id: 9\r\n\r\n");
-  CHECK_EQUAL("7", splitter_.last_id());
+  CHECK("7" == splitter_.last_id());
 }
 
 TEST_GROUP(RelayPolicy){};
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -69,7 +69,8 @@
     }
     endpoints.push_back({server->id,
                          {server->address.ip, options_.agent_port},
-                         MakeFacts(*service->engine)});
+                         MakeFacts(*service->engine),
+                         server->started_at_ms});
   }
   links_.SetEndpoints(std::move(endpoints));
   const auto is_known = [this](const auto& item) {
@@ -217,7 +218,8 @@
 bool Fleet::IsServing(const BackendServer& server) const {
   const BackendServer* known = directory_.Find(server.id);
   return known != nullptr && !known->leaving &&
-         known->started_at_ms == server.started_at_ms;
+         known->started_at_ms == server.started_at_ms &&
+         !directory_.IsSuperseded(*known);
 }
 
 void Fleet::BeginSend(const std::string& server, Time now) {
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -21,6 +21,9 @@
 // After this time another engine may serve sooner than the one waited for.
 constexpr Duration kWaitBeforePlacingAnew = milliseconds(500);
 
+// An agent that has just started answers a demand within this time.
+constexpr Duration kWaitForSilentAgent = milliseconds(150);
+
 std::string_view SendEndName(SendEnd end) {
   switch (end) {
     case SendEnd::kNotSent:
@@ -158,7 +161,10 @@
   fleet.links().AddWaiting(placement_.server.id, adapter,
                            fleet.LeastVersion(adapter), route_.priority, now);
   environment_.demand_changed();
-  wait_timer_ = environment_.loop.RunAfter(kWaitBeforePlacingAnew, [this] {
+  const Duration limit = placement_.place == AdapterPlace::kUnknown
+                             ? kWaitForSilentAgent
+                             : kWaitBeforePlacingAnew;
+  wait_timer_ = environment_.loop.RunAfter(limit, [this] {
     wait_timer_ = 0;
     OnWaitTooLong(environment_.loop.Now());
   });
@@ -221,7 +227,8 @@
   if (IsGeneration()) {
     options.priority = route_.priority;
     options.expected_version = version;
-    environment_.fleet.links().AddRunning(id, {facts_.model, facts_.adapter});
+    environment_.fleet.links().AddRunning(id, {facts_.model, facts_.adapter},
+                                          now);
   }
   if (progress_.answer_begun && !splitter_.last_id().empty()) {
     options.last_event_id = splitter_.last_id();
@@ -330,7 +337,13 @@
       result = BackendResult::kNotReachable;
       break;
     case SendEnd::kNotRun:
-      return;  // Full, or not holding the adapter: no sign of a fault.
+      if (answer_.server_id.empty() ||
+          answer_.server_id == placement_.server.id) {
+        return;  // Full, or not holding the adapter: no sign of a fault.
+      }
+      // Another start has the address.
+      result = BackendResult::kNotReachable;
+      break;
     case SendEnd::kAnswered:
       break;
     case SendEnd::kServerError:
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -131,7 +131,8 @@
   void OnCallDone(std::uint64_t call, const RelayResult& result);
   void OnBackendListing(const std::vector<platform::StoreItem>& items);
   void OnBackendChanges(const std::vector<platform::StoreItem>& items);
-  void ApplyDirectoryChanges(std::vector<BackendDirectory::Change> changes);
+  void ApplyDirectoryChanges(
+      const std::vector<BackendDirectory::Change>& changes);
   void OnOperatorItems(const std::vector<platform::StoreItem>& items);
   void OnConfig(const platform::StoreItem& item);
   void OnAdapterVersion(const platform::StoreItem& item);
@@ -168,6 +169,7 @@
   TimerId cleanup_timer_ = 0;
   TimerId stop_timer_ = 0;
   bool leaving_ = false;
+  bool stopped_ = false;
   Time leave_started_;
   std::function<void()> on_stopped_;
 };
@@ -333,11 +335,11 @@
                  {{"key", item.key}, {"reason", server.error().message}});
     }
   }
-  ApplyDirectoryChanges(std::move(changes));
+  ApplyDirectoryChanges(changes);
 }
 
 void RouterImpl::ApplyDirectoryChanges(
-    std::vector<BackendDirectory::Change> changes) {
+    const std::vector<BackendDirectory::Change>& changes) {
   if (changes.empty()) {
     return;
   }
@@ -460,6 +462,9 @@
 }
 
 void RouterImpl::CheckStopped() {
+  if (stopped_) {
+    return;
+  }
   const Duration since = loop_.Now() - leave_started_;
   if (since < kServeAfterStop) {
     return;
@@ -478,6 +483,7 @@
     // A request that was read just before its connection was closed goes on.
     const Duration now_since = loop_.Now() - leave_started_;
     if (calls_.empty() || now_since >= settings_.stop_limit - kStopMargin) {
+      stopped_ = true;
       on_stopped_();
     }
   });
--- a/src/router/router_test.cc
+++ b/src/router/router_test.cc
@@ -93,7 +93,7 @@
 TEST(Fleet, PlacesWhereTheDeclaredVersionIs) {
   const auto placement =
       fleet_.PlaceGeneration("care", MakeFacts(), {}, kStart);
-  CHECK_EQUAL("e2", placement->server.id);
+  CHECK("e2" == placement->server.id);
   CHECK(placement->place == AdapterPlace::kResident);
   std::optional<std::int64_t> version;
   CHECK(fleet_.IsAdapterReady("e2", MakeFacts(), kStart, version));
--- a/src/routing/route_table_test.cc
+++ b/src/routing/route_table_test.cc
@@ -38,28 +38,28 @@
 // Guards against a shorter prefix that hides a longer one.
 TEST(RouteTable, PrefersTheLongestPrefix) {
   const RouteTable table = MakeTable();
-  CHECK_EQUAL("rush", FindName(table, "desk.example", "/orders/rush/7"));
-  CHECK_EQUAL("orders", FindName(table, "desk.example", "/orders/7"));
-  CHECK_EQUAL("all", FindName(table, "desk.example", "/stock/7"));
+  CHECK("rush" == FindName(table, "desk.example", "/orders/rush/7"));
+  CHECK("orders" == FindName(table, "desk.example", "/orders/7"));
+  CHECK("all" == FindName(table, "desk.example", "/stock/7"));
 }
 
 // Guards against prefixes that match in the middle of a path segment, against
 // hosts that share routes, and against queries that take part in the match.
 TEST(RouteTable, MatchesWholeSegmentsOfOneHost) {
   const RouteTable table = MakeTable();
-  CHECK_EQUAL("all", FindName(table, "desk.example", "/orders"));
-  CHECK_EQUAL("all", FindName(table, "desk.example", "/orders?next=/orders/"));
-  CHECK_EQUAL("", FindName(table, "care.example", "/stock/7"));
-  CHECK_EQUAL("", FindName(table, "unknown.example", "/orders/7"));
-  CHECK_EQUAL("orders", FindName(table, "DESK.example:8080", "/orders/7"));
-  CHECK_EQUAL("", FindName(table, "desk.example", ""));
+  CHECK("all" == FindName(table, "desk.example", "/orders"));
+  CHECK("all" == FindName(table, "desk.example", "/orders?next=/orders/"));
+  CHECK(FindName(table, "care.example", "/stock/7").empty());
+  CHECK(FindName(table, "unknown.example", "/orders/7").empty());
+  CHECK("orders" == FindName(table, "DESK.example:8080", "/orders/7"));
+  CHECK(FindName(table, "desk.example", "").empty());
 }
 
 // Guards against a copy of the table whose index points into the original.
 TEST(RouteTable, IndexSurvivesMove) {
   RouteTable table = MakeTable();
   const RouteTable moved = std::move(table);
-  CHECK_EQUAL("rush", FindName(moved, "desk.example", "/orders/rush/7"));
+  CHECK("rush" == FindName(moved, "desk.example", "/orders/rush/7"));
 }
 
 // Guards against shares that do not follow the weights.
