relay, agent: refuse at once what begins too late, load popular adapters first

Now a request whose best engine would begin after twice its target is refused with a Retry-After by the expected delay; loads are ordered by the number of requests that wait; agents keep fewer loads under way while the store is slow; a batch of 20 or more counts as busy, not as silent.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -74,14 +74,23 @@
 // When an adapter was last used, by model and adapter name.
 using LastUses = std::map<std::pair<std::string, std::string>, Time>;
 
-// Loads to one engine that may be under way at a time. The weight store slows
-// down beyond a number over all engines that agents cannot see.
+// Loads to one engine that may be under way at a time.
 inline constexpr int kMaxLoadsUnderWay = 4;
 
+// The time of a load from the weight store that is not slowed by others.
+inline constexpr double kUnslowedLoadMs = 250;
+
+// Loads that an engine may have under way while loads from the weight store
+// take `load_ms`. Beyond a number of loads over all engines, which no agent
+// sees, the store divides its rate among them; fewer at a time then end sooner
+// on average.
+int LoadsAllowed(double load_ms);
+
 // The next order to an engine, if any.
 //
-// Adapters with waiting requests are loaded, the most urgent and then the
-// longest waiting first. If all places are taken, the adapter that was used
+// Adapters with waiting requests are loaded: the most urgent first, then those
+// with the most requests, because the weight store limits the number of loads,
+// then the longest waiting. If all places are taken, the adapter that was used
 // least recently makes room; adapters that requests use or wait for never do.
 // Places that are being vacated are waited for before another is.
 // An engine without a base model gets the first model that is wanted and fits.
@@ -90,7 +99,12 @@
                                       std::span<const AgentModel> models,
                                       std::span<const WantedAdapter> wanted,
                                       const LastUses& last_uses,
-                                      const Unloading& unloading);
+                                      const Unloading& unloading,
+                                      int loads_allowed = kMaxLoadsUnderWay);
+
+// Adapters that need a place and have none yet.
+int NeededPlaces(const EngineReport& report,
+                 std::span<const WantedAdapter> wanted);
 
 // Places of the engine that a new adapter could take: empty ones, and those of
 // adapters that nobody wants.
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -34,6 +34,8 @@
   int queued = 0;
   int free_places = 0;
   int routers = 0;
+  int loads_waiting = 0;
+  int load_ms = 0;
   bool reachable = true;
 };
 
--- a/include/amaranthcove/relay/relay_policy.h
+++ b/include/amaranthcove/relay/relay_policy.h
@@ -59,8 +59,24 @@
 // The same for the pause between two events of a begun stream.
 std::optional<Duration> PauseLimit(const RelayProgress& progress);
 
-// How long a caller should wait before it sends a refused request again.
-Duration RetryAfter(Duration time_left);
+// Whether a request that has not been sent yet should be refused now: the best
+// server would begin so late that the caller is better off coming back.
+bool IsRefusedAtOnce(const Route& route,
+                     const RelayProgress& progress,
+                     Duration expected_delay);
+
+// Whether a server that has not begun to answer within `FirstByteLimit` is
+// merely busy: requests at it wait for each other, and sending one elsewhere
+// would only add work. `running` is the number of requests in its batch.
+bool IsBusyRatherThanSilent(int running);
+
+// The delay that is expected when no server is known: the instance list lists
+// live servers again within about two seconds.
+inline constexpr Duration kDelayWithoutServer = std::chrono::milliseconds(1500);
+
+// How long a caller should wait before it sends a refused request again: until
+// it can probably be served, within the third of its time that callers grant.
+Duration RetryAfter(Duration expected_delay, Duration time_left);
 
 }  // namespace amaranthcove
 
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -38,6 +38,12 @@
 // same need after this time.
 constexpr Duration kUnloadPatience = milliseconds(500);
 
+// Until a load has been seen.
+constexpr double kFirstLoadMs = kUnslowedLoadMs;
+constexpr double kLatestLoadWeight = 0.2;
+// Loads that take longer have failed.
+constexpr Duration kMaxLoadTime = std::chrono::seconds(10);
+
 // Failed calls in a row after which the engine counts as not reachable.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -134,6 +140,7 @@
   void PlanNext();
   void SendOrder(const AdapterOrder& order);
   void OnOrderAnswer(const AdapterOrder& order, const HttpResponse* response);
+  void MeasureLoads();
   Unloading CurrentUnloading();
   Duration PollInterval() const;
   void SendStatus(const std::vector<Address>& routers);
@@ -154,6 +161,9 @@
   Time no_orders_until_;
   // Unloads that the engine has not carried out, until they are tried again.
   std::map<std::pair<std::string, std::string>, Time> unloading_until_;
+  // When the loads under way were ordered, and the mean time of the last ones.
+  std::map<std::pair<std::string, std::string>, Time> load_started_;
+  double load_ms_ = kFirstLoadMs;
   std::int64_t status_sequence_ = 0;
   TimerId poll_timer_ = 0;
   TimerId limit_timer_ = 0;
@@ -286,6 +296,7 @@
   const bool changed = !report_ || report_->resident != report.resident ||
                        report_->models != report.models;
   report_ = std::move(report);
+  MeasureLoads();
   if (regained) {
     SendStatus(demands_.Routers());
   } else if (changed) {
@@ -294,6 +305,25 @@
   PlanNext();
 }
 
+void AdapterAgentImpl::MeasureLoads() {
+  for (const AdapterState& adapter : report_->resident) {
+    const auto started = load_started_.find({adapter.model, adapter.adapter});
+    if (started == load_started_.end()) {
+      continue;
+    }
+    const double took_ms =
+        static_cast<double>(ToMilliseconds(loop_.Now() - started->second));
+    // Loads from the engine's own memory say nothing about the weight store.
+    if (took_ms > kUnslowedLoadMs / 2) {
+      load_ms_ += kLatestLoadWeight * (took_ms - load_ms_);
+    }
+    load_started_.erase(started);
+  }
+  std::erase_if(load_started_, [this](const auto& item) {
+    return loop_.Now() - item.second > kMaxLoadTime;
+  });
+}
+
 Unloading AdapterAgentImpl::CurrentUnloading() {
   std::erase_if(unloading_until_, [this](const auto& item) {
     return loop_.Now() >= item.second;
@@ -320,9 +350,9 @@
     PollAfter(kPollInterval);
     return;
   }
-  const std::optional<AdapterOrder> order =
-      NextOrder(*report_, demands_.room(), demands_.models(), wanted,
-                demands_.last_uses(), CurrentUnloading());
+  const std::optional<AdapterOrder> order = NextOrder(
+      *report_, demands_.room(), demands_.models(), wanted,
+      demands_.last_uses(), CurrentUnloading(), LoadsAllowed(load_ms_));
   if (order) {
     SendOrder(*order);
     return;
@@ -367,6 +397,11 @@
     unloading_until_[{order.target.model, order.target.adapter}] =
         loop_.Now() + kUnloadPatience;
   }
+  if (order.action == AdapterOrder::Action::kLoad &&
+      answer == platform::OrderAnswer::kAccepted &&
+      !order.target.adapter.empty()) {
+    load_started_[{order.target.model, order.target.adapter}] = loop_.Now();
+  }
   const bool refused = answer == platform::OrderAnswer::kImpossible ||
                        answer == platform::OrderAnswer::kConflict;
   if (refused) {
@@ -401,6 +436,8 @@
     status.queued = report_->queued;
     status.free_places =
         FreePlaces(*report_, demands_.room(), demands_.Wanted());
+    status.loads_waiting = NeededPlaces(*report_, demands_.Wanted());
+    status.load_ms = static_cast<std::int32_t>(load_ms_);
     status.kv_free_tokens = report_->kv_total_tokens - report_->kv_used_tokens;
   }
   agent_wire::AgentDatagram datagram;
--- a/src/adapter_agent/adapter_plan.cc
+++ b/src/adapter_agent/adapter_plan.cc
@@ -1,6 +1,8 @@
 #include "amaranthcove/adapter_agent/adapter_plan.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace amaranthcove {
@@ -48,15 +50,6 @@
   return resident == nullptr || resident->version < item.target.version;
 }
 
-// Adapters that need a place and have none yet.
-int NeededPlaces(const EngineReport& report,
-                 std::span<const WantedAdapter> wanted) {
-  return static_cast<int>(std::count_if(wanted.begin(), wanted.end(),
-                                        [&report](const WantedAdapter& item) {
-                                          return NeedsLoad(report, item);
-                                        }));
-}
-
 std::optional<AdapterOrder> ModelOrder(const EngineReport& report,
                                        const EngineRoom& room,
                                        std::span<const AgentModel> models,
@@ -82,6 +75,11 @@
   return std::nullopt;
 }
 
+// Loads with lower ranks come first.
+std::tuple<int, int, Time> LoadRank(const WantedAdapter& item) {
+  return {item.priority, -item.waiting, item.waiting_since};
+}
+
 const AdapterState* LeastRecentlyUsed(const EngineReport& report,
                                       std::span<const WantedAdapter> wanted,
                                       const LastUses& last_uses,
@@ -112,12 +110,28 @@
 
 }  // namespace
 
+int LoadsAllowed(double load_ms) {
+  const double slowdown = std::max(load_ms / kUnslowedLoadMs, 1.0);
+  // The measured time includes the way of the report, hence the rounding up.
+  return std::clamp(static_cast<int>(std::ceil(kMaxLoadsUnderWay / slowdown)),
+                    1, kMaxLoadsUnderWay);
+}
+
+int NeededPlaces(const EngineReport& report,
+                 std::span<const WantedAdapter> wanted) {
+  return static_cast<int>(std::count_if(wanted.begin(), wanted.end(),
+                                        [&report](const WantedAdapter& item) {
+                                          return NeedsLoad(report, item);
+                                        }));
+}
+
 std::optional<AdapterOrder> NextOrder(const EngineReport& report,
                                       const EngineRoom& room,
                                       std::span<const AgentModel> models,
                                       std::span<const WantedAdapter> wanted,
                                       const LastUses& last_uses,
-                                      const Unloading& unloading) {
+                                      const Unloading& unloading,
+                                      int loads_allowed) {
   if (report.models.empty()) {
     return ModelOrder(report, room, models, wanted);
   }
@@ -126,13 +140,12 @@
     if (!NeedsLoad(report, item)) {
       continue;
     }
-    if (next == nullptr || std::pair(item.priority, item.waiting_since) <
-                               std::pair(next->priority, next->waiting_since)) {
+    if (next == nullptr || LoadRank(item) < LoadRank(*next)) {
       next = &item;
     }
   }
   if (next == nullptr ||
-      static_cast<int>(report.loading.size()) >= kMaxLoadsUnderWay) {
+      static_cast<int>(report.loading.size()) >= loads_allowed) {
     return std::nullopt;
   }
   const AdapterState& target = next->target;
--- a/src/adapter_agent/adapter_plan_test.cc
+++ b/src/adapter_agent/adapter_plan_test.cc
@@ -101,6 +101,30 @@
   CHECK("old" == Next(report, wanted)->target.adapter);
 }
 
+// Guards against a cold engine that spends its first loads on adapters of
+// single requests while many wait for a popular one (all machines restarted).
+TEST(AdapterPlan, ManyWaitingRequestsGoFirst) {
+  const EngineReport report = MakeReport({});
+  std::array wanted = {MakeWanted("rare", 1, 0), MakeWanted("popular", 9, 0)};
+  wanted[1].waiting_since = kStart + milliseconds(50);
+  CHECK("popular" == Next(report, wanted)->target.adapter);
+}
+
+// Guards against engines that all keep four loads under way while the weight
+// store divides its rate among 48 of them (all engines restarted cold).
+TEST(AdapterPlan, SlowedLoadsAreFewerAtATime) {
+  CHECK_EQUAL(4, LoadsAllowed(25));
+  CHECK_EQUAL(4, LoadsAllowed(270));
+  CHECK_EQUAL(2, LoadsAllowed(560));
+  CHECK_EQUAL(1, LoadsAllowed(5000));
+  EngineReport report = MakeReport({});
+  report.loading = {{"base", "x", 1}, {"base", "y", 1}};
+  const std::array wanted = {MakeWanted("z", 1, 0)};
+  CHECK(Next(report, wanted).has_value());
+  CHECK(!NextOrder(report, kRoom, models_, wanted, last_uses_, unloading_, 2)
+             .has_value());
+}
+
 // Guards against requests for a new version that wait for ever because an older
 // one is resident, and against needless orders when a newer one is.
 TEST(AdapterPlan, ReplacesOlderVersions) {
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -48,6 +48,8 @@
   10: i64 incarnation    // Of the agent.
   11: bool reachable     // Whether the engine answers its agent.
   12: i64 started_at_ms  // Of the engine, as it says itself.
+  13: i32 loads_waiting  // Adapters that are wanted and not yet ordered.
+  14: i32 load_ms        // Mean time of the last loads.
 }
 
 struct AgentDatagram {
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -39,6 +39,8 @@
   view.queued = status.queued;
   view.free_places = status.free_places;
   view.routers = status.routers;
+  view.loads_waiting = status.loads_waiting;
+  view.load_ms = status.load_ms;
   view.reachable = status.reachable;
   return view;
 }
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -753,6 +753,14 @@
 void EngineStatus::__set_started_at_ms(const int64_t val) {
   this->started_at_ms = val;
 }
+
+void EngineStatus::__set_loads_waiting(const int32_t val) {
+  this->loads_waiting = val;
+}
+
+void EngineStatus::__set_load_ms(const int32_t val) {
+  this->load_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
 {
   obj.printTo(out);
@@ -913,6 +921,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->loads_waiting);
+          this->__isset.loads_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->load_ms);
+          this->__isset.load_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1002,6 +1026,14 @@
   xfer += oprot->writeI64(this->started_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loads_waiting", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->loads_waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load_ms", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->load_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1021,6 +1053,8 @@
   swap(a.incarnation, b.incarnation);
   swap(a.reachable, b.reachable);
   swap(a.started_at_ms, b.started_at_ms);
+  swap(a.loads_waiting, b.loads_waiting);
+  swap(a.load_ms, b.load_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1037,6 +1071,8 @@
   incarnation = other38.incarnation;
   reachable = other38.reachable;
   started_at_ms = other38.started_at_ms;
+  loads_waiting = other38.loads_waiting;
+  load_ms = other38.load_ms;
   __isset = other38.__isset;
 }
 EngineStatus& EngineStatus::operator=(const EngineStatus& other39) {
@@ -1052,6 +1088,8 @@
   incarnation = other39.incarnation;
   reachable = other39.reachable;
   started_at_ms = other39.started_at_ms;
+  loads_waiting = other39.loads_waiting;
+  load_ms = other39.load_ms;
   __isset = other39.__isset;
   return *this;
 }
@@ -1070,6 +1108,8 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "started_at_ms=" << to_string(started_at_ms);
+  out << ", " << "loads_waiting=" << to_string(loads_waiting);
+  out << ", " << "load_ms=" << to_string(load_ms);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -302,7 +302,7 @@
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false) {}
+  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), loads_waiting(false), load_ms(false) {}
   bool sequence :1;
   bool models :1;
   bool resident :1;
@@ -315,6 +315,8 @@
   bool incarnation :1;
   bool reachable :1;
   bool started_at_ms :1;
+  bool loads_waiting :1;
+  bool load_ms :1;
 } _EngineStatus__isset;
 
 class EngineStatus : public virtual ::apache::thrift::TBase {
@@ -331,7 +333,9 @@
                  kv_free_tokens(0),
                  incarnation(0),
                  reachable(0),
-                 started_at_ms(0) {
+                 started_at_ms(0),
+                 loads_waiting(0),
+                 load_ms(0) {
   }
 
   virtual ~EngineStatus() noexcept;
@@ -347,6 +351,8 @@
   int64_t incarnation;
   bool reachable;
   int64_t started_at_ms;
+  int32_t loads_waiting;
+  int32_t load_ms;
 
   _EngineStatus__isset __isset;
 
@@ -374,6 +380,10 @@
 
   void __set_started_at_ms(const int64_t val);
 
+  void __set_loads_waiting(const int32_t val);
+
+  void __set_load_ms(const int32_t val);
+
   bool operator == (const EngineStatus & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -400,6 +410,10 @@
       return false;
     if (!(started_at_ms == rhs.started_at_ms))
       return false;
+    if (!(loads_waiting == rhs.loads_waiting))
+      return false;
+    if (!(load_ms == rhs.load_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineStatus &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -19,6 +19,8 @@
 constexpr double kSecondLoadMs = 200;
 constexpr double kColdLoadMs = 400;
 constexpr double kUnknownMs = 600;
+// Loads that an engine has under way at a time.
+constexpr double kLoadsAtATime = 4;
 // Loading a base model takes seconds.
 constexpr double kNoModelMs = 2000;
 // All adapter places are in use, so a load waits for a request to end.
@@ -49,7 +51,9 @@
   } else if (candidate.affinity_rank == 1) {
     load_ms = kSecondLoadMs;
   }
-  return load_ms + (candidate.free_places > 0 ? 0 : kNoPlaceMs);
+  const double queue_ms = static_cast<double>(candidate.loads_waiting) *
+                          candidate.load_ms / kLoadsAtATime;
+  return load_ms + queue_ms + (candidate.free_places > 0 ? 0 : kNoPlaceMs);
 }
 
 // In-flight requests of one instance count as busy above this share of slots,
--- a/src/relay/relay_policy.cc
+++ b/src/relay/relay_policy.cc
@@ -25,7 +25,15 @@
 // Callers give up a stream after a pause of two seconds or more.
 constexpr Duration kStreamPauseLimit = milliseconds(1500);
 
-constexpr Duration kFirstRetryAfter = milliseconds(300);
+// A request is refused at once if it would begin after this multiple of its
+// target: it would be late anyway, and hold up others.
+constexpr int kRefusedDelayFactor = 2;
+constexpr Duration kMinRefusedDelay = milliseconds(1000);
+
+// A batch of this many requests may need seconds to read their prompts.
+constexpr int kBusyBatch = 20;
+
+constexpr Duration kMinRetryAfter = milliseconds(300);
 
 RelayStep StepWithoutRetry(const RelayProgress& progress, SendEnd end) {
   if (progress.answer_begun) {
@@ -93,9 +101,20 @@
   return kStreamPauseLimit;
 }
 
-Duration RetryAfter(Duration time_left) {
-  // Callers honour at most a third of the time that they have left.
-  return std::min(kFirstRetryAfter, time_left / 4);
+bool IsRefusedAtOnce(const Route& route,
+                     const RelayProgress& progress,
+                     Duration expected_delay) {
+  return progress.may_have_run == 0 && !progress.answer_begun &&
+         expected_delay > std::max(route.target_latency * kRefusedDelayFactor,
+                                   kMinRefusedDelay);
+}
+
+bool IsBusyRatherThanSilent(int running) {
+  return running >= kBusyBatch;
+}
+
+Duration RetryAfter(Duration expected_delay, Duration time_left) {
+  return std::min(std::max(expected_delay, kMinRetryAfter), time_left * 3 / 10);
 }
 
 }  // namespace amaranthcove
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -110,6 +110,28 @@
   CHECK(NextStep(progress, SendEnd::kBroken, true) == RelayStep::kFail);
 }
 
+// Guards against callers who are kept waiting until they leave although nothing
+// can serve them in time (all engines load their base model).
+TEST(RelayPolicy, RefusesAtOnceWhatWouldBeginTooLate) {
+  Route route;
+  route.target_latency = milliseconds(600);
+  RelayProgress progress = MakeProgress(CallKind::kStream);
+  progress.may_have_run = 0;
+  CHECK(IsRefusedAtOnce(route, progress, milliseconds(2000)));
+  CHECK(!IsRefusedAtOnce(route, progress, milliseconds(900)));
+  progress.may_have_run = 1;
+  CHECK(!IsRefusedAtOnce(route, progress, milliseconds(2000)));
+}
+
+// Guards against callers who use their only retry before it can succeed, and
+// against a wait that is longer than callers grant.
+TEST(RelayPolicy, RetryAfterFollowsTheExpectedDelay) {
+  CHECK(RetryAfter(milliseconds(0), milliseconds(5000)) == milliseconds(300));
+  CHECK(RetryAfter(milliseconds(900), milliseconds(5000)) == milliseconds(900));
+  CHECK(RetryAfter(milliseconds(4000), milliseconds(5000)) ==
+        milliseconds(1500));
+}
+
 // Guards against an answer that breaks off and looks complete.
 TEST(RelayPolicy, BegunAnswerBreaksOffVisibly) {
   RelayProgress progress = MakeProgress(CallKind::kStream);
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -21,6 +21,9 @@
 // After this time another engine may serve sooner than the one waited for.
 constexpr Duration kWaitBeforePlacingAnew = milliseconds(500);
 
+// A busy server is looked at again after this time.
+constexpr Duration kBusyServerExtension = milliseconds(500);
+
 // An agent that has just started answers a demand within this time.
 constexpr Duration kWaitForSilentAgent = milliseconds(150);
 
@@ -137,6 +140,7 @@
           ? fleet.PlaceGeneration(service_, facts_, tried_, now)
           : fleet.PlacePlain(service_, tried_, Hash64(facts_.attempt_id), now);
   if (!placement) {
+    expected_delay_ = kDelayWithoutServer;
     environment_.log.Write(
         LogLevel::kWarn, "no_server",
         {{"request", facts_.attempt_id}, {"service", service_}});
@@ -144,6 +148,12 @@
     return;
   }
   placement_ = *placement;
+  expected_delay_ = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(placement_.expected_delay_ms));
+  if (IsGeneration() && IsRefusedAtOnce(route_, progress_, expected_delay_)) {
+    TakeStep(RelayStep::kRefuse, now);
+    return;
+  }
   std::optional<std::int64_t> version;
   if (!IsGeneration() ||
       fleet.IsAdapterReady(placement_.server.id, facts_, now, version)) {
@@ -411,11 +421,25 @@
   if (state_ != State::kSending) {
     return;
   }
+  if (IsServerBusy(environment_.loop.Now())) {
+    RestartSilenceTimer(kBusyServerExtension);
+    return;
+  }
   // The connection is closed, by which the server stops its work.
   environment_.upstream.Cancel(std::exchange(call_, 0));
   FinishSend(SendEnd::kSilent, environment_.loop.Now());
 }
 
+bool RelayCall::IsServerBusy(Time now) const {
+  if (!IsGeneration() || has_head_) {
+    return false;
+  }
+  const EngineView* view =
+      environment_.fleet.links().View(placement_.server.id, now);
+  return view != nullptr && view->reachable &&
+         IsBusyRatherThanSilent(view->running);
+}
+
 void RelayCall::OnDeadline() {
   deadline_timer_ = 0;
   const Time now = environment_.loop.Now();
@@ -474,7 +498,8 @@
   response.headers = {{"Content-Type", "application/json"}};
   if (outcome == RelayOutcome::kRefused) {
     response.headers.push_back(
-        {"Retry-After", FormatSeconds(RetryAfter(deadline_ - now))});
+        {"Retry-After",
+         FormatSeconds(RetryAfter(expected_delay_, deadline_ - now))});
   }
   const bool not_run = outcome == RelayOutcome::kRefused;
   response.body = std::string(R"({"error":{"code":")") +
@@ -497,6 +522,8 @@
        {"adapter", facts_.adapter},
        {"place", std::string(PlaceName(placement_.place))},
        {"candidates", std::to_string(placement_.candidates)},
+       {"expected_ms",
+        std::to_string(static_cast<int>(placement_.expected_delay_ms))},
        {"outcome", std::string(RelayOutcomeName(outcome))},
        {"status", std::to_string(status)},
        {"may_have_run", std::to_string(progress_.may_have_run)},
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -90,6 +90,7 @@
   void EndActivity();
   void RecordHealth(SendEnd end, Time now);
   void OnSilence();
+  bool IsServerBusy(Time now) const;
   void RestartSilenceTimer(std::optional<Duration> limit);
   void OnDeadline();
   void OnCallerGone();
@@ -116,6 +117,7 @@
   RelayProgress progress_;
   std::set<std::string> tried_;
   Placement placement_;
+  Duration expected_delay_ = Duration::zero();
   std::optional<std::int64_t> sent_version_;
 
   UpstreamCallId call_ = 0;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -44,7 +44,7 @@
 
 // Changes of the backend list are gathered for this long; heartbeats change
 // entries all the time, and each call to the store has a price.
-constexpr Duration kBackendPause = milliseconds(500);
+constexpr Duration kBackendPause = milliseconds(1000);
 constexpr Duration kOperatorPause = milliseconds(100);
 
 std::string_view ChangeName(BackendDirectory::Change::Kind kind) {
@@ -275,7 +275,8 @@
   response.status = status;
   response.headers = {{"Content-Type", "application/json"}};
   if (status == kServiceUnavailable) {
-    response.headers.push_back({"Retry-After", "0.3"});
+    // Callers honour it up to a third of the time that they have.
+    response.headers.push_back({"Retry-After", "1"});
   }
   response.body = R"({"error":{"code":")" + std::string(reason) +
                   R"(","outcome":"not_run"}})";
