agent_link, agent: loads for requests that can still be on time come first

Requests now rank by priority and by whether a load still lets them be on time; a caller's retry, told by its shorter deadline, ranks behind. Agents tell how long a load would take, which places requests and refuses what is hopeless.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -52,7 +52,7 @@
   AdapterState target;  // The version is the least that serves.
   int waiting = 0;
   int running = 0;
-  int priority = 0;    // Of the most urgent waiting request; 0 is first.
+  int rank = 0;        // Of the first waiting request; 0 is first.
   Time waiting_since;  // Of the oldest waiting request.
 };
 
@@ -88,12 +88,12 @@
 
 // The next order to an engine, if any.
 //
-// Adapters with waiting requests are loaded: the most urgent first, then those
-// with the most requests, because the weight store limits the number of loads,
-// then the longest waiting. If all places are taken, the adapter that was used
-// least recently makes room; adapters that requests use or wait for never do.
-// Places that are being vacated are waited for before another is.
-// An engine without a base model gets the first model that is wanted and fits.
+// Adapters with waiting requests are loaded by rank, then by the number of
+// requests, because the weight store limits the number of loads, then by age.
+// If all places are taken, the adapter that was used least recently makes room;
+// adapters that requests use or wait for never do. Places that are being
+// vacated are waited for before another is. An engine without a base model gets
+// the first model that is wanted and fits.
 std::optional<AdapterOrder> NextOrder(const EngineReport& report,
                                       const EngineRoom& room,
                                       std::span<const AgentModel> models,
@@ -102,6 +102,12 @@
                                       const Unloading& unloading,
                                       int loads_allowed = kMaxLoadsUnderWay);
 
+// The time until a load that is wanted now for a request that can be on time
+// would end, in milliseconds. `load_ms` is the time of one load.
+double LoadWaitMs(const EngineReport& report,
+                  std::span<const WantedAdapter> wanted,
+                  double load_ms);
+
 // Adapters that need a place and have none yet.
 int NeededPlaces(const EngineReport& report,
                  std::span<const WantedAdapter> wanted);
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -34,11 +34,21 @@
   int queued = 0;
   int free_places = 0;
   int routers = 0;
-  int loads_waiting = 0;
-  int load_ms = 0;
+  int load_wait_ms = 0;
   bool reachable = true;
 };
 
+// A request that waits for an adapter.
+struct WaitingRequest {
+  int priority = 0;   // 0 is the most urgent.
+  Time useful_until;  // A load that begins later makes the request late.
+
+  bool operator==(const WaitingRequest&) const = default;
+};
+
+// The rank of a request among those that wait; 0 is first. Thread-safe.
+int WaitingRank(const WaitingRequest& request, Time now);
+
 // An engine whose agent a router talks to.
 struct AgentEndpoint {
   std::string engine;  // Id of the engine.
@@ -81,13 +91,17 @@
   // The view of an engine, or null if there is none that is recent.
   const EngineView* View(std::string_view engine, Time now) const;
 
-  // Counts requests that wait for an adapter, or use it, at an engine.
+  // Counts requests that wait for an adapter, or use it, at an engine. Loads
+  // for requests that can still be on time come before those of the same
+  // priority that cannot.
   void AddWaiting(std::string_view engine,
                   const AdapterName& adapter,
                   std::int64_t version,
-                  int priority,
+                  const WaitingRequest& request,
                   Time now);
-  void RemoveWaiting(std::string_view engine, const AdapterName& adapter);
+  void RemoveWaiting(std::string_view engine,
+                     const AdapterName& adapter,
+                     const WaitingRequest& request);
   void AddRunning(std::string_view engine,
                   const AdapterName& adapter,
                   Time now);
@@ -104,10 +118,9 @@
 
  private:
   struct Use {
-    int waiting = 0;
+    std::vector<WaitingRequest> waiting;
     int running = 0;
     std::int64_t version = 0;
-    int priority = 0;
   };
   struct Link {
     AgentEndpoint endpoint;
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -32,10 +32,10 @@
   std::size_t affinity_rank = 0;
   int running = 0;  // As its agent says.
   int queued = 0;
-  int own_recent = 0;     // Sent from here since the agent's word.
-  int free_places = 1;    // For adapters.
-  int loads_waiting = 0;  // Adapters that are loaded before another one.
-  int load_ms = 0;        // Mean time of a load at present.
+  int own_recent = 0;   // Sent from here since the agent's word.
+  int free_places = 1;  // For adapters.
+  // Until a load that is wanted now would end.
+  double load_wait_ms = 250;
   int batch_size = 1;
 };
 
--- a/include/amaranthcove/relay/relay_policy.h
+++ b/include/amaranthcove/relay/relay_policy.h
@@ -65,6 +65,17 @@
                      const RelayProgress& progress,
                      Duration expected_delay);
 
+// Until when a load that begins for a request still lets it be on time.
+// `started` is its arrival, `patience` what its caller grants it. A caller that
+// grants less than the route's timeout has waited before, with another router.
+Time UsefulUntil(const Route& route,
+                 std::optional<Duration> patience,
+                 Time started);
+
+// Whether a request that has waited so long for its adapter should be refused:
+// its caller would soon leave, and may come back instead.
+bool HasWaitedTooLong(Duration waited);
+
 // Whether a server that has not begun to answer within `FirstByteLimit` is
 // merely busy: requests at it wait for each other, and sending one elsewhere
 // would only add work. `running` is the number of requests in its batch.
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -83,7 +83,7 @@
     wanted.target = {use.model, use.adapter, use.version};
     wanted.waiting = use.waiting;
     wanted.running = use.running;
-    wanted.priority = use.priority;
+    wanted.rank = use.rank;
     demand.uses.push_back(std::move(wanted));
   }
   return demand;
@@ -382,12 +382,20 @@
   }
   const platform::OrderAnswer answer =
       platform::DecodeOrderStatus(response->status);
-  log_.Write(LogLevel::kInfo, "order",
-             {{"action", std::string(ActionName(order.action))},
-              {"model", order.target.model},
-              {"adapter", order.target.adapter},
-              {"version", std::to_string(order.target.version)},
-              {"answer", std::string(AnswerName(answer))}});
+  log_.Write(
+      LogLevel::kInfo, "order",
+      {{"action", std::string(ActionName(order.action))},
+       {"resident", std::to_string(report_->resident.size())},
+       {"loading", std::to_string(report_->loading.size())},
+       {"needed", std::to_string(NeededPlaces(*report_, demands_.Wanted()))},
+       {"free", std::to_string(
+                    FreePlaces(*report_, demands_.room(), demands_.Wanted()))},
+       {"running", std::to_string(report_->running)},
+       {"load_ms", std::to_string(static_cast<int>(load_ms_))},
+       {"model", order.target.model},
+       {"adapter", order.target.adapter},
+       {"version", std::to_string(order.target.version)},
+       {"answer", std::string(AnswerName(answer))}});
   if (answer == platform::OrderAnswer::kFenced) {
     fencing_token_ += kFencingTokenStep;
     no_orders_until_ = loop_.Now() + kFencedPause;
@@ -436,8 +444,8 @@
     status.queued = report_->queued;
     status.free_places =
         FreePlaces(*report_, demands_.room(), demands_.Wanted());
-    status.loads_waiting = NeededPlaces(*report_, demands_.Wanted());
-    status.load_ms = static_cast<std::int32_t>(load_ms_);
+    status.load_wait_ms = static_cast<std::int32_t>(
+        LoadWaitMs(*report_, demands_.Wanted(), load_ms_));
     status.kv_free_tokens = report_->kv_total_tokens - report_->kv_used_tokens;
   }
   agent_wire::AgentDatagram datagram;
--- a/src/adapter_agent/adapter_plan.cc
+++ b/src/adapter_agent/adapter_plan.cc
@@ -77,7 +77,7 @@
 
 // Loads with lower ranks come first.
 std::tuple<int, int, Time> LoadRank(const WantedAdapter& item) {
-  return {item.priority, -item.waiting, item.waiting_since};
+  return {item.rank, -item.waiting, item.waiting_since};
 }
 
 const AdapterState* LeastRecentlyUsed(const EngineReport& report,
@@ -117,6 +117,20 @@
                     1, kMaxLoadsUnderWay);
 }
 
+double LoadWaitMs(const EngineReport& report,
+                  std::span<const WantedAdapter> wanted,
+                  double load_ms) {
+  const auto ahead = std::count_if(
+      wanted.begin(), wanted.end(), [&report](const WantedAdapter& item) {
+        return item.rank == 0 && NeedsLoad(report, item);
+      });
+  const int allowed = LoadsAllowed(load_ms);
+  const auto under_way = static_cast<std::ptrdiff_t>(report.loading.size());
+  const auto queue =
+      std::max<std::ptrdiff_t>(ahead + under_way - allowed + 1, 0);
+  return load_ms * (1.0 + static_cast<double>(queue) / allowed);
+}
+
 int NeededPlaces(const EngineReport& report,
                  std::span<const WantedAdapter> wanted) {
   return static_cast<int>(std::count_if(wanted.begin(), wanted.end(),
--- a/src/adapter_agent/adapter_plan_test.cc
+++ b/src/adapter_agent/adapter_plan_test.cc
@@ -96,7 +96,7 @@
   const EngineReport report = MakeReport({});
   std::array wanted = {MakeWanted("patient", 5, 0), MakeWanted("young", 1, 0),
                        MakeWanted("old", 1, 0)};
-  wanted[0].priority = 2;
+  wanted[0].rank = 4;
   wanted[1].waiting_since = kStart + milliseconds(5);
   CHECK("old" == Next(report, wanted)->target.adapter);
 }
@@ -125,6 +125,22 @@
              .has_value());
 }
 
+// Guards against routers that see no queue of loads, or count loads in it that
+// would let theirs pass.
+TEST(AdapterPlan, LoadWaitCountsTheLoadsAhead) {
+  EngineReport report = MakeReport({});
+  DOUBLES_EQUAL(250, LoadWaitMs(report, {}, 250), 1);
+  report.loading = {
+      {"base", "w", 1}, {"base", "x", 1}, {"base", "y", 1}, {"base", "z", 1}};
+  std::array wanted = {MakeWanted("a", 1, 0), MakeWanted("b", 1, 0),
+                       MakeWanted("c", 1, 0), MakeWanted("d", 1, 0)};
+  DOUBLES_EQUAL(250 * (1 + 5 / 4.0), LoadWaitMs(report, wanted, 250), 1);
+  for (WantedAdapter& late : wanted) {
+    late.rank = 1;
+  }
+  DOUBLES_EQUAL(250 * (1 + 1 / 4.0), LoadWaitMs(report, wanted, 250), 1);
+}
+
 // Guards against requests for a new version that wait for ever because an older
 // one is resident, and against needless orders when a newer one is.
 TEST(AdapterPlan, ReplacesOlderVersions) {
@@ -183,14 +199,14 @@
 TEST(DemandTable, SumsTheRouters) {
   WantedAdapter urgent = MakeWanted("a", 2, 0, 3);
   WantedAdapter patient = MakeWanted("a", 1, 4);
-  patient.priority = 2;
+  patient.rank = 4;
   table_.Put(router_a_, MakeDemand(1, patient), kStart);
   table_.Put(router_b_, MakeDemand(1, urgent), kStart + seconds(1));
   const auto wanted = table_.Wanted();
   CHECK_EQUAL(1, static_cast<int>(wanted.size()));
   CHECK_EQUAL(3, wanted[0].waiting);
   CHECK_EQUAL(4, wanted[0].running);
-  CHECK_EQUAL(0, wanted[0].priority);
+  CHECK_EQUAL(0, wanted[0].rank);
   CHECK_EQUAL(3, static_cast<int>(wanted[0].target.version));
   CHECK(wanted[0].waiting_since == kStart);
 }
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -62,8 +62,7 @@
       }
       WantedAdapter& sum = item->second;
       if (use.waiting > 0) {
-        sum.priority = sum.waiting > 0 ? std::min(sum.priority, use.priority)
-                                       : use.priority;
+        sum.rank = sum.waiting > 0 ? std::min(sum.rank, use.rank) : use.rank;
         sum.waiting_since = sum.waiting > 0
                                 ? std::min(sum.waiting_since, use.waiting_since)
                                 : use.waiting_since;
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -9,7 +9,7 @@
   3: i64 version       // The least version that serves; 0 means any.
   4: i32 waiting       // Requests that wait for the adapter.
   5: i32 running       // Requests that use it at the engine now.
-  6: i32 priority      // Of the most urgent waiting request; 0 is first.
+  6: i32 rank          // Of the first waiting request; 0 is first.
 }
 
 struct BaseModel {
@@ -48,8 +48,7 @@
   10: i64 incarnation    // Of the agent.
   11: bool reachable     // Whether the engine answers its agent.
   12: i64 started_at_ms  // Of the engine, as it says itself.
-  13: i32 loads_waiting  // Adapters that are wanted and not yet ordered.
-  14: i32 load_ms        // Mean time of the last loads.
+  13: i32 load_wait_ms   // Until a load that is ordered now would end.
 }
 
 struct AgentDatagram {
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -13,6 +13,7 @@
 const Time kStart = Time(std::chrono::hours(1));
 const Address kAgent = {"10.0.0.9", 7000};
 const AdapterName kSilk = {"base", "silk"};
+const WaitingRequest kRequest = {0, kStart + milliseconds(350)};
 
 std::string EncodeStatus(std::int64_t sequence,
                          std::int64_t incarnation,
@@ -53,7 +54,7 @@
 // Guards against a lost datagram that leaves a request waiting: the demand is
 // sent at once and repeated while a request waits.
 TEST(AgentLinks, RepeatsTheDemandOfWaitingRequests) {
-  links_.AddWaiting("e1", kSilk, 3, 0, kStart);
+  links_.AddWaiting("e1", kSilk, 3, kRequest, kStart);
   links_.Tick(kStart);
   CHECK_EQUAL(1, static_cast<int>(sent_.size()));
   CHECK("silk" == sent_[0].uses[0].adapter);
@@ -64,11 +65,26 @@
   CHECK(sent_[1].sequence > sent_[0].sequence);
 }
 
+// Guards against loads for requests that are late anyway before loads for those
+// that can still be on time (more cold adapters than the weight store gives).
+TEST(AgentLinks, LateRequestsRankBehindThoseOfTheirPriority) {
+  links_.AddWaiting("e1", kSilk, 0, kRequest, kStart);
+  links_.Tick(kStart);
+  CHECK_EQUAL(0, sent_[0].uses[0].rank);
+  links_.Tick(kStart + milliseconds(400));
+  CHECK_EQUAL(1, sent_[1].uses[0].rank);
+  const Time later = kStart + milliseconds(410);
+  links_.AddWaiting("e1", kSilk, 0, {0, later + milliseconds(350)}, later);
+  links_.Tick(later);
+  CHECK_EQUAL(0, sent_[2].uses[0].rank);
+  CHECK(WaitingRank({0, kStart}, later) < WaitingRank({1, later}, kStart));
+}
+
 // Guards against demands that are never withdrawn, which would keep an adapter
 // in its place for ever.
 TEST(AgentLinks, WithdrawsEndedUses) {
-  links_.AddWaiting("e1", kSilk, 0, 0, kStart);
-  links_.RemoveWaiting("e1", kSilk);
+  links_.AddWaiting("e1", kSilk, 0, kRequest, kStart);
+  links_.RemoveWaiting("e1", kSilk, kRequest);
   links_.AddRunning("e1", kSilk, kStart);
   links_.RemoveRunning("e1", kSilk);
   links_.Tick(kStart + milliseconds(10));
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -1,6 +1,8 @@
 #include "amaranthcove/agent_link/agent_links.h"
 
 #include <algorithm>
+#include <limits>
+#include <span>
 #include <utility>
 
 namespace amaranthcove {
@@ -39,14 +41,25 @@
   view.queued = status.queued;
   view.free_places = status.free_places;
   view.routers = status.routers;
-  view.loads_waiting = status.loads_waiting;
-  view.load_ms = status.load_ms;
+  view.load_wait_ms = status.load_wait_ms;
   view.reachable = status.reachable;
   return view;
 }
 
+int FirstRank(std::span<const WaitingRequest> waiting, Time now) {
+  int first = std::numeric_limits<int>::max();
+  for (const WaitingRequest& request : waiting) {
+    first = std::min(first, WaitingRank(request, now));
+  }
+  return first;
+}
+
 }  // namespace
 
+int WaitingRank(const WaitingRequest& request, Time now) {
+  return 2 * request.priority + (now < request.useful_until ? 0 : 1);
+}
+
 void AgentLinks::SetEndpoints(std::vector<AgentEndpoint> endpoints) {
   std::map<std::string, Link, std::less<>> links;
   for (AgentEndpoint& endpoint : endpoints) {
@@ -107,29 +120,30 @@
 void AgentLinks::AddWaiting(std::string_view engine,
                             const AdapterName& adapter,
                             std::int64_t version,
-                            int priority,
+                            const WaitingRequest& request,
                             Time now) {
   Link* link = Find(engine);
   if (link == nullptr) {
     return;
   }
   Use& use = link->uses[adapter];
-  use.priority = use.waiting == 0 ? priority : std::min(use.priority, priority);
   use.version = std::max(use.version, version);
-  ++use.waiting;
+  use.waiting.push_back(request);
   ++link->waiting;
   link->next_send = now;
 }
 
 void AgentLinks::RemoveWaiting(std::string_view engine,
-                               const AdapterName& adapter) {
+                               const AdapterName& adapter,
+                               const WaitingRequest& request) {
   Link* link = Find(engine);
   if (link == nullptr || !link->uses.contains(adapter)) {
     return;
   }
-  Use& use = link->uses[adapter];
-  if (use.waiting > 0) {
-    --use.waiting;
+  std::vector<WaitingRequest>& waiting = link->uses[adapter].waiting;
+  const auto found = std::find(waiting.begin(), waiting.end(), request);
+  if (found != waiting.end()) {
+    waiting.erase(found);
     --link->waiting;
   }
 }
@@ -180,16 +194,16 @@
     item.model = adapter.first;
     item.adapter = adapter.second;
     item.version = use.version;
-    item.waiting = use.waiting;
+    item.waiting = static_cast<std::int32_t>(use.waiting.size());
     item.running = use.running;
-    item.priority = use.priority;
+    item.rank = FirstRank(use.waiting, now);
     demand.uses.push_back(std::move(item));
   }
   datagram.__set_demand(demand);
   send_(link.endpoint.agent, EncodeDatagram(datagram));
   // Uses that began and ended since the last datagram have been told now.
   std::erase_if(link.uses, [](const auto& item) {
-    return item.second.waiting == 0 && item.second.running == 0;
+    return item.second.waiting.empty() && item.second.running == 0;
   });
   link.next_send = now + (link.waiting > 0     ? kRepeatWhileWaiting
                           : !link.uses.empty() ? kRepeatWhileRunning
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -38,8 +38,8 @@
   this->running = val;
 }
 
-void AdapterUse::__set_priority(const int32_t val) {
-  this->priority = val;
+void AdapterUse::__set_rank(const int32_t val) {
+  this->rank = val;
 }
 std::ostream& operator<<(std::ostream& out, const AdapterUse& obj)
 {
@@ -111,8 +111,8 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->priority);
-          this->__isset.priority = true;
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -154,8 +154,8 @@
   xfer += oprot->writeI32(this->running);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->rank);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -170,7 +170,7 @@
   swap(a.version, b.version);
   swap(a.waiting, b.waiting);
   swap(a.running, b.running);
-  swap(a.priority, b.priority);
+  swap(a.rank, b.rank);
   swap(a.__isset, b.__isset);
 }
 
@@ -180,7 +180,7 @@
   version = other0.version;
   waiting = other0.waiting;
   running = other0.running;
-  priority = other0.priority;
+  rank = other0.rank;
   __isset = other0.__isset;
 }
 AdapterUse& AdapterUse::operator=(const AdapterUse& other1) {
@@ -189,7 +189,7 @@
   version = other1.version;
   waiting = other1.waiting;
   running = other1.running;
-  priority = other1.priority;
+  rank = other1.rank;
   __isset = other1.__isset;
   return *this;
 }
@@ -201,7 +201,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "running=" << to_string(running);
-  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "rank=" << to_string(rank);
   out << ")";
 }
 
@@ -754,12 +754,8 @@
   this->started_at_ms = val;
 }
 
-void EngineStatus::__set_loads_waiting(const int32_t val) {
-  this->loads_waiting = val;
-}
-
-void EngineStatus::__set_load_ms(const int32_t val) {
-  this->load_ms = val;
+void EngineStatus::__set_load_wait_ms(const int32_t val) {
+  this->load_wait_ms = val;
 }
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
 {
@@ -923,16 +919,8 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->loads_waiting);
-          this->__isset.loads_waiting = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->load_ms);
-          this->__isset.load_ms = true;
+          xfer += iprot->readI32(this->load_wait_ms);
+          this->__isset.load_wait_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1026,12 +1014,8 @@
   xfer += oprot->writeI64(this->started_at_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("loads_waiting", ::apache::thrift::protocol::T_I32, 13);
-  xfer += oprot->writeI32(this->loads_waiting);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("load_ms", ::apache::thrift::protocol::T_I32, 14);
-  xfer += oprot->writeI32(this->load_ms);
+  xfer += oprot->writeFieldBegin("load_wait_ms", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->load_wait_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1053,8 +1037,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.reachable, b.reachable);
   swap(a.started_at_ms, b.started_at_ms);
-  swap(a.loads_waiting, b.loads_waiting);
-  swap(a.load_ms, b.load_ms);
+  swap(a.load_wait_ms, b.load_wait_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1071,8 +1054,7 @@
   incarnation = other38.incarnation;
   reachable = other38.reachable;
   started_at_ms = other38.started_at_ms;
-  loads_waiting = other38.loads_waiting;
-  load_ms = other38.load_ms;
+  load_wait_ms = other38.load_wait_ms;
   __isset = other38.__isset;
 }
 EngineStatus& EngineStatus::operator=(const EngineStatus& other39) {
@@ -1088,8 +1070,7 @@
   incarnation = other39.incarnation;
   reachable = other39.reachable;
   started_at_ms = other39.started_at_ms;
-  loads_waiting = other39.loads_waiting;
-  load_ms = other39.load_ms;
+  load_wait_ms = other39.load_wait_ms;
   __isset = other39.__isset;
   return *this;
 }
@@ -1108,8 +1089,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "started_at_ms=" << to_string(started_at_ms);
-  out << ", " << "loads_waiting=" << to_string(loads_waiting);
-  out << ", " << "load_ms=" << to_string(load_ms);
+  out << ", " << "load_wait_ms=" << to_string(load_wait_ms);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -34,13 +34,13 @@
 class AgentDatagram;
 
 typedef struct _AdapterUse__isset {
-  _AdapterUse__isset() : model(false), adapter(false), version(false), waiting(false), running(false), priority(false) {}
+  _AdapterUse__isset() : model(false), adapter(false), version(false), waiting(false), running(false), rank(false) {}
   bool model :1;
   bool adapter :1;
   bool version :1;
   bool waiting :1;
   bool running :1;
-  bool priority :1;
+  bool rank :1;
 } _AdapterUse__isset;
 
 class AdapterUse : public virtual ::apache::thrift::TBase {
@@ -54,7 +54,7 @@
                version(0),
                waiting(0),
                running(0),
-               priority(0) {
+               rank(0) {
   }
 
   virtual ~AdapterUse() noexcept;
@@ -63,7 +63,7 @@
   int64_t version;
   int32_t waiting;
   int32_t running;
-  int32_t priority;
+  int32_t rank;
 
   _AdapterUse__isset __isset;
 
@@ -77,7 +77,7 @@
 
   void __set_running(const int32_t val);
 
-  void __set_priority(const int32_t val);
+  void __set_rank(const int32_t val);
 
   bool operator == (const AdapterUse & rhs) const
   {
@@ -91,7 +91,7 @@
       return false;
     if (!(running == rhs.running))
       return false;
-    if (!(priority == rhs.priority))
+    if (!(rank == rhs.rank))
       return false;
     return true;
   }
@@ -302,7 +302,7 @@
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), loads_waiting(false), load_ms(false) {}
+  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), load_wait_ms(false) {}
   bool sequence :1;
   bool models :1;
   bool resident :1;
@@ -315,8 +315,7 @@
   bool incarnation :1;
   bool reachable :1;
   bool started_at_ms :1;
-  bool loads_waiting :1;
-  bool load_ms :1;
+  bool load_wait_ms :1;
 } _EngineStatus__isset;
 
 class EngineStatus : public virtual ::apache::thrift::TBase {
@@ -334,8 +333,7 @@
                  incarnation(0),
                  reachable(0),
                  started_at_ms(0),
-                 loads_waiting(0),
-                 load_ms(0) {
+                 load_wait_ms(0) {
   }
 
   virtual ~EngineStatus() noexcept;
@@ -351,8 +349,7 @@
   int64_t incarnation;
   bool reachable;
   int64_t started_at_ms;
-  int32_t loads_waiting;
-  int32_t load_ms;
+  int32_t load_wait_ms;
 
   _EngineStatus__isset __isset;
 
@@ -380,9 +377,7 @@
 
   void __set_started_at_ms(const int64_t val);
 
-  void __set_loads_waiting(const int32_t val);
-
-  void __set_load_ms(const int32_t val);
+  void __set_load_wait_ms(const int32_t val);
 
   bool operator == (const EngineStatus & rhs) const
   {
@@ -410,9 +405,7 @@
       return false;
     if (!(started_at_ms == rhs.started_at_ms))
       return false;
-    if (!(loads_waiting == rhs.loads_waiting))
-      return false;
-    if (!(load_ms == rhs.load_ms))
+    if (!(load_wait_ms == rhs.load_wait_ms))
       return false;
     return true;
   }
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -17,10 +17,10 @@
 // first engines in the order of preference are likely to.
 constexpr double kPreferredLoadMs = 50;
 constexpr double kSecondLoadMs = 200;
-constexpr double kColdLoadMs = 400;
+constexpr double kColdLoadMs = 350;
 constexpr double kUnknownMs = 600;
-// Loads that an engine has under way at a time.
-constexpr double kLoadsAtATime = 4;
+// A load from the weight store without others.
+constexpr double kUnslowedLoadMs = 250;
 // Loading a base model takes seconds.
 constexpr double kNoModelMs = 2000;
 // All adapter places are in use, so a load waits for a request to end.
@@ -51,8 +51,8 @@
   } else if (candidate.affinity_rank == 1) {
     load_ms = kSecondLoadMs;
   }
-  const double queue_ms = static_cast<double>(candidate.loads_waiting) *
-                          candidate.load_ms / kLoadsAtATime;
+  const double queue_ms =
+      std::max(candidate.load_wait_ms - kUnslowedLoadMs, 0.0);
   return load_ms + queue_ms + (candidate.free_places > 0 ? 0 : kNoPlaceMs);
 }
 
--- a/src/backend_choice/backend_choice_test.cc
+++ b/src/backend_choice/backend_choice_test.cc
@@ -44,10 +44,13 @@
 
 // Guards against waiting for a place where all adapters are in use.
 TEST(ChooseEngine, AvoidsEnginesWithoutAFreePlace) {
-  std::array engines = {MakeEngine(AdapterPlace::kAbsent, 5, 0),
-                        MakeEngine(AdapterPlace::kAbsent, 5, 1)};
+  std::array engines = {MakeEngine(AdapterPlace::kAbsent, 5, 2),
+                        MakeEngine(AdapterPlace::kAbsent, 5, 3)};
   engines[0].free_places = 0;
   CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+  // The preferred engine is likely to hold the adapter in its memory.
+  engines[0].affinity_rank = 0;
+  CHECK_EQUAL(0, static_cast<int>(*ChooseEngine(engines)));
 }
 
 // Guards against refusing while a failing engine is the only one left, and
--- a/src/relay/relay_policy.cc
+++ b/src/relay/relay_policy.cc
@@ -30,6 +30,12 @@
 constexpr int kRefusedDelayFactor = 2;
 constexpr Duration kMinRefusedDelay = milliseconds(1000);
 
+// A load from the weight store, and the way to the first token after it.
+constexpr Duration kLoadAndFirstToken = milliseconds(330);
+
+// Callers leave a stream that does not begin for some three seconds.
+constexpr Duration kMaxAdapterWait = milliseconds(2200);
+
 // A batch of this many requests may need seconds to read their prompts.
 constexpr int kBusyBatch = 20;
 
@@ -109,6 +115,18 @@
                                    kMinRefusedDelay);
 }
 
+Time UsefulUntil(const Route& route,
+                 std::optional<Duration> patience,
+                 Time started) {
+  const Duration spent = std::max(
+      route.timeout - patience.value_or(route.timeout), Duration::zero());
+  return started + route.target_latency - spent - kLoadAndFirstToken;
+}
+
+bool HasWaitedTooLong(Duration waited) {
+  return waited >= kMaxAdapterWait;
+}
+
 bool IsBusyRatherThanSilent(int running) {
   return running >= kBusyBatch;
 }
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -123,6 +123,20 @@
   CHECK(!IsRefusedAtOnce(route, progress, milliseconds(2000)));
 }
 
+// Guards against a retry that takes the place of a request which can still be
+// on time: a shorter patience than the route's tells that its time is over.
+TEST(RelayPolicy, RetriesAreNotMadeUsefulAgain) {
+  Route route;
+  route.timeout = milliseconds(5000);
+  route.target_latency = milliseconds(600);
+  const Time start = Time(std::chrono::hours(1));
+  CHECK(UsefulUntil(route, milliseconds(5000), start) > start);
+  CHECK(UsefulUntil(route, std::nullopt, start) > start);
+  CHECK(UsefulUntil(route, milliseconds(3800), start) < start);
+  CHECK(HasWaitedTooLong(milliseconds(2500)));
+  CHECK(!HasWaitedTooLong(milliseconds(1000)));
+}
+
 // Guards against callers who use their only retry before it can succeed, and
 // against a wait that is longer than callers grant.
 TEST(RelayPolicy, RetryAfterFollowsTheExpectedDelay) {
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -128,8 +128,7 @@
   candidate.running = view->running;
   candidate.queued = view->queued;
   candidate.free_places = view->free_places;
-  candidate.loads_waiting = view->loads_waiting;
-  candidate.load_ms = view->load_ms;
+  candidate.load_wait_ms = view->load_wait_ms;
   candidate.own_recent = OwnRecentSends(server.id, view->received);
   return candidate;
 }
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -124,6 +124,8 @@
   const Duration limit =
       std::min(route_.timeout, facts_.patience.value_or(route_.timeout));
   deadline_ = now + limit;
+  waiting_request_ = {route_.priority,
+                      UsefulUntil(route_, facts_.patience, now)};
   service_ = PickService(route_.services, Hash64(facts_.attempt_id));
   environment_.fleet.AddRequest(service_, now);
   responder_->OnCallerGone([this] { OnCallerGone(); });
@@ -169,7 +171,7 @@
   const AdapterName adapter(facts_.model, facts_.adapter);
   Fleet& fleet = environment_.fleet;
   fleet.links().AddWaiting(placement_.server.id, adapter,
-                           fleet.LeastVersion(adapter), route_.priority, now);
+                           fleet.LeastVersion(adapter), waiting_request_, now);
   environment_.demand_changed();
   const Duration limit = placement_.place == AdapterPlace::kUnknown
                              ? kWaitForSilentAgent
@@ -187,8 +189,8 @@
   state_ = State::kNew;
   waited_ += environment_.loop.Now() - wait_started_;
   environment_.loop.Cancel(std::exchange(wait_timer_, 0));
-  environment_.fleet.links().RemoveWaiting(placement_.server.id,
-                                           {facts_.model, facts_.adapter});
+  environment_.fleet.links().RemoveWaiting(
+      placement_.server.id, {facts_.model, facts_.adapter}, waiting_request_);
 }
 
 void RelayCall::OnWaitTooLong(Time now) {
@@ -201,6 +203,10 @@
     Send(std::nullopt, now);
     return;
   }
+  if (HasWaitedTooLong(waited_) && progress_.may_have_run == 0) {
+    TakeStep(RelayStep::kRefuse, now);
+    return;
+  }
   Place(now);
 }
 
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -116,6 +116,7 @@
   Duration waited_ = Duration::zero();
   RelayProgress progress_;
   std::set<std::string> tried_;
+  WaitingRequest waiting_request_;
   Placement placement_;
   Duration expected_delay_ = Duration::zero();
   std::optional<std::int64_t> sent_version_;
