--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -29,6 +29,10 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
+// A router that has just started knows its configuration within some 20 ms;
+// callers whose requests wait for it are spared a retry.
+constexpr Duration kMaxHoldUntilConfigured = milliseconds(300);
+
 // How often demands, graces and stops are looked at.
 constexpr Duration kTickInterval = milliseconds(50);
 
@@ -123,6 +127,17 @@
 
   Status Listen();
   void OnRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder);
+  // Whether configuration and backend servers are known.
+  bool KnowsFleet() const { return fleet_.has_config() && has_backends_; }
+  void HoldUntilConfigured(HttpRequest request,
+                           std::unique_ptr<HttpResponder> responder,
+                           Time now);
+  void ReleaseHeld();
+  void RefuseHeld(Time now);
+  void Relay(HttpRequest request,
+             RequestFacts facts,
+             std::unique_ptr<HttpResponder> responder,
+             Time now);
   void Refuse(const RequestFacts& facts,
               int status,
               std::string_view reason,
@@ -157,7 +172,15 @@
   StoreFeed operator_feed_;
   bool has_backends_ = false;
 
+  // A request that arrived before the first configuration.
+  struct HeldRequest {
+    HttpRequest request;
+    std::unique_ptr<HttpResponder> responder;
+    Time arrived;
+  };
+
   std::uint64_t next_call_ = 1;
+  std::map<std::uint64_t, HeldRequest> held_;
   std::map<std::uint64_t, std::unique_ptr<RelayCall>> calls_;
   std::vector<std::uint64_t> done_calls_;
 
@@ -224,7 +247,7 @@
 }
 
 bool RouterImpl::ready() const {
-  return !leaving_ && fleet_.has_config() && has_backends_;
+  return !leaving_ && KnowsFleet();
 }
 
 void RouterImpl::OnReadinessRequest(const HttpRequest& request,
@@ -243,10 +266,47 @@
   const Time now = loop_.Now();
   log_.SetNow(now);
   RequestFacts facts = platform::DecodeRequest(request);
-  if (!fleet_.has_config() || !has_backends_) {
-    Refuse(facts, kServiceUnavailable, "no_configuration", *responder);
+  if (!KnowsFleet()) {
+    HoldUntilConfigured(std::move(request), std::move(responder), now);
+    return;
+  }
+  Relay(std::move(request), std::move(facts), std::move(responder), now);
+}
+
+void RouterImpl::HoldUntilConfigured(HttpRequest request,
+                                     std::unique_ptr<HttpResponder> responder,
+                                     Time now) {
+  const std::uint64_t id = next_call_++;
+  responder->OnCallerGone([this, id] { held_.erase(id); });
+  held_.emplace(id, HeldRequest{std::move(request), std::move(responder), now});
+}
+
+void RouterImpl::ReleaseHeld() {
+  if (!KnowsFleet()) {
     return;
   }
+  for (auto& [id, held] : std::exchange(held_, {})) {
+    RequestFacts facts = platform::DecodeRequest(held.request);
+    Relay(std::move(held.request), std::move(facts), std::move(held.responder),
+          held.arrived);
+  }
+}
+
+void RouterImpl::RefuseHeld(Time now) {
+  // Ids grow, so the oldest come first.
+  while (!held_.empty() &&
+         now - held_.begin()->second.arrived >= kMaxHoldUntilConfigured) {
+    const HeldRequest held = std::move(held_.begin()->second);
+    held_.erase(held_.begin());
+    Refuse(platform::DecodeRequest(held.request), kServiceUnavailable,
+           "no_configuration", *held.responder);
+  }
+}
+
+void RouterImpl::Relay(HttpRequest request,
+                       RequestFacts facts,
+                       std::unique_ptr<HttpResponder> responder,
+                       Time now) {
   const Route* route = fleet_.table().Find(facts.host, request.path);
   if (route == nullptr) {
     Refuse(facts, kNotFound, "no_route", *responder);
@@ -313,6 +373,7 @@
   has_backends_ = true;
   ApplyDirectoryChanges(
       fleet_.directory().ReplaceAll(std::move(servers), loop_.Now()));
+  ReleaseHeld();
 }
 
 void RouterImpl::OnBackendChanges(
@@ -395,6 +456,7 @@
                {{"version", std::to_string(version)},
                 {"revision", std::to_string(item.revision)},
                 {"routes", std::to_string(routes)}});
+    ReleaseHeld();
   }
 }
 
@@ -444,6 +506,7 @@
   log_.SetNow(now);
   links_.Tick(now);
   ApplyDirectoryChanges(fleet_.directory().Expire(now));
+  RefuseHeld(now);
   tick_timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
   if (leaving_) {
     CheckStopped();
