--- /dev/null
+++ b/src/router/router_path_test.cc
@@ -0,0 +1,409 @@
+// The whole path of a router against a store, backend servers and callers in
+// one process.
+
+#include "amaranthcove/router/router.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthcove/net/http_client.h"
+#include "amaranthcove/net/http_server.h"
+#include "platform/testing/fake_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Bounds a test whose event never comes; it decides no verdict otherwise.
+constexpr Duration kGiveUp = std::chrono::seconds(20);
+
+constexpr std::string_view kHost = "desk.example";
+
+// A backend server whose answers the test chooses.
+class FakeBackend {
+ public:
+  using Answer = std::function<void(const HttpRequest&, HttpResponder&)>;
+
+  FakeBackend(EventLoop& loop, Answer answer)
+      : answer_(std::move(answer)),
+        server_(std::move(*HttpServer::Listen(
+            loop,
+            {"127.0.0.1", 0},
+            {},
+            [this](const HttpRequest& request,
+                   std::unique_ptr<HttpResponder> responder) {
+              requests.push_back(request);
+              responder->OnCallerGone([this] { ++cancelled; });
+              answer_(request, *responder);
+              open.push_back(std::move(responder));
+            }))) {}
+
+  Address address() const { return server_->local_address(); }
+
+  std::vector<HttpRequest> requests;
+  int cancelled = 0;
+  // Answers that are not ended stay open.
+  std::vector<std::unique_ptr<HttpResponder>> open;
+
+ private:
+  Answer answer_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+struct CallerAnswer {
+  std::optional<HttpCallEnd> end;
+  HttpResponse head;
+  std::string body;
+};
+
+Route MakeRoute(std::string prefix, CallKind kind, bool resumable = false) {
+  Route route;
+  route.name = prefix;
+  route.host = kHost;
+  route.path_prefix = std::move(prefix);
+  route.kind = kind;
+  route.resumable = resumable;
+  route.services = {{"desk", 1}};
+  route.max_attempts = 2;
+  route.timeout = std::chrono::seconds(15);
+  route.target_latency = std::chrono::seconds(5);
+  return route;
+}
+
+void SendOk(const HttpRequest& /*request*/, HttpResponder& responder) {
+  responder.Send({200, {}, "served"});
+}
+
+void Break(const HttpRequest& /*request*/, HttpResponder& responder) {
+  responder.Abort();
+}
+
+void RefuseNotRun(const HttpRequest& /*request*/, HttpResponder& responder) {
+  responder.Send({503, {{"Not-Executed", "1"}}, ""});
+}
+
+}  // namespace
+
+TEST_GROUP(RouterPath) {
+  EventLoop loop_;
+  MetricsRegistry metrics_{"r1", "router", "dc"};
+  std::unique_ptr<platform::FakeStore> store_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<Router> router_;
+  RouterSettings settings_;
+  std::vector<std::unique_ptr<FakeBackend>> backends_;
+
+  void setup() override {
+    store_ = std::make_unique<platform::FakeStore>(loop_);
+    client_ = HttpClient::Create(loop_);
+  }
+
+  void teardown() override {
+    router_.reset();
+    client_.reset();
+    backends_.clear();
+    store_.reset();
+    // Lets h2o close its connections.
+    for (int round = 0; round < 5; ++round) {
+      loop_.RunOnce(Duration::zero());
+    }
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const Time limit = SteadyNow() + kGiveUp;
+    while (!condition() && SteadyNow() < limit) {
+      loop_.RunOnce(milliseconds(10));
+    }
+    return condition();
+  }
+
+  // A free port: the settings name fixed ones.
+  Address FreeAddress() {
+    const auto server = HttpServer::Listen(
+        loop_, {"127.0.0.1", 0}, {},
+        [](const HttpRequest&, const std::unique_ptr<HttpResponder>&) {});
+    return (*server)->local_address();
+  }
+
+  void StartRouter() {
+    settings_.instance = "r1";
+    settings_.data_centre = "dc";
+    settings_.http_address = FreeAddress();
+    settings_.readiness_address = FreeAddress();
+    settings_.agent_address = {"127.0.0.1", 0};
+    settings_.agent_port = 1;
+    settings_.metadata_store = store_->address();
+    router_ = Router::Create(loop_, metrics_, settings_);
+    CHECK(router_->Start().has_value());
+  }
+
+  void PutConfig() {
+    RoutingConfig config;
+    config.version = 3;
+    config.routes = {MakeRoute("/orders/", CallKind::kNonIdempotent),
+                     MakeRoute("/stock/", CallKind::kIdempotent),
+                     MakeRoute("/advice/", CallKind::kStream, true),
+                     MakeRoute("/once/", CallKind::kStream, false)};
+    config.services["desk"].name = "desk";
+    store_->PutConfig(config);
+  }
+
+  BackendServer ServerOf(std::size_t index) const {
+    BackendServer server;
+    server.id = "s" + std::to_string(index);
+    server.service = "desk";
+    server.address = backends_[index]->address();
+    server.data_centre = "dc";
+    server.slots = 6;
+    server.started_at_ms = 1000;
+    return server;
+  }
+
+  FakeBackend& AddBackend(FakeBackend::Answer answer) {
+    backends_.push_back(
+        std::make_unique<FakeBackend>(loop_, std::move(answer)));
+    store_->PutBackend(ServerOf(backends_.size() - 1));
+    return *backends_.back();
+  }
+
+  void StartReady() {
+    PutConfig();
+    StartRouter();
+    CHECK(RunUntil([this] { return router_->ready(); }));
+  }
+
+  HttpCallId Call(std::string path, CallerAnswer & answer) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = std::move(path);
+    request.headers = {{"host", std::string(kHost)}, {"attempt-id", "a1"}};
+    request.body = "body";
+    HttpClient::Callbacks callbacks;
+    callbacks.on_head = [&answer](const HttpResponse& head) {
+      answer.head = head;
+    };
+    callbacks.on_data = [&answer](std::string_view data) {
+      answer.body += data;
+    };
+    callbacks.on_end = [&answer](HttpCallEnd end) { answer.end = end; };
+    return client_->Start(settings_.http_address, request,
+                          SteadyNow() + kGiveUp, std::move(callbacks));
+  }
+
+  CallerAnswer Fetch(std::string path) {
+    CallerAnswer answer;
+    Call(std::move(path), answer);
+    CHECK(RunUntil([&answer] { return answer.end.has_value(); }));
+    return answer;
+  }
+
+  int Runs() const {
+    std::size_t runs = 0;
+    for (const auto& backend : backends_) {
+      runs += backend->requests.size();
+    }
+    return static_cast<int>(runs);
+  }
+};
+
+// Guards against a request that loses or changes its method, path, body or id
+// on the way, or that another start of the server could run.
+TEST(RouterPath, PassesRequestsOnUnchanged) {
+  FakeBackend& backend = AddBackend(&SendOk);
+  StartReady();
+  const CallerAnswer answer = Fetch("/orders/7?x=1");
+  CHECK_EQUAL(200, answer.head.status);
+  CHECK("served" == answer.body);
+  CHECK("POST" == backend.requests[0].method);
+  CHECK("/orders/7?x=1" == backend.requests[0].path);
+  CHECK("body" == backend.requests[0].body);
+  const HttpHeaders& headers = backend.requests[0].headers;
+  CHECK("a1" == FindHeader(headers, "attempt-id"));
+  CHECK("s0" == FindHeader(headers, "expected-instance"));
+  CHECK(!FindHeader(headers, "deadline-ms").empty());
+}
+
+// Guards against callers who are refused in the moment between the start of a
+// router and its first configuration.
+TEST(RouterPath, HoldsRequestsUntilTheFirstConfiguration) {
+  AddBackend(&SendOk);
+  StartRouter();
+  CallerAnswer answer;
+  Call("/orders/7", answer);
+  CHECK(!router_->ready());
+  PutConfig();
+  CHECK(RunUntil([&answer] { return answer.end.has_value(); }));
+  CHECK_EQUAL(200, answer.head.status);
+}
+
+// Guards against callers who wait for a router that cannot learn any
+// configuration, and against connections sent to it.
+TEST(RouterPath, RefusesWithoutAnyConfiguration) {
+  AddBackend(&SendOk);
+  store_->SetDown(true);
+  StartRouter();
+  const CallerAnswer answer = Fetch("/orders/7");
+  CHECK_EQUAL(503, answer.head.status);
+  CHECK(!FindHeader(answer.head.headers, "retry-after").empty());
+  CHECK(!router_->ready());
+  CHECK_EQUAL(0, Runs());
+  store_->SetDown(false);
+  PutConfig();
+  CHECK(RunUntil([this] { return router_->ready(); }));
+}
+
+// Guards against a second run of a call that must not be repeated, and against
+// telling its caller that it did not run.
+TEST(RouterPath, NonIdempotentCallRunsOnceWhenItsAnswerIsLost) {
+  AddBackend(&Break);
+  AddBackend(&Break);
+  StartReady();
+  CHECK_EQUAL(502, Fetch("/orders/7").head.status);
+  CHECK_EQUAL(1, Runs());
+}
+
+// Guards against failing a call that the server stated not to have run.
+TEST(RouterPath, CallThatDidNotRunGoesToAnotherServer) {
+  AddBackend(&RefuseNotRun);
+  StartReady();
+  const CallerAnswer refused = Fetch("/orders/7");
+  CHECK_EQUAL(503, refused.head.status);
+  CHECK(!FindHeader(refused.head.headers, "retry-after").empty());
+  AddBackend(&SendOk);
+  CHECK(RunUntil([this] { return Fetch("/orders/8").head.status == 200; }));
+}
+
+// Guards against failing an idempotent call that another server can serve.
+TEST(RouterPath, IdempotentCallIsRepeatedElsewhere) {
+  AddBackend(&Break);
+  AddBackend(&SendOk);
+  StartReady();
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200, Fetch("/stock/7").head.status);
+  }
+}
+
+// Guards against a piece of a resumed stream that is lost, doubled or cut.
+TEST(RouterPath, ResumableStreamGoesOnAtAnotherServer) {
+  const auto answer = [](const HttpRequest& request, HttpResponder& to) {
+    if (FindHeader(request.headers, "last-event-id") == "2") {
+      to.Start({200, {}, "id: 3\ndata: c\n\n"});
+      to.Write("id: 4\ndata: d\n\n");
+      to.End();
+      return;
+    }
+    to.Start({200, {}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"});
+    to.Abort();
+  };
+  AddBackend(answer);
+  AddBackend(answer);
+  StartReady();
+  const CallerAnswer whole = Fetch("/advice/7");
+  CHECK(whole.end == HttpCallEnd::kComplete);
+  CHECK(whole.body ==
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+        "id: 4\ndata: d\n\n");
+}
+
+// Guards against a broken stream that its caller takes for whole, and against a
+// second run of one that may not be resumed.
+TEST(RouterPath, OtherStreamsBreakOffVisibly) {
+  const auto answer = [](const HttpRequest&, HttpResponder& to) {
+    to.Start({200, {}, "id: 1\ndata: a\n\nid: 2\nda"});
+    to.Abort();
+  };
+  AddBackend(answer);
+  AddBackend(answer);
+  StartReady();
+  const CallerAnswer broken = Fetch("/once/7");
+  CHECK(broken.end == HttpCallEnd::kBroken);
+  CHECK("id: 1\ndata: a\n\n" == broken.body);
+  CHECK_EQUAL(1, Runs());
+}
+
+// Guards against new work for a server that has announced that it leaves.
+TEST(RouterPath, LeavingServerGetsNoNewWork) {
+  AddBackend(&SendOk);
+  AddBackend(&SendOk);
+  StartReady();
+  BackendServer leaving = ServerOf(0);
+  leaving.leaving = true;
+  store_->PutBackend(leaving);
+  CHECK(RunUntil([this] {
+    const std::size_t before = backends_[0]->requests.size();
+    Fetch("/orders/1");
+    Fetch("/orders/2");
+    return backends_[0]->requests.size() == before;
+  }));
+  const std::size_t before = backends_[0]->requests.size();
+  for (int i = 0; i < 8; ++i) {
+    Fetch("/orders/3");
+  }
+  CHECK_EQUAL(before, backends_[0]->requests.size());
+}
+
+// Guards against an unreadable entry that hides the servers beside it, and
+// against a lost history after which changes are no longer seen.
+TEST(RouterPath, SurvivesUnreadableEntriesAndLostHistory) {
+  store_->PutBackendBytes("odd", "\xff\xfe not JSON");
+  AddBackend(&SendOk);
+  StartReady();
+  CHECK_EQUAL(200, Fetch("/orders/1").head.status);
+  store_->Compact();
+  AddBackend(&SendOk);
+  store_->RemoveBackend("s0");
+  CHECK(RunUntil([this] {
+    Fetch("/orders/2");
+    return !backends_[1]->requests.empty();
+  }));
+}
+
+// Guards against a server that works on for a caller who has left.
+TEST(RouterPath, CallerWhoLeavesCancelsTheSend) {
+  FakeBackend& backend = AddBackend([](const HttpRequest&, HttpResponder&) {});
+  StartReady();
+  CallerAnswer answer;
+  const HttpCallId call = Call("/orders/7", answer);
+  CHECK(RunUntil([&backend] { return backend.requests.size() == 1; }));
+  client_->Cancel(call);
+  CHECK(RunUntil([&backend] { return backend.cancelled == 1; }));
+}
+
+// Guards against a graceful stop that cuts off a request, stays ready, or never
+// ends.
+TEST(RouterPath, StopFinishesRequestsInProgress) {
+  FakeBackend& backend = AddBackend([](const HttpRequest&, HttpResponder&) {});
+  StartReady();
+  CallerAnswer answer;
+  Call("/orders/7", answer);
+  CHECK(RunUntil([&backend] { return backend.requests.size() == 1; }));
+  bool stopped = false;
+  router_->Leave([&stopped] { stopped = true; });
+  CHECK(!router_->ready());
+  backend.open[0]->Send({200, {}, "late"});
+  CHECK(RunUntil([&answer] { return answer.end.has_value(); }));
+  CHECK("late" == answer.body);
+  CHECK(!stopped);
+  CHECK(RunUntil([&stopped] { return stopped; }));
+}
+
+// Guards against a request without a route that is refused as unavailable, or
+// one with a route that is refused as unknown.
+TEST(RouterPath, UnknownRoutesAreNotFound) {
+  AddBackend(&SendOk);
+  StartReady();
+  CHECK_EQUAL(404, Fetch("/unknown/7").head.status);
+  CHECK_EQUAL(200, Fetch("/orders/7").head.status);
+}
+
+}  // namespace amaranthcove
