--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -573,6 +573,11 @@
     exchange->Attach(request);
     core->connections_[request->conn->callbacks->get_socket(request->conn)] =
         true;
+    if (core->stopped_) {
+      // It crossed the close of its connection, where no answer can be sent.
+      exchange->Abort();
+      return 0;
+    }
     core->WatchCallers();
     HttpRequest copy = Copy(*request);
     // Called by the loop: h2o reads a pipelined request while it ends the
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -489,6 +489,30 @@
   CHECK(answer.end == HttpCallEnd::kConnectFailed);
 }
 
+// Guards against a request that is handled, and perhaps passed on, although its
+// connection was closed just before it was read.
+TEST(Http, RequestThatCrossesTheCloseIsNotHandled) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  responders[0]->Send({200, {}, "done"});
+  RunUntil(loop, [&peer] {
+    static_cast<void>(peer.ReadAvailable());
+    return peer.received.ends_with("done");
+  });
+  for (int round = 0; round < 5; ++round) {
+    loop.RunOnce(Duration::zero());
+  }
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  server->StopAccepting();
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  for (int round = 0; round < 5; ++round) {
+    loop.RunOnce(Duration::zero());
+  }
+  CHECK_EQUAL(1, static_cast<int>(responders.size()));
+}
+
 // Guards against a request that arrives on an idle connection when the process
 // is about to end, and is then cut off: such a connection is closed before.
 TEST(Http, StopAcceptingClosesIdleConnections) {
