backend_choice, agent: spread cold adapters, count late loads, forget slow ones

Now the cost of a cold load grows with the rank of the engine, which differs between adapters; sends and waits since the last status count for all routers; all waiting loads count; a high load time is forgotten within 3 s. The backend list is read as seldom as the limit for leaving servers allows.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -102,8 +102,8 @@
                                       const Unloading& unloading,
                                       int loads_allowed = kMaxLoadsUnderWay);
 
-// The time until a load that is wanted now for a request that can be on time
-// would end, in milliseconds. `load_ms` is the time of one load.
+// The time until a load that is wanted now would end if it came after those
+// that are wanted already, in milliseconds. `load_ms` is the time of one load.
 double LoadWaitMs(const EngineReport& report,
                   std::span<const WantedAdapter> wanted,
                   double load_ms);
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -32,7 +32,10 @@
   std::size_t affinity_rank = 0;
   int running = 0;  // As its agent says.
   int queued = 0;
-  int own_recent = 0;   // Sent from here since the agent's word.
+  // Requests that were sent there, and that began to wait for a load there,
+  // since the agent's word: own ones, times the routers that do likewise.
+  int recent_sends = 0;
+  int recent_waits = 0;
   int free_places = 1;  // For adapters.
   // Until a load that is wanted now would end.
   double load_wait_ms = 250;
--- a/include/amaranthcove/node/node_settings.h
+++ b/include/amaranthcove/node/node_settings.h
@@ -25,6 +25,9 @@
   Address agent_address;         // Datagrams of adapter agents.
   std::uint16_t agent_port = 0;  // Of the agents, on the engines' hosts.
   Address metadata_store;
+  // New work to a server ends within this time after it has announced that it
+  // leaves.
+  Duration leaving_limit = std::chrono::seconds(2);
   double retry_ratio = 0.1;
   double retry_extra = 20;
   Duration retry_window = std::chrono::seconds(10);
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -41,6 +41,8 @@
 // Until a load has been seen.
 constexpr double kFirstLoadMs = kUnslowedLoadMs;
 constexpr double kLatestLoadWeight = 0.2;
+// Slow loads are forgotten after this time.
+constexpr double kForgetLoadsS = 3;
 // Loads that take longer have failed.
 constexpr Duration kMaxLoadTime = std::chrono::seconds(10);
 
@@ -164,6 +166,7 @@
   // When the loads under way were ordered, and the mean time of the last ones.
   std::map<std::pair<std::string, std::string>, Time> load_started_;
   double load_ms_ = kFirstLoadMs;
+  Time measured_;
   std::int64_t status_sequence_ = 0;
   TimerId poll_timer_ = 0;
   TimerId limit_timer_ = 0;
@@ -319,6 +322,11 @@
     }
     load_started_.erase(started);
   }
+  // An engine that recovers shows it only by loads, which a high estimate would
+  // keep away.
+  load_ms_ += (kFirstLoadMs - load_ms_) *
+              std::min(1.0, ToSeconds(loop_.Now() - measured_) / kForgetLoadsS);
+  measured_ = loop_.Now();
   std::erase_if(load_started_, [this](const auto& item) {
     return loop_.Now() - item.second > kMaxLoadTime;
   });
--- a/src/adapter_agent/adapter_plan.cc
+++ b/src/adapter_agent/adapter_plan.cc
@@ -120,10 +120,7 @@
 double LoadWaitMs(const EngineReport& report,
                   std::span<const WantedAdapter> wanted,
                   double load_ms) {
-  const auto ahead = std::count_if(
-      wanted.begin(), wanted.end(), [&report](const WantedAdapter& item) {
-        return item.rank == 0 && NeedsLoad(report, item);
-      });
+  const int ahead = NeededPlaces(report, wanted);
   const int allowed = LoadsAllowed(load_ms);
   const auto under_way = static_cast<std::ptrdiff_t>(report.loading.size());
   const auto queue =
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -17,7 +17,12 @@
 // first engines in the order of preference are likely to.
 constexpr double kPreferredLoadMs = 50;
 constexpr double kSecondLoadMs = 200;
-constexpr double kColdLoadMs = 350;
+constexpr double kColdLoadMs = 260;
+// Without a gradient, all adapters whose first engines are lost or busy would
+// go to the one engine that looks idle, from all routers at once.
+constexpr double kPerRankMs = 20;
+// Loads for requests that began to wait since the agent's word.
+constexpr double kPerRecentWaitMs = 60;
 constexpr double kUnknownMs = 600;
 // A load from the weight store without others.
 constexpr double kUnslowedLoadMs = 250;
@@ -45,7 +50,8 @@
     case AdapterPlace::kAbsent:
       break;
   }
-  double load_ms = kColdLoadMs;
+  double load_ms =
+      kColdLoadMs + kPerRankMs * static_cast<double>(candidate.affinity_rank);
   if (candidate.affinity_rank == 0) {
     load_ms = kPreferredLoadMs;
   } else if (candidate.affinity_rank == 1) {
@@ -53,7 +59,8 @@
   }
   const double queue_ms =
       std::max(candidate.load_wait_ms - kUnslowedLoadMs, 0.0);
-  return load_ms + queue_ms + (candidate.free_places > 0 ? 0 : kNoPlaceMs);
+  return load_ms + queue_ms + kPerRecentWaitMs * candidate.recent_waits +
+         (candidate.free_places > 0 ? 0 : kNoPlaceMs);
 }
 
 // In-flight requests of one instance count as busy above this share of slots,
@@ -64,7 +71,7 @@
 }  // namespace
 
 double ExpectedDelayMs(const EngineCandidate& candidate) {
-  const int active = candidate.running + candidate.own_recent;
+  const int active = candidate.running + candidate.recent_sends;
   const int beyond =
       std::max(active + candidate.queued + 1 - candidate.batch_size, 0);
   return LoadMs(candidate) + kPerRunningMs * active + kPerQueuedMs * beyond +
--- a/src/backend_choice/backend_choice_test.cc
+++ b/src/backend_choice/backend_choice_test.cc
@@ -42,6 +42,34 @@
   CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
 }
 
+// Guards against one idle engine that gets the cold adapters of all routers at
+// once (14 of 54 engines lost): the choice differs between adapters.
+TEST(ChooseEngine, ColdAdaptersSpreadOverEngines) {
+  std::vector<std::string> names;
+  std::vector<std::string_view> views;
+  for (int n = 0; n < 40; ++n) {
+    names.push_back("engine-" + std::to_string(n));
+  }
+  for (const std::string& name : names) {
+    views.push_back(name);
+  }
+  std::map<std::size_t, int> chosen;
+  std::vector<std::size_t> ranks(names.size());
+  for (int n = 0; n < 400; ++n) {
+    RankByAffinity("adapter-" + std::to_string(n), views, ranks);
+    std::vector<EngineCandidate> engines;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      // Engine 7 looks idle; the others have some work.
+      engines.push_back(
+          MakeEngine(AdapterPlace::kAbsent, i == 7 ? 0 : 12, ranks[i]));
+      engines.back().avoided = ranks[i] < 2;  // The preferred ones are lost.
+    }
+    ++chosen[*ChooseEngine(engines)];
+  }
+  CHECK(chosen[7] < 100);
+  CHECK(chosen.size() > 30);
+}
+
 // Guards against waiting for a place where all adapters are in use.
 TEST(ChooseEngine, AvoidsEnginesWithoutAFreePlace) {
   std::array engines = {MakeEngine(AdapterPlace::kAbsent, 5, 2),
--- a/src/node/node_settings_test.cc
+++ b/src/node/node_settings_test.cc
@@ -17,6 +17,7 @@
 agent_address = 127.0.0.1:0
 agent_port = 7380
 metadata_store = 127.0.0.1:9001
+leaving_limit_ms = 2000
 retry_ratio = 0.2
 retry_extra = 112
 retry_window_ms = 10000
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -1,6 +1,7 @@
 #include "src/router/fleet.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "amaranthcove/base/hash.h"
@@ -12,6 +13,21 @@
 // Sends that are remembered between two views of an engine.
 constexpr std::size_t kMaxRecentSends = 256;
 
+// Routers that are assumed to choose as this one does between two statuses.
+constexpr int kMaxRoutersAlike = 16;
+
+int CountSince(std::span<const Time> times, Time since) {
+  return static_cast<int>(std::count_if(
+      times.begin(), times.end(), [since](Time at) { return at >= since; }));
+}
+
+void AddBounded(std::vector<Time>& times, Time now) {
+  if (times.size() >= kMaxRecentSends) {
+    times.erase(times.begin(), times.begin() + kMaxRecentSends / 2);
+  }
+  times.push_back(now);
+}
+
 agent_wire::AdapterDemand MakeFacts(const EngineSpec& spec) {
   agent_wire::AdapterDemand facts;
   facts.adapter_places = spec.adapter_places;
@@ -92,16 +108,6 @@
   return version == versions_.end() ? 0 : version->second;
 }
 
-int Fleet::OwnRecentSends(std::string_view server, Time since) const {
-  const auto activity = activity_.find(server);
-  if (activity == activity_.end()) {
-    return 0;
-  }
-  const auto& sends = activity->second.recent_sends;
-  return static_cast<int>(std::count_if(
-      sends.begin(), sends.end(), [since](Time at) { return at >= since; }));
-}
-
 EngineCandidate Fleet::MakeCandidate(const BackendServer& server,
                                      const RequestFacts& facts,
                                      const std::set<std::string>& tried,
@@ -129,7 +135,14 @@
   candidate.queued = view->queued;
   candidate.free_places = view->free_places;
   candidate.load_wait_ms = view->load_wait_ms;
-  candidate.own_recent = OwnRecentSends(server.id, view->received);
+  const auto activity = activity_.find(server.id);
+  if (activity != activity_.end()) {
+    const int routers = std::clamp(view->routers, 1, kMaxRoutersAlike);
+    candidate.recent_sends =
+        routers * CountSince(activity->second.recent_sends, view->received);
+    candidate.recent_waits =
+        routers * CountSince(activity->second.recent_waits, view->received);
+  }
   return candidate;
 }
 
@@ -223,15 +236,14 @@
          !directory_.IsSuperseded(*known);
 }
 
+void Fleet::BeginWait(const std::string& server, Time now) {
+  AddBounded(activity_[server].recent_waits, now);
+}
+
 void Fleet::BeginSend(const std::string& server, Time now) {
   Activity& activity = activity_[server];
   ++activity.in_flight;
-  if (activity.recent_sends.size() >= kMaxRecentSends) {
-    activity.recent_sends.erase(
-        activity.recent_sends.begin(),
-        activity.recent_sends.begin() + kMaxRecentSends / 2);
-  }
-  activity.recent_sends.push_back(now);
+  AddBounded(activity.recent_sends, now);
 }
 
 void Fleet::EndSend(const std::string& server) {
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -83,6 +83,9 @@
   // Whether the server may still get work.
   bool IsServing(const BackendServer& server) const;
 
+  // Counts a request that begins to wait for an adapter at a server.
+  void BeginWait(const std::string& server, Time now);
+
   // Counts a send to a server and its end.
   void BeginSend(const std::string& server, Time now);
   void EndSend(const std::string& server);
@@ -102,6 +105,7 @@
   struct Activity {
     int in_flight = 0;
     std::vector<Time> recent_sends;  // Since the last view of the engine.
+    std::vector<Time> recent_waits;
   };
 
   RetryBudget& BudgetOf(const std::string& service);
@@ -109,7 +113,6 @@
                                 const RequestFacts& facts,
                                 const std::set<std::string>& tried,
                                 Time now) const;
-  int OwnRecentSends(std::string_view server, Time since) const;
 
   const Options options_;
   AgentLinks& links_;
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -170,6 +170,7 @@
   wait_started_ = now;
   const AdapterName adapter(facts_.model, facts_.adapter);
   Fleet& fleet = environment_.fleet;
+  fleet.BeginWait(placement_.server.id, now);
   fleet.links().AddWaiting(placement_.server.id, adapter,
                            fleet.LeastVersion(adapter), waiting_request_, now);
   environment_.demand_changed();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -46,10 +46,16 @@
 // The stop limit is met with this much to spare.
 constexpr Duration kStopMargin = milliseconds(700);
 
-// Changes of the backend list are gathered for this long; heartbeats change
-// entries all the time, and each call to the store has a price.
-constexpr Duration kBackendPause = milliseconds(1000);
+// Heartbeats change the backend list all the time, and each call to the store
+// has a price, so changes are gathered for as long as the limit allows, with
+// this margin for a slow answer.
+constexpr Duration kLeavingMargin = milliseconds(900);
+constexpr Duration kBackendWait = milliseconds(2000);
+
+// The operator's keys change rarely. A connection that went silent is found by
+// its probes, not by the end of the wait.
 constexpr Duration kOperatorPause = milliseconds(100);
+constexpr Duration kOperatorWait = milliseconds(8000);
 
 std::string_view ChangeName(BackendDirectory::Change::Kind kind) {
   switch (kind) {
@@ -91,7 +97,9 @@
         backend_feed_(loop,
                       *store_client_,
                       log_,
-                      MakeFeedOptions(platform::kBackendsPrefix, kBackendPause),
+                      MakeFeedOptions(platform::kBackendsPrefix,
+                                      settings.leaving_limit - kLeavingMargin,
+                                      kBackendWait),
                       {[this](auto items) { OnBackendListing(items); },
                        [this](auto items) { OnBackendChanges(items); },
                        [this] { OnStoreRegained(); }}),
@@ -99,7 +107,9 @@
             loop,
             *store_client_,
             log_,
-            MakeFeedOptions(platform::kOperatorPrefix, kOperatorPause),
+            MakeFeedOptions(platform::kOperatorPrefix,
+                            kOperatorPause,
+                            kOperatorWait),
             {[this](auto items) { OnOperatorItems(items); },
              [this](auto items) { OnOperatorItems(items); }, [] {}}) {}
 
@@ -117,11 +127,13 @@
 
  private:
   StoreFeed::Options MakeFeedOptions(std::string_view prefix,
-                                     Duration pause) const {
+                                     Duration pause,
+                                     Duration wait) const {
     StoreFeed::Options options;
     options.store = settings_.metadata_store;
     options.prefix = prefix;
     options.pause = pause;
+    options.watch_wait = wait;
     return options;
   }
 
