router: wait for a silent server when no other send is allowed

The silence limit now ends a send only if another one follows. The new test fails without the change.

--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -21,8 +21,8 @@
 // After this time another engine may serve sooner than the one waited for.
 constexpr Duration kWaitBeforePlacingAnew = milliseconds(500);
 
-// A busy server is looked at again after this time.
-constexpr Duration kBusyServerExtension = milliseconds(500);
+// A server that is silent and waited for is looked at again after this time.
+constexpr Duration kSilenceExtension = milliseconds(500);
 
 // An agent that has just started answers a demand within this time.
 constexpr Duration kWaitForSilentAgent = milliseconds(150);
@@ -380,6 +380,18 @@
 }
 
 void RelayCall::FinishSend(SendEnd end, Time now) {
+  RelayProgress after = progress_;
+  after.time_left = deadline_ - now;
+  if (end == SendEnd::kNotSent || end == SendEnd::kNotRun) {
+    ++after.not_run;
+  }
+  const bool within_budget = MaySendAgain(after, end) &&
+                             (end == SendEnd::kNotSent ||
+                              environment_.fleet.TrySpendRetry(service_, now));
+  FollowSend(end, within_budget, now);
+}
+
+void RelayCall::FollowSend(SendEnd end, bool within_budget, Time now) {
   state_ = State::kNew;
   EndActivity();
   RecordHealth(end, now);
@@ -394,9 +406,6 @@
   }
   splitter_.DropRest();
   progress_.time_left = deadline_ - now;
-  const bool within_budget = MaySendAgain(progress_, end) &&
-                             (end == SendEnd::kNotSent ||
-                              environment_.fleet.TrySpendRetry(service_, now));
   TakeStep(NextStep(progress_, end, within_budget), now);
 }
 
@@ -428,17 +437,24 @@
   if (state_ != State::kSending) {
     return;
   }
-  if (IsServerBusy(environment_.loop.Now())) {
-    RestartSilenceTimer(kBusyServerExtension);
+  const Time now = environment_.loop.Now();
+  progress_.time_left = deadline_ - now;
+  if (!MaySendAgain(progress_, SendEnd::kSilent)) {
+    return;
+  }
+  // A slow answer is better than none: without another send that is allowed,
+  // the server is waited for.
+  if (IsServerBusy(now) || !environment_.fleet.TrySpendRetry(service_, now)) {
+    RestartSilenceTimer(kSilenceExtension);
     return;
   }
   // The connection is closed, by which the server stops its work.
   environment_.upstream.Cancel(std::exchange(call_, 0));
-  FinishSend(SendEnd::kSilent, environment_.loop.Now());
+  FollowSend(SendEnd::kSilent, true, now);
 }
 
 bool RelayCall::IsServerBusy(Time now) const {
-  if (!IsGeneration() || has_head_) {
+  if (!IsGeneration()) {
     return false;
   }
   const EngineView* view =
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -86,7 +86,9 @@
   void OnData(std::string_view data);
   void OnStreamData(std::string_view data);
   void OnUpstreamEnd(UpstreamEnd end, Time now);
+  // Takes the end of a send into account and decides what follows.
   void FinishSend(SendEnd end, Time now);
+  void FollowSend(SendEnd end, bool within_budget, Time now);
   void EndActivity();
   void RecordHealth(SendEnd end, Time now);
   void OnSilence();
--- a/src/router/router_path_test.cc
+++ b/src/router/router_path_test.cc
@@ -331,6 +331,29 @@
   CHECK_EQUAL(1, Runs());
 }
 
+// Guards against ending a slow stream when nothing better can be done: its
+// pause is over the limit, but the retry budget is spent.
+TEST(RouterPath, SlowStreamIsWaitedForWithoutBudget) {
+  settings_.retry_ratio = 0;
+  settings_.retry_extra = 0;
+  FakeBackend& backend = AddBackend([](const HttpRequest&, HttpResponder& to) {
+    to.Start({200, {}, "id: 1\ndata: a\n\n"});
+  });
+  StartReady();
+  CallerAnswer answer;
+  Call("/advice/7", answer);
+  CHECK(RunUntil([&answer] { return !answer.body.empty(); }));
+  // The pause limit passes in the meantime.
+  const Time resumed = SteadyNow() + milliseconds(1800);
+  CHECK(RunUntil([resumed] { return SteadyNow() >= resumed; }));
+  backend.open[0]->Write("id: 2\ndata: b\n\n");
+  backend.open[0]->End();
+  CHECK(RunUntil([&answer] { return answer.end.has_value(); }));
+  CHECK(answer.end == HttpCallEnd::kComplete);
+  CHECK("id: 1\ndata: a\n\nid: 2\ndata: b\n\n" == answer.body);
+  CHECK_EQUAL(1, Runs());
+}
+
 // Guards against new work for a server that has announced that it leaves.
 TEST(RouterPath, LeavingServerGetsNoNewWork) {
   AddBackend(&SendOk);
