agent: late loads count a quarter in the expected wait

Cause: counted in full, loads for late requests drove cold adapters away from the engines that hold them in memory; more came from the weight store.

--- a/src/adapter_agent/adapter_plan.cc
+++ b/src/adapter_agent/adapter_plan.cc
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Loads for late requests come last, but hold up others when their time comes:
+// counted in full they drive cold adapters from their engines, not at all they
+// make an overloaded engine look idle.
+constexpr int kLateLoadDivisor = 4;
+
 bool IsSameAdapter(const AdapterState& a, const AdapterState& b) {
   return a.adapter == b.adapter && a.model == b.model;
 }
@@ -120,7 +125,12 @@
 double LoadWaitMs(const EngineReport& report,
                   std::span<const WantedAdapter> wanted,
                   double load_ms) {
-  const int ahead = NeededPlaces(report, wanted);
+  const auto fresh = static_cast<int>(std::count_if(
+      wanted.begin(), wanted.end(), [&report](const WantedAdapter& item) {
+        return item.rank == 0 && NeedsLoad(report, item);
+      }));
+  const int late = NeededPlaces(report, wanted) - fresh;
+  const int ahead = fresh + late / kLateLoadDivisor;
   const int allowed = LoadsAllowed(load_ms);
   const auto under_way = static_cast<std::ptrdiff_t>(report.loading.size());
   const auto queue =
--- a/src/adapter_agent/adapter_plan_test.cc
+++ b/src/adapter_agent/adapter_plan_test.cc
@@ -131,9 +131,13 @@
   DOUBLES_EQUAL(250, LoadWaitMs(report, {}, 250), 1);
   report.loading = {
       {"base", "w", 1}, {"base", "x", 1}, {"base", "y", 1}, {"base", "z", 1}};
-  const std::array wanted = {MakeWanted("a", 1, 0), MakeWanted("b", 1, 0),
-                             MakeWanted("c", 1, 0), MakeWanted("d", 1, 0)};
+  std::array wanted = {MakeWanted("a", 1, 0), MakeWanted("b", 1, 0),
+                       MakeWanted("c", 1, 0), MakeWanted("d", 1, 0)};
   DOUBLES_EQUAL(250 * (1 + 5 / 4.0), LoadWaitMs(report, wanted, 250), 1);
+  for (WantedAdapter& late : wanted) {
+    late.rank = 1;
+  }
+  DOUBLES_EQUAL(250 * (1 + 2 / 4.0), LoadWaitMs(report, wanted, 250), 1);
 }
 
 // Guards against requests for a new version that wait for ever because an older
