--- a/include/amaranthcove/base/address.h
+++ b/include/amaranthcove/base/address.h
@@ -15,7 +15,8 @@
   std::string ip;
   std::uint16_t port = 0;
 
-  auto operator<=>(const Address&) const = default;
+  auto operator<=>(const Address&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 // Parses "A.B.C.D:PORT". Port 0 is allowed and means "any free port".
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -136,8 +136,9 @@
 // Guards against hostile or broken datagrams.
 TEST(AgentLinks, BrokenDatagramsAreDropped) {
   const std::string whole = EncodeStatus(1, 1, 1);
-  for (std::size_t size = 0; size + 1 < whole.size(); ++size) {
-    links_.Receive(kAgent, std::string_view(whole).substr(0, size), kStart);
+  const std::string_view bytes = whole;
+  for (std::size_t size = 0; size + 1 < bytes.size(); ++size) {
+    links_.Receive(kAgent, bytes.substr(0, size), kStart);
   }
   const std::string noise(2000, '\xff');
   links_.Receive(kAgent, noise, kStart);
--- a/src/backend_choice/backend_choice_test.cc
+++ b/src/backend_choice/backend_choice_test.cc
@@ -47,12 +47,11 @@
 TEST(ChooseEngine, ColdAdaptersSpreadOverEngines) {
   std::vector<std::string> names;
   std::vector<std::string_view> views;
+  names.reserve(40);
   for (int n = 0; n < 40; ++n) {
     names.push_back("engine-" + std::to_string(n));
   }
-  for (const std::string& name : names) {
-    views.push_back(name);
-  }
+  views.assign(names.begin(), names.end());
   std::map<std::size_t, int> chosen;
   std::vector<std::size_t> ranks(names.size());
   for (int n = 0; n < 400; ++n) {
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -33,7 +33,7 @@
 
 // Guards against half an event that is passed on as a whole one.
 TEST(EventSplitter, PassesOnWholeEventsOnly) {
-  CHECK("" == splitter_.Append("id: 1\ndata: a"));
+  CHECK(splitter_.Append("id: 1\ndata: a").empty());
   CHECK("id: 1\ndata: a\n\n" == splitter_.Append("\n\nid: 2\nda"));
   CHECK("1" == splitter_.last_id());
   CHECK("id: 2\nda" == splitter_.rest());
