--- a/src/log/event_log_test.cc
+++ b/src/log/event_log_test.cc
@@ -1,10 +1,20 @@
 #include "amaranthcove/log/event_log.h"
 
+#include <unistd.h>
+
+#include <algorithm>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 namespace amaranthcove {
 
-TEST_GROUP(EventLog){};
+// One `Logging` for all tests: a process sets logging up once.
+TEST_GROUP(EventLog){void setup()
+                         override{static const Logging logging(LogLevel::kInfo);
+}  // namespace amaranthcove
+}
+;
 
 // Guards against values that add fields or end the line.
 TEST(EventLog, QuotesValues) {
@@ -16,7 +26,6 @@
 // Guards against a flood of routine lines that hides refusals, and against a
 // volume that grows with the load.
 TEST(EventLog, RoutineLinesAreDroppedBeforeWarnings) {
-  const Logging logging(LogLevel::kInfo);
   EventLog log("event_log_test", {5, 3});
   const Time start = Time(std::chrono::hours(1));
   log.SetNow(start);
@@ -34,4 +43,29 @@
   CHECK_EQUAL(8, static_cast<int>(log.dropped()));
 }
 
+// Guards against a process that stops serving because nobody reads its log, and
+// against one that logs nothing any more after that.
+TEST(EventLog, FullPipeNeverBlocks) {
+  int ends[2] = {};
+  CHECK_EQUAL(0, pipe(ends));
+  const int saved = dup(STDERR_FILENO);
+  dup2(ends[1], STDERR_FILENO);
+  constexpr int kMoreThanAPipeHolds = 3000;
+  const std::string text(100, 'x');
+  for (int i = 0; i < kMoreThanAPipeHolds; ++i) {
+    Log(LogLevel::kWarn, "event_log_test", text);
+  }
+  std::string received(1 << 20, '\0');
+  CHECK(read(ends[0], received.data(), received.size()) > 0);
+  Log(LogLevel::kWarn, "event_log_test", "after the flood");
+  dup2(saved, STDERR_FILENO);
+  close(saved);
+  close(ends[1]);
+  std::string last(1 << 20, '\0');
+  last.resize(static_cast<std::size_t>(
+      std::max<ssize_t>(read(ends[0], last.data(), last.size()), 0)));
+  close(ends[0]);
+  CHECK(last.find("after the flood") != std::string::npos);
+}
+
 }  // namespace amaranthcove
--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -1,8 +1,14 @@
 #include "amaranthcove/log/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
+#include <sstream>
+#include <utility>
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -15,6 +21,39 @@
 // initialise itself or complain about missing appenders on stderr.
 std::atomic<bool> is_set_up = false;
 
+// Writes each event as one line to a descriptor and never waits for its reader:
+// an event that does not fit into a pipe at once is dropped.
+class DescriptorAppender final : public log4cplus::Appender {
+ public:
+  explicit DescriptorAppender(int descriptor) : descriptor_(descriptor) {}
+  ~DescriptorAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream stream;
+    layout->formatAndAppend(stream, event);
+    std::string line = std::move(stream).str();
+    if (line.size() > kMaxLineBytes) {
+      line.resize(kMaxLineBytes - 1);
+      line += '\n';
+    }
+    pollfd writable = {descriptor_, POLLOUT, 0};
+    if (poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0) {
+      return;
+    }
+    // There is nobody to tell about a failed write but the log itself.
+    static_cast<void>(::write(descriptor_, line.data(), line.size()));
+  }
+
+ private:
+  // A pipe that is ready takes this much without blocking (PIPE_BUF of Linux).
+  static constexpr std::size_t kMaxLineBytes = 4096;
+
+  const int descriptor_;
+};
+
 log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -37,10 +76,8 @@
     // log4cplus starts four threads before `main` and keeps at least one of
     // them; no appender used here needs any.
     log4cplus::setThreadPoolSize(0);
-    const bool log_to_stderr = output == LogOutput::kStderr;
-    const bool flush_each_line = true;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(log_to_stderr, flush_each_line));
+    log4cplus::SharedAppenderPtr appender(new DescriptorAppender(
+        output == LogOutput::kStderr ? STDERR_FILENO : STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%d{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %c %m%n"));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -149,6 +149,17 @@
     Listen(keep, options);
   }
 
+  // Leaves the connection of `peer` idle. Precondition: `ListenAndKeep`.
+  void ServeOneRequest(RawPeer & peer) {
+    peer.Write("GET / HTTP/1.1\r\n\r\n");
+    RunUntil(loop, [this] { return !responders.empty(); });
+    responders[0]->Send({200, {}, "done"});
+    RunUntil(loop, [&peer] {
+      static_cast<void>(peer.ReadAvailable());
+      return peer.received.ends_with("done");
+    });
+  }
+
   Answer Fetch(const Address& address, HttpRequest request) {
     std::optional<Answer> answer;
     client->Fetch(address, std::move(request), SteadyNow() + kLimit,
@@ -494,13 +505,7 @@
 TEST(Http, RequestThatCrossesTheCloseIsNotHandled) {
   ListenAndKeep();
   RawPeer peer(RawPeer::Connect(server->local_address()));
-  peer.Write("GET / HTTP/1.1\r\n\r\n");
-  RunUntil(loop, [this] { return !responders.empty(); });
-  responders[0]->Send({200, {}, "done"});
-  RunUntil(loop, [&peer] {
-    static_cast<void>(peer.ReadAvailable());
-    return peer.received.ends_with("done");
-  });
+  ServeOneRequest(peer);
   for (int round = 0; round < 5; ++round) {
     loop.RunOnce(Duration::zero());
   }
@@ -518,13 +523,7 @@
 TEST(Http, StopAcceptingClosesIdleConnections) {
   ListenAndKeep();
   RawPeer peer(RawPeer::Connect(server->local_address()));
-  peer.Write("GET / HTTP/1.1\r\n\r\n");
-  RunUntil(loop, [this] { return !responders.empty(); });
-  responders[0]->Send({200, {}, "done"});
-  RunUntil(loop, [&peer] {
-    static_cast<void>(peer.ReadAvailable());
-    return peer.received.ends_with("done");
-  });
+  ServeOneRequest(peer);
   server->StopAccepting();
   RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
   peer.Write("GET / HTTP/1.1\r\n\r\n");
--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -69,12 +69,12 @@
     HttpRequest request;
     request.method = "POST";
     request.path = "/x";
-    request.headers = {{"attempt-id", attempt}};
+    request.headers = {{"call-id", attempt}};
     request.body = "body-" + attempt;
     return client_->Start(
         listener_->local_address(), request,
         {[&record, attempt](const HttpResponse& head) {
-           const std::string_view id = FindHeader(head.headers, "attempt-id");
+           const std::string_view id = FindHeader(head.headers, "call-id");
            if (!id.empty() && id != attempt) {
              return false;
            }
@@ -120,8 +120,8 @@
   Start(record, "a2");
   CHECK(HasArrived(0, "body-a2"));
   accepted_[0]->Write(
-      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 4\r\n\r\nlate"
-      "HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nContent-Length: 4\r\n\r\nmine");
+      "HTTP/1.1 200 OK\r\nCall-Id: a1\r\nContent-Length: 4\r\n\r\nlate"
+      "HTTP/1.1 200 OK\r\nCall-Id: a2\r\nContent-Length: 4\r\n\r\nmine");
   CHECK(RunUntil([&] { return record.end.has_value(); }));
   CHECK(record.end == UpstreamEnd::kComplete);
   CHECK("mine" == record.body);
