router: move what follows the metadata store out of the router

fleet_updates.cc keeps the fleet up to date; router.cc keeps listeners, calls and the graceful stop.

--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -1,7 +1,5 @@
 #include "amaranthcove/router/router.h"
 
-#include <algorithm>
-#include <array>
 #include <map>
 #include <string>
 #include <utility>
@@ -13,11 +11,10 @@
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
 #include "platform/backend_request.h"
-#include "platform/metadata_store.h"
 #include "src/router/fleet.h"
+#include "src/router/fleet_updates.h"
 #include "src/router/relay_call.h"
 #include "src/router/request_metrics.h"
-#include "src/router/store_feed.h"
 
 namespace amaranthcove {
 
@@ -46,31 +43,6 @@
 // The stop limit is met with this much to spare.
 constexpr Duration kStopMargin = milliseconds(700);
 
-// Heartbeats change the backend list all the time, and each call to the store
-// has a price, so changes are gathered for as long as the limit allows, with
-// this margin for a slow answer.
-constexpr Duration kLeavingMargin = milliseconds(900);
-constexpr Duration kBackendWait = milliseconds(2000);
-
-// The operator's keys change rarely. A connection that went silent is found by
-// its probes, not by the end of the wait.
-constexpr Duration kOperatorPause = milliseconds(100);
-constexpr Duration kOperatorWait = milliseconds(8000);
-
-std::string_view ChangeName(BackendDirectory::Change::Kind kind) {
-  switch (kind) {
-    case BackendDirectory::Change::Kind::kAdded:
-      return "added";
-    case BackendDirectory::Change::Kind::kLeaving:
-      return "leaving";
-    case BackendDirectory::Change::Kind::kGone:
-      return "gone";
-    case BackendDirectory::Change::Kind::kReplaced:
-      return "replaced";
-  }
-  return "unknown";
-}
-
 class RouterImpl final : public Router {
  public:
   RouterImpl(EventLoop& loop,
@@ -90,28 +62,16 @@
                  settings.retry_window}},
                links_),
         upstream_(UpstreamClient::Create(loop, {})),
-        store_client_(UpstreamClient::Create(loop, {})),
         request_metrics_(metrics),
         environment_{loop_, *upstream_, fleet_, log_,
                      [this] { SendDemandsSoon(); }},
-        backend_feed_(loop,
-                      *store_client_,
-                      log_,
-                      MakeFeedOptions(platform::kBackendsPrefix,
-                                      settings.leaving_limit - kLeavingMargin,
-                                      kBackendWait),
-                      {[this](auto items) { OnBackendListing(items); },
-                       [this](auto items) { OnBackendChanges(items); },
-                       [this] { OnStoreRegained(); }}),
-        operator_feed_(
-            loop,
-            *store_client_,
-            log_,
-            MakeFeedOptions(platform::kOperatorPrefix,
-                            kOperatorPause,
-                            kOperatorWait),
-            {[this](auto items) { OnOperatorItems(items); },
-             [this](auto items) { OnOperatorItems(items); }, [] {}}) {}
+        updates_(loop,
+                 fleet_,
+                 *upstream_,
+                 log_,
+                 {settings.metadata_store, settings.leaving_limit},
+                 {[this](std::string_view server) { NotifyCalls(server); },
+                  [this] { ReleaseHeld(); }}) {}
 
   ~RouterImpl() override {
     loop_.Cancel(tick_timer_);
@@ -126,21 +86,12 @@
   nlohmann::json Dump() const override;
 
  private:
-  StoreFeed::Options MakeFeedOptions(std::string_view prefix,
-                                     Duration pause,
-                                     Duration wait) const {
-    StoreFeed::Options options;
-    options.store = settings_.metadata_store;
-    options.prefix = prefix;
-    options.pause = pause;
-    options.watch_wait = wait;
-    return options;
-  }
-
   Status Listen();
   void OnRequest(HttpRequest request, std::unique_ptr<HttpResponder> responder);
   // Whether configuration and backend servers are known.
-  bool KnowsFleet() const { return fleet_.has_config() && has_backends_; }
+  bool KnowsFleet() const {
+    return fleet_.has_config() && updates_.has_backends();
+  }
   void HoldUntilConfigured(HttpRequest request,
                            std::unique_ptr<HttpResponder> responder,
                            Time now);
@@ -156,14 +107,6 @@
               HttpResponder& responder);
   void OnReadinessRequest(const HttpRequest& request, HttpResponder& responder);
   void OnCallDone(std::uint64_t call, const RelayResult& result);
-  void OnBackendListing(const std::vector<platform::StoreItem>& items);
-  void OnBackendChanges(const std::vector<platform::StoreItem>& items);
-  void ApplyDirectoryChanges(
-      const std::vector<BackendDirectory::Change>& changes);
-  void OnOperatorItems(const std::vector<platform::StoreItem>& items);
-  void OnConfig(const platform::StoreItem& item);
-  void OnAdapterVersion(const platform::StoreItem& item);
-  void OnStoreRegained();
   void OnDatagram(const Address& sender, std::string_view bytes);
   void NotifyCalls(std::string_view server);
   void SendDemandsSoon();
@@ -177,12 +120,9 @@
   AgentLinks links_;
   Fleet fleet_;
   std::unique_ptr<UpstreamClient> upstream_;
-  std::unique_ptr<UpstreamClient> store_client_;
   RequestMetrics request_metrics_;
   RelayCall::Environment environment_;
-  StoreFeed backend_feed_;
-  StoreFeed operator_feed_;
-  bool has_backends_ = false;
+  FleetUpdates updates_;
 
   // A request that arrived before the first configuration.
   struct HeldRequest {
@@ -252,8 +192,7 @@
              {{"instance", settings_.instance},
               {"http", FormatAddress(settings_.http_address)},
               {"store", FormatAddress(settings_.metadata_store)}});
-  backend_feed_.Start();
-  operator_feed_.Start();
+  updates_.Start();
   Tick();
   return {};
 }
@@ -370,126 +309,6 @@
   }
 }
 
-void RouterImpl::OnBackendListing(
-    const std::vector<platform::StoreItem>& items) {
-  std::vector<BackendServer> servers;
-  for (const platform::StoreItem& item : items) {
-    auto server = platform::DecodeBackend(item.key, item.value);
-    if (server) {
-      servers.push_back(std::move(*server));
-    } else {
-      log_.Write(LogLevel::kInfo, "unreadable_backend",
-                 {{"key", item.key}, {"reason", server.error().message}});
-    }
-  }
-  has_backends_ = true;
-  ApplyDirectoryChanges(
-      fleet_.directory().ReplaceAll(std::move(servers), loop_.Now()));
-  ReleaseHeld();
-}
-
-void RouterImpl::OnBackendChanges(
-    const std::vector<platform::StoreItem>& items) {
-  std::vector<BackendDirectory::Change> changes;
-  const auto append = [&changes](std::vector<BackendDirectory::Change> more) {
-    std::move(more.begin(), more.end(), std::back_inserter(changes));
-  };
-  for (const platform::StoreItem& item : items) {
-    if (item.deleted) {
-      append(fleet_.directory().Remove(platform::BackendId(item.key),
-                                       loop_.Now()));
-      continue;
-    }
-    auto server = platform::DecodeBackend(item.key, item.value);
-    if (server) {
-      append(fleet_.directory().Put(std::move(*server)));
-    } else {
-      // An entry of another writer names no server to use.
-      log_.Write(LogLevel::kInfo, "unreadable_backend",
-                 {{"key", item.key}, {"reason", server.error().message}});
-    }
-  }
-  ApplyDirectoryChanges(changes);
-}
-
-void RouterImpl::ApplyDirectoryChanges(
-    const std::vector<BackendDirectory::Change>& changes) {
-  if (changes.empty()) {
-    return;
-  }
-  for (const BackendDirectory::Change& change : changes) {
-    log_.Write(LogLevel::kWarn, "backend_changed",
-               {{"server", change.server.id},
-                {"change", std::string(ChangeName(change.kind))},
-                {"service", change.server.service},
-                {"address", FormatAddress(change.server.address)}});
-  }
-  fleet_.UpdateEndpoints();
-  for (const BackendDirectory::Change& change : changes) {
-    if (change.kind != BackendDirectory::Change::Kind::kAdded) {
-      upstream_->CloseIdle(change.server.address);
-    }
-    NotifyCalls(change.server.id);
-  }
-}
-
-void RouterImpl::OnOperatorItems(
-    const std::vector<platform::StoreItem>& items) {
-  for (const platform::StoreItem& item : items) {
-    if (item.deleted) {
-      continue;
-    }
-    switch (platform::KindOf(item.key)) {
-      case platform::ItemKind::kConfig:
-        OnConfig(item);
-        break;
-      case platform::ItemKind::kAdapterVersion:
-        OnAdapterVersion(item);
-        break;
-      case platform::ItemKind::kBackend:
-      case platform::ItemKind::kOther:
-        break;
-    }
-  }
-}
-
-void RouterImpl::OnConfig(const platform::StoreItem& item) {
-  auto config = platform::DecodeConfig(item.value);
-  if (!config) {
-    log_.Write(LogLevel::kWarn, "config_refused",
-               {{"revision", std::to_string(item.revision)},
-                {"reason", config.error().message}});
-    return;
-  }
-  const std::int64_t version = config->version;
-  const std::size_t routes = config->routes.size();
-  if (fleet_.SetConfig(std::move(*config))) {
-    log_.Write(LogLevel::kWarn, "config_applied",
-               {{"version", std::to_string(version)},
-                {"revision", std::to_string(item.revision)},
-                {"routes", std::to_string(routes)}});
-    ReleaseHeld();
-  }
-}
-
-void RouterImpl::OnAdapterVersion(const platform::StoreItem& item) {
-  const auto version = platform::DecodeAdapterVersion(item.value);
-  if (!version) {
-    log_.Write(LogLevel::kWarn, "adapter_version_refused",
-               {{"key", item.key}, {"reason", version.error().message}});
-    return;
-  }
-  fleet_.DeclareVersion({version->model, version->adapter}, version->version);
-  log_.Write(LogLevel::kInfo, "adapter_version",
-             {{"model", version->model},
-              {"adapter", version->adapter},
-              {"version", std::to_string(version->version)}});
-}
-
-void RouterImpl::OnStoreRegained() {
-  fleet_.directory().ContactRegained(loop_.Now());
-}
-
 void RouterImpl::OnDatagram(const Address& sender, std::string_view bytes) {
   const auto engine = links_.Receive(sender, bytes, loop_.Now());
   if (engine) {
@@ -517,7 +336,7 @@
   const Time now = loop_.Now();
   log_.SetNow(now);
   links_.Tick(now);
-  ApplyDirectoryChanges(fleet_.directory().Expire(now));
+  updates_.Tick(now);
   RefuseHeld(now);
   tick_timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
   if (leaving_) {
@@ -596,7 +415,7 @@
       {"servers", servers},
       {"router",
        {{"counters",
-         {{"store_calls", backend_feed_.calls() + operator_feed_.calls()},
+         {{"store_calls", updates_.store_calls()},
           {"upstream_connections", upstream_->counters().connections_opened},
           {"stray_answers", upstream_->counters().stray_answers},
           {"dropped_log_lines", log_.dropped()},
