agent_link: keep uses of adapters until they end

A use was dropped with the link to its engine, and the link is replaced when the engine's entry or its service leaves the configuration and comes back. The end of the older request was then taken from the count of a younger one, whose adapter looked idle while it ran. Uses are kept by engine and end with their requests. A relay call decides once whether it uses an adapter, so that a change of the configuration does not part the beginning of a use from its end.

The link, and the count with it, went with the service.

--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -79,7 +79,8 @@
         incarnation_(incarnation),
         send_(std::move(send)) {}
 
-  // Replaces the engines. What is known of engines that stay is kept.
+  // Replaces the engines. What is known of engines that stay is kept; uses are
+  // kept until they end, because their engine may come back meanwhile.
   void SetEndpoints(std::vector<AgentEndpoint> endpoints);
 
   // Takes a datagram. Returns the id of the engine whose view is new, if any.
@@ -122,22 +123,26 @@
     int running = 0;
     std::int64_t version = 0;
   };
+  using Uses = std::map<AdapterName, Use>;
   struct Link {
     AgentEndpoint endpoint;
     std::optional<EngineView> view;
-    std::map<AdapterName, Use> uses;
     Time next_send;
     std::int64_t sequence = 0;
-    int waiting = 0;
   };
 
   Link* Find(std::string_view engine);
-  void SendDemand(Link& link, Time now);
+  Use* FindUse(std::string_view engine, const AdapterName& adapter);
+  Use& UseOf(std::string_view engine, const AdapterName& adapter);
+  // Sends the demand of `engine` no later than `at`.
+  void SendBy(std::string_view engine, Time at);
+  void SendDemand(const std::string& engine, Link& link, Time now);
 
   const std::string router_;
   const Incarnation incarnation_;
   const Send send_;
   std::map<std::string, Link, std::less<>> links_;
+  std::map<std::string, Uses, std::less<>> uses_;  // By engine.
 };
 
 }  // namespace amaranthcove
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -111,6 +111,31 @@
   CHECK_EQUAL(4, static_cast<int>(links_.router_count(kStart)));
 }
 
+// Guards against an adapter that is evicted under a running request: a use that
+// began before its engine was out of sight for a moment ends after another one
+// has begun.
+TEST(AgentLinks, UsesOutliveTheAbsenceOfTheirEngine) {
+  links_.AddRunning("e1", kSilk, kStart);
+  links_.SetEndpoints({});
+  links_.SetEndpoints({{"e1", kAgent, {}, 0}});
+  links_.AddRunning("e1", kSilk, kStart);
+  links_.RemoveRunning("e1", kSilk);
+  links_.Tick(kStart);
+  CHECK_EQUAL(1, static_cast<int>(sent_[0].uses.size()));
+  CHECK_EQUAL(1, sent_[0].uses[0].running);
+}
+
+// Guards against uses that are kept for ever for engines that never come back.
+TEST(AgentLinks, EndedUsesOfAbsentEnginesAreForgotten) {
+  links_.AddRunning("e1", kSilk, kStart);
+  links_.SetEndpoints({});
+  links_.RemoveRunning("e1", kSilk);
+  links_.SetEndpoints({});
+  links_.SetEndpoints({{"e1", kAgent, {}, 0}});
+  links_.Tick(kStart);
+  CHECK(sent_[0].uses.empty());
+}
+
 // Guards against giving the view of a restarted engine to the entry of its
 // predecessor at the same address.
 TEST(AgentLinks, StatusBelongsToTheStartThatItNames) {
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -54,6 +54,13 @@
   return first;
 }
 
+template <typename Uses>
+void EraseEnded(Uses& uses) {
+  std::erase_if(uses, [](const auto& item) {
+    return item.second.waiting.empty() && item.second.running == 0;
+  });
+}
+
 }  // namespace
 
 int WaitingRank(const WaitingRequest& request, Time now) {
@@ -75,6 +82,12 @@
     links.emplace(std::move(engine), std::move(link));
   }
   links_ = std::move(links);
+  for (auto& [engine, uses] : uses_) {
+    if (Find(engine) == nullptr) {
+      EraseEnded(uses);
+    }
+  }
+  std::erase_if(uses_, [](const auto& item) { return item.second.empty(); });
 }
 
 std::optional<std::string> AgentLinks::Receive(const Address& sender,
@@ -117,54 +130,64 @@
   return link == links_.end() ? nullptr : &link->second;
 }
 
+AgentLinks::Use* AgentLinks::FindUse(std::string_view engine,
+                                     const AdapterName& adapter) {
+  const auto uses = uses_.find(engine);
+  if (uses == uses_.end()) {
+    return nullptr;
+  }
+  const auto use = uses->second.find(adapter);
+  return use == uses->second.end() ? nullptr : &use->second;
+}
+
+AgentLinks::Use& AgentLinks::UseOf(std::string_view engine,
+                                   const AdapterName& adapter) {
+  return uses_[std::string(engine)][adapter];
+}
+
+void AgentLinks::SendBy(std::string_view engine, Time at) {
+  if (Link* link = Find(engine)) {
+    link->next_send = std::min(link->next_send, at);
+  }
+}
+
 void AgentLinks::AddWaiting(std::string_view engine,
                             const AdapterName& adapter,
                             std::int64_t version,
                             const WaitingRequest& request,
                             Time now) {
-  Link* link = Find(engine);
-  if (link == nullptr) {
-    return;
-  }
-  Use& use = link->uses[adapter];
+  Use& use = UseOf(engine, adapter);
   use.version = std::max(use.version, version);
   use.waiting.push_back(request);
-  ++link->waiting;
-  link->next_send = now;
+  SendBy(engine, now);
 }
 
 void AgentLinks::RemoveWaiting(std::string_view engine,
                                const AdapterName& adapter,
                                const WaitingRequest& request) {
-  Link* link = Find(engine);
-  if (link == nullptr || !link->uses.contains(adapter)) {
+  Use* use = FindUse(engine, adapter);
+  if (use == nullptr) {
     return;
   }
-  std::vector<WaitingRequest>& waiting = link->uses[adapter].waiting;
-  const auto found = std::find(waiting.begin(), waiting.end(), request);
-  if (found != waiting.end()) {
-    waiting.erase(found);
-    --link->waiting;
+  const auto found =
+      std::find(use->waiting.begin(), use->waiting.end(), request);
+  if (found != use->waiting.end()) {
+    use->waiting.erase(found);
   }
 }
 
 void AgentLinks::AddRunning(std::string_view engine,
                             const AdapterName& adapter,
                             Time now) {
-  if (Link* link = Find(engine)) {
-    ++link->uses[adapter].running;
-    link->next_send = std::min(link->next_send, now + kDelayOfUses);
-  }
+  ++UseOf(engine, adapter).running;
+  SendBy(engine, now + kDelayOfUses);
 }
 
 void AgentLinks::RemoveRunning(std::string_view engine,
                                const AdapterName& adapter) {
-  Link* link = Find(engine);
-  if (link == nullptr || !link->uses.contains(adapter)) {
-    return;
+  if (Use* use = FindUse(engine, adapter)) {
+    use->running = std::max(use->running - 1, 0);
   }
-  Use& use = link->uses[adapter];
-  use.running = std::max(use.running - 1, 0);
 }
 
 void AgentLinks::MarkAbsent(std::string_view engine,
@@ -178,18 +201,20 @@
 void AgentLinks::Tick(Time now) {
   for (auto& [engine, link] : links_) {
     if (now >= link.next_send) {
-      SendDemand(link, now);
+      SendDemand(engine, link, now);
     }
   }
 }
 
-void AgentLinks::SendDemand(Link& link, Time now) {
+void AgentLinks::SendDemand(const std::string& engine, Link& link, Time now) {
   agent_wire::AgentDatagram datagram;
   agent_wire::AdapterDemand demand = link.endpoint.facts;
   demand.router = router_;
   demand.incarnation = incarnation_;
   demand.sequence = ++link.sequence;
-  for (const auto& [adapter, use] : link.uses) {
+  Uses& uses = uses_[engine];
+  bool waiting = false;
+  for (const auto& [adapter, use] : uses) {
     agent_wire::AdapterUse item;
     item.model = adapter.first;
     item.adapter = adapter.second;
@@ -197,17 +222,16 @@
     item.waiting = static_cast<std::int32_t>(use.waiting.size());
     item.running = use.running;
     item.rank = FirstRank(use.waiting, now);
+    waiting = waiting || item.waiting > 0;
     demand.uses.push_back(std::move(item));
   }
   datagram.__set_demand(demand);
   send_(link.endpoint.agent, EncodeDatagram(datagram));
   // Uses that began and ended since the last datagram have been told now.
-  std::erase_if(link.uses, [](const auto& item) {
-    return item.second.waiting.empty() && item.second.running == 0;
-  });
-  link.next_send = now + (link.waiting > 0     ? kRepeatWhileWaiting
-                          : !link.uses.empty() ? kRepeatWhileRunning
-                                               : kRepeatIdle);
+  EraseEnded(uses);
+  link.next_send = now + (waiting         ? kRepeatWhileWaiting
+                          : !uses.empty() ? kRepeatWhileRunning
+                                          : kRepeatIdle);
 }
 
 std::size_t AgentLinks::router_count(Time now) const {
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -109,14 +109,6 @@
   environment_.upstream.Cancel(call_);
 }
 
-bool RelayCall::IsGeneration() const {
-  if (facts_.model.empty()) {
-    return false;
-  }
-  const ServiceSpec* service = environment_.fleet.table().FindService(service_);
-  return service != nullptr && service->engine.has_value();
-}
-
 void RelayCall::Start(Time now,
                       std::function<void(const RelayResult&)> on_done) {
   on_done_ = std::move(on_done);
@@ -127,6 +119,9 @@
   waiting_request_ = {route_.priority,
                       UsefulUntil(route_, facts_.patience, now)};
   service_ = PickService(route_.services, Hash64(facts_.attempt_id));
+  const ServiceSpec* service = environment_.fleet.table().FindService(service_);
+  is_generation_ = !facts_.model.empty() && service != nullptr &&
+                   service->engine.has_value();
   environment_.fleet.AddRequest(service_, now);
   responder_->OnCallerGone([this] { OnCallerGone(); });
   deadline_timer_ =
@@ -138,7 +133,7 @@
   progress_.time_left = deadline_ - now;
   Fleet& fleet = environment_.fleet;
   const std::optional<Placement> placement =
-      IsGeneration()
+      is_generation_
           ? fleet.PlaceGeneration(service_, facts_, tried_, now)
           : fleet.PlacePlain(service_, tried_, Hash64(facts_.attempt_id), now);
   if (!placement) {
@@ -152,12 +147,12 @@
   placement_ = *placement;
   expected_delay_ = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(placement_.expected_delay_ms));
-  if (IsGeneration() && IsRefusedAtOnce(route_, progress_, expected_delay_)) {
+  if (is_generation_ && IsRefusedAtOnce(route_, progress_, expected_delay_)) {
     TakeStep(RelayStep::kRefuse, now);
     return;
   }
   std::optional<std::int64_t> version;
-  if (!IsGeneration() ||
+  if (!is_generation_ ||
       fleet.IsAdapterReady(placement_.server.id, facts_, now, version)) {
     Send(version, now);
     return;
@@ -241,7 +236,7 @@
   SendOptions options;
   options.expected_server = id;
   options.time_left = deadline_ - now;
-  if (IsGeneration()) {
+  if (is_generation_) {
     options.priority = route_.priority;
     options.expected_version = version;
     environment_.fleet.links().AddRunning(id, {facts_.model, facts_.adapter},
@@ -341,7 +336,7 @@
 void RelayCall::EndActivity() {
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
   environment_.fleet.EndSend(placement_.server.id);
-  if (IsGeneration()) {
+  if (is_generation_) {
     environment_.fleet.links().RemoveRunning(placement_.server.id,
                                              {facts_.model, facts_.adapter});
   }
@@ -400,7 +395,7 @@
     --progress_.may_have_run;
     ++progress_.not_run;
   }
-  if (end == SendEnd::kNotRun && IsGeneration()) {
+  if (end == SendEnd::kNotRun && is_generation_) {
     environment_.fleet.links().MarkAbsent(placement_.server.id,
                                           {facts_.model, facts_.adapter});
   }
@@ -454,7 +449,7 @@
 }
 
 bool RelayCall::IsServerBusy(Time now) const {
-  if (!IsGeneration()) {
+  if (!is_generation_) {
     return false;
   }
   const EngineView* view =
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -76,7 +76,6 @@
  private:
   enum class State { kNew, kWaiting, kSending, kDone };
 
-  bool IsGeneration() const;
   void Place(Time now);
   void WaitForAdapter(Time now);
   void StopWaiting();
@@ -111,6 +110,9 @@
 
   State state_ = State::kNew;
   std::string service_;
+  // Decided once: a change of the configuration must not part the beginning of
+  // a use of an adapter from its end.
+  bool is_generation_ = false;
   Time started_;
   Time deadline_;
   Time sent_;
--- /dev/null
+++ b/src/router/relay_call_test.cc
@@ -0,0 +1,147 @@
+// One request's way through a router, with a fake client in the place of the
+// network.
+
+#include "src/router/relay_call.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranthcove {
+
+namespace {
+
+constexpr std::string_view kService = "care";
+
+// Takes calls and lets the test play the server's part.
+class FakeUpstream final : public UpstreamClient {
+ public:
+  UpstreamCallId Start(const Address& /*server*/,
+                       const HttpRequest& request,
+                       Callbacks callbacks) override {
+    requests.push_back(request);
+    calls.push_back(std::move(callbacks));
+    return calls.size();
+  }
+  void Cancel(UpstreamCallId /*call*/) override {}
+  void CloseIdle(const Address& /*server*/) override {}
+  Counters counters() const override { return {}; }
+
+  std::vector<HttpRequest> requests;
+  std::vector<Callbacks> calls;
+};
+
+class FakeResponder final : public HttpResponder {
+ public:
+  void Send(HttpResponse /*response*/) override {}
+  void Start(HttpResponse /*response*/) override {}
+  void Write(std::string_view /*data*/) override {}
+  void End() override {}
+  void Abort() override {}
+  std::size_t buffered_bytes() const override { return 0; }
+  void OnCallerGone(std::function<void()> /*callback*/) override {}
+};
+
+RoutingConfig MakeConfig(std::int64_t version, bool has_service) {
+  RoutingConfig config;
+  config.version = version;
+  if (has_service) {
+    ServiceSpec service;
+    service.name = kService;
+    service.engine.emplace();
+    config.services[service.name] = service;
+  }
+  return config;
+}
+
+Route MakeRoute() {
+  Route route;
+  route.name = "advice";
+  route.kind = CallKind::kStream;
+  route.services = {{std::string(kService), 1}};
+  return route;
+}
+
+RequestFacts MakeFacts() {
+  RequestFacts facts;
+  facts.attempt_id = "a1";
+  facts.model = "base";
+  facts.adapter = "silk";
+  return facts;
+}
+
+BackendServer MakeEngine() {
+  BackendServer server;
+  server.id = "e1";
+  server.service = kService;
+  server.address = {"10.0.0.1", 80};
+  server.slots = 24;
+  return server;
+}
+
+}  // namespace
+
+TEST_GROUP(RelayCall) {
+  EventLoop loop_;
+  FakeUpstream upstream_;
+  EventLog log_{"router", {}};
+  std::vector<agent_wire::AdapterDemand> demands_;
+  AgentLinks links_{"r1", 1, [this](const Address&, std::string_view bytes) {
+                      demands_.push_back(DecodeDatagram(bytes)->demand);
+                    }};
+  Fleet fleet_{{"dc", 7000, {0.2, 112, std::chrono::seconds(10)}}, links_};
+  RelayCall::Environment environment_{loop_, upstream_, fleet_, log_, [] {}};
+
+  void setup() override {
+    fleet_.directory().Put(MakeEngine());
+    fleet_.SetConfig(MakeConfig(1, true));
+  }
+
+  // What the agent is told now.
+  std::vector<agent_wire::AdapterUse> ToldUses(Time now) {
+    demands_.clear();
+    links_.Tick(now);
+    CHECK_EQUAL(1, static_cast<int>(demands_.size()));
+    return demands_[0].uses;
+  }
+
+  // A view in which the engine holds the adapter.
+  void ReportResident(Time now) {
+    agent_wire::AgentDatagram datagram;
+    agent_wire::EngineStatus status;
+    status.sequence = 1;
+    status.reachable = true;
+    status.models = {"base"};
+    agent_wire::ResidentAdapter adapter;
+    adapter.model = "base";
+    adapter.adapter = "silk";
+    status.resident.push_back(adapter);
+    datagram.__set_status(status);
+    links_.Receive({"10.0.0.1", 7000}, EncodeDatagram(datagram), now);
+  }
+};
+
+// Guards against an adapter that keeps its place for ever: its service is
+// dropped from the configuration while a request uses it, and comes back.
+TEST(RelayCall, UseEndsAlthoughItsServiceWasDropped) {
+  const Time now = loop_.Now();
+  ReportResident(now);
+  RelayCall call(environment_, {}, MakeFacts(), MakeRoute(),
+                 std::make_unique<FakeResponder>());
+  int done = 0;
+  call.Start(now, [&done](const RelayResult&) { ++done; });
+  CHECK_EQUAL(1, static_cast<int>(upstream_.calls.size()));
+  CHECK_EQUAL(1, ToldUses(now + std::chrono::seconds(1))[0].running);
+  fleet_.SetConfig(MakeConfig(2, false));
+  upstream_.calls[0].on_head({200, {}, ""});
+  upstream_.calls[0].on_end(UpstreamEnd::kComplete);
+  CHECK_EQUAL(1, done);
+  fleet_.SetConfig(MakeConfig(3, true));
+  // Its end is told once, then the use is forgotten.
+  CHECK_EQUAL(0, ToldUses(now + std::chrono::seconds(2))[0].running);
+  CHECK(ToldUses(now + std::chrono::seconds(3)).empty());
+}
+
+}  // namespace amaranthcove
