net: limits of what callers may send, from the operator's configuration

The operator's max_header_bytes, header_timeout_ms and idle_timeout_ms were read and not applied; bodies were bounded by a constant. The router now hands all four limits to its server, also when they change: 431 for large headers, 413 for large bodies, 408 for headers that come too slowly, and a close of idle connections. Times are measured by the steady clock; h2o's own limit used the time of day, by which a step forward closed connections.

--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -10,6 +10,7 @@
 
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/error.h"
+#include "amaranthcove/base/time.h"
 #include "amaranthcove/net/event_loop.h"
 #include "amaranthcove/net/http.h"
 
@@ -69,15 +70,29 @@
     kClose
   };
 
+  // What callers may send, and how long they may take.
+  struct Limits {
+    // A request whose line and header fields are larger is answered 431. h2o
+    // answers 400 above 100 fields or 408 KiB. Bytes.
+    std::size_t max_header_bytes = 64 << 10;
+    // A request with a larger body is answered 413. Bytes.
+    std::size_t max_body_bytes = 4 << 20;
+    // A caller that has begun a request and not ended its header fields by then
+    // is answered 408.
+    Duration header_timeout = std::chrono::seconds(60);
+    // A connection without a request is closed after this time without a byte.
+    Duration idle_timeout = std::chrono::seconds(60);
+  };
+
   struct Options {
     AbortMark abort_mark = AbortMark::kMalformedChunk;
-    // Larger request bodies are answered 413. Bytes.
-    std::size_t max_body_bytes = 4 << 20;
+    Limits limits;
   };
 
   // Counts since the start of what never reached the handler.
   struct Counters {
-    // Requests with a body above the limit, or with malformed chunks.
+    // Requests with header fields or a body above the limit, with malformed
+    // chunks, or with a header that came too slowly.
     std::uint64_t refused = 0;
     // Connections that ended without one whole request: probes, truncated
     // requests and bytes that are not HTTP.
@@ -99,6 +114,9 @@
 
   virtual Counters counters() const = 0;
 
+  // Replaces the limits; they hold for requests that begin from now on.
+  virtual void SetLimits(const Limits& limits) = 0;
+
   // From now on each answer closes its connection, so that callers move to
   // other instances. New connections are still served.
   virtual void CloseAfterAnswers() = 0;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -136,7 +136,7 @@
   }
   context_.self.peer_address = mesh_context_.self.peer_address;
   HttpServer::Options http_options;
-  http_options.max_body_bytes = kMaxBodyBytes;
+  http_options.limits.max_body_bytes = kMaxBodyBytes;
   auto server = HttpServer::Listen(
       context_.loop, options_.http_address, http_options,
       [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -24,8 +25,12 @@
 // read while a request is in progress, so it misses callers that go away.
 constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
 
-// Connections without a request are closed after this time.
-constexpr std::uint64_t kIdleConnectionMs = 60'000;
+// h2o measures its own limit by the time of day, which may be set forward. The
+// limits of this server are measured by the steady clock.
+constexpr std::uint64_t kRequestLimitOfH2oMs = 24 * 3'600'000;
+
+// How often connections without a request are looked at.
+constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(250);
 
 // An aborted answer may take this long to send the piece that h2o has; a caller
 // that reads no further is cut off then.
@@ -38,6 +43,36 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+constexpr std::string_view kHeaderTooLargeBody =
+    R"({"error":{"code":"header_too_large","message":)"
+    R"("the header fields exceed the limit of this server",)"
+    R"("outcome":"not_run","request_id":""}})";
+
+constexpr std::string_view kHeaderTooSlowBody =
+    R"({"error":{"code":"header_too_slow","message":)"
+    R"("the header fields did not arrive in time",)"
+    R"("outcome":"not_run","request_id":""}})";
+
+std::string HeaderTooSlowAnswer() {
+  return "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n"
+         "content-type: application/json\r\ncontent-length: " +
+         std::to_string(kHeaderTooSlowBody.size()) + "\r\n\r\n" +
+         std::string(kHeaderTooSlowBody);
+}
+
+// The size of a request's line and header fields as HTTP/1.1 writes them.
+std::size_t HeaderBytes(const HttpRequest& request) {
+  constexpr std::size_t kLineOverhead = 12;  // Spaces, version, end of line.
+  constexpr std::size_t kFieldOverhead = 4;  // Colon, space, end of line.
+  std::size_t bytes =
+      request.method.size() + request.path.size() + kLineOverhead;
+  for (const HttpHeader& header : request.headers) {
+    bytes += header.name.size() + header.value.size() + kFieldOverhead;
+  }
+  return bytes;
+}
 
 std::string ToString(h2o_iovec_t text) {
   return text.base == nullptr ? std::string()
@@ -437,13 +472,16 @@
   ServerCore(EventLoop& loop,
              const HttpServer::Options& options,
              HttpServer::Handler handler)
-      : loop_(loop), options_(options), handler_(std::move(handler)) {
+      : loop_(loop),
+        options_(options),
+        limits_(options.limits),
+        handler_(std::move(handler)) {
     h2o_config_init(&config_);
     static constexpr std::string_view kServerName = "amaranthcove";
     config_.server_name =
         h2o_iovec_init(kServerName.data(), kServerName.size());
-    config_.max_request_entity_size = options.max_body_bytes;
-    config_.http1.req_timeout = kIdleConnectionMs;
+    config_.max_request_entity_size = options.limits.max_body_bytes;
+    config_.http1.req_timeout = kRequestLimitOfH2oMs;
     config_.http1.upgrade_to_http2 = 0;
     static constexpr std::string_view kHost = "default";
     h2o_hostconf_t* host = h2o_config_register_host(
@@ -460,6 +498,7 @@
 
   ~ServerCore() {
     loop_.Cancel(check_timer_);
+    loop_.Cancel(connection_timer_);
     internal::KeepUntilExit(context_.queue);
     h2o_context_dispose(&context_);
     h2o_config_dispose(&config_);
@@ -474,14 +513,20 @@
       if (socket == nullptr) {
         return;
       }
-      connections_.emplace(socket, false);
+      connections_[socket].quiet_since = loop_.Now();
       auto* closed = new ClosedConnection{this, socket};
       socket->on_close.cb = &ServerCore::OnConnectionClosed;
       socket->on_close.data = closed;
       h2o_accept(&accept_, socket);
+      WatchConnections();
     }
   }
 
+  void SetLimits(const HttpServer::Limits& limits) {
+    limits_ = limits;
+    config_.max_request_entity_size = limits.max_body_bytes;
+  }
+
   const HttpServer::Counters& counters() const { return counters_; }
 
   // Closes connections after their current answers.
@@ -493,11 +538,8 @@
   // Closes the connections that have no request in progress.
   void CloseIdle() {
     stopped_ = true;
-    std::unordered_set<int> busy;
-    for (const Exchange* exchange : open_exchanges_) {
-      busy.insert(exchange->socket_fd());
-    }
-    for (const auto& [socket, has_requested] : connections_) {
+    const std::unordered_set<int> busy = BusySockets();
+    for (const auto& [socket, connection] : connections_) {
       const int fd = h2o_socket_get_fd(socket);
       if (!busy.contains(fd)) {
         shutdown(fd, SHUT_RDWR);
@@ -517,7 +559,7 @@
       exchange->DropCallback();
       exchange->Abort();
     }
-    for (const auto& [socket, has_requested] : connections_) {
+    for (const auto& [socket, connection] : connections_) {
       shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
     if (connections_.empty()) {
@@ -539,6 +581,17 @@
     h2o_socket_t* socket;
   };
 
+  struct Connection {
+    bool has_requested = false;  // A whole request has arrived.
+    // Since then no request was in progress and no byte came.
+    Time quiet_since;
+    // When it was last looked at.
+    std::size_t bytes_read = 0;
+    bool was_busy = false;
+    // When part of a header was first seen to wait for the rest.
+    std::optional<Time> header_since;
+  };
+
   void AddHandler(h2o_pathconf_t* path) {
     auto* handler = reinterpret_cast<RequestHandler*>(
         h2o_create_handler(path, sizeof(RequestHandler)));
@@ -550,7 +603,7 @@
     const std::unique_ptr<ClosedConnection> closed(
         static_cast<ClosedConnection*>(data));
     const auto connection = closed->core->connections_.find(closed->socket);
-    if (!connection->second) {
+    if (!connection->second.has_requested) {
       ++closed->core->counters_.incomplete_connections;
     }
     closed->core->connections_.erase(connection);
@@ -571,8 +624,8 @@
                                                core->open_exchanges_,
                                                core->closing_, core->stopped_);
     exchange->Attach(request);
-    core->connections_[request->conn->callbacks->get_socket(request->conn)] =
-        true;
+    core->connections_[request->conn->callbacks->get_socket(request->conn)]
+        .has_requested = true;
     if (core->stopped_) {
       // It crossed the close of its connection, where no answer can be sent.
       exchange->Abort();
@@ -580,6 +633,14 @@
     }
     core->WatchCallers();
     HttpRequest copy = Copy(*request);
+    if (HeaderBytes(copy) > core->limits_.max_header_bytes) {
+      ++core->counters_.refused;
+      request->http1_is_persistent = 0;
+      exchange->Send({kHeaderTooLarge,
+                      {{"content-type", "application/json"}},
+                      std::string(kHeaderTooLargeBody)});
+      return 0;
+    }
     // Called by the loop: h2o reads a pipelined request while it ends the
     // answer before, that is, inside a method of another responder.
     core->loop_.RunAfter(
@@ -612,6 +673,68 @@
     return copy;
   }
 
+  std::unordered_set<int> BusySockets() const {
+    std::unordered_set<int> busy;
+    for (const Exchange* exchange : open_exchanges_) {
+      busy.insert(exchange->socket_fd());
+    }
+    return busy;
+  }
+
+  void WatchConnections() {
+    if (connection_timer_ == 0) {
+      connection_timer_ = loop_.RunAfter(kConnectionCheckInterval,
+                                         [this] { CheckConnections(); });
+    }
+  }
+
+  // Ends the connections that are idle or slow beyond the limits.
+  void CheckConnections() {
+    connection_timer_ = 0;
+    const Time now = loop_.Now();
+    const std::unordered_set<int> busy = BusySockets();
+    for (auto& [socket, connection] : connections_) {
+      const int fd = h2o_socket_get_fd(socket);
+      Observe(*socket, busy.contains(fd), connection, now);
+      if (connection.header_since &&
+          now - *connection.header_since >= limits_.header_timeout) {
+        RefuseSlowHeader(fd);
+      } else if (now - connection.quiet_since >= limits_.idle_timeout) {
+        shutdown(fd, SHUT_RDWR);
+      }
+    }
+    if (!connections_.empty()) {
+      WatchConnections();
+    }
+  }
+
+  static void Observe(const h2o_socket_t& socket,
+                      bool is_busy,
+                      Connection& connection,
+                      Time now) {
+    if (is_busy || connection.was_busy ||
+        connection.bytes_read != socket.bytes_read) {
+      connection.quiet_since = now;
+    }
+    connection.was_busy = is_busy;
+    connection.bytes_read = socket.bytes_read;
+    // h2o keeps the bytes of a header until it is whole.
+    if (is_busy || socket.input->size == 0) {
+      connection.header_since.reset();
+    } else if (!connection.header_since) {
+      connection.header_since = now;
+    }
+  }
+
+  // h2o has written nothing on this connection since its last whole answer. An
+  // answer that the socket does not take at once is lost with the connection.
+  void RefuseSlowHeader(int fd) {
+    ++counters_.refused;
+    const std::string answer = HeaderTooSlowAnswer();
+    send(fd, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    shutdown(fd, SHUT_RDWR);
+  }
+
   void WatchCallers() {
     if (check_timer_ == 0) {
       check_timer_ =
@@ -646,15 +769,16 @@
 
   EventLoop& loop_;
   const HttpServer::Options options_;
+  HttpServer::Limits limits_;
   HttpServer::Handler handler_;
   h2o_globalconf_t config_ = {};
   h2o_context_t context_ = {};
   h2o_accept_ctx_t accept_ = {};
-  // Whether a whole request has arrived on each open connection.
-  std::unordered_map<h2o_socket_t*, bool> connections_;
+  std::unordered_map<h2o_socket_t*, Connection> connections_;
   HttpServer::Counters counters_;
   std::unordered_set<Exchange*> open_exchanges_;
   TimerId check_timer_ = 0;
+  TimerId connection_timer_ = 0;
   bool closing_ = false;
   bool stopped_ = false;  // No connection gets another request.
   bool orphaned_ = false;
@@ -683,6 +807,8 @@
 
   Counters counters() const override { return core_->counters(); }
 
+  void SetLimits(const Limits& limits) override { core_->SetLimits(limits); }
+
   void CloseAfterAnswers() override { core_->BeginClosing(); }
 
   void StopAccepting() override {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -460,7 +460,7 @@
 // parse, and against large bodies that fill the memory.
 TEST(Http, RefusesLargeBodiesInJson) {
   HttpServer::Options options;
-  options.max_body_bytes = 100;
+  options.limits.max_body_bytes = 100;
   ListenAndKeep(options);
   for (const char* framing : {"content-length: 101\r\n\r\n",
                               "transfer-encoding: chunked\r\n\r\n65\r\n"}) {
@@ -475,6 +475,63 @@
   CHECK(requests.empty());
 }
 
+// Guards against a large header that reaches the handler, and against limits
+// that only hold for connections opened after a change.
+TEST(Http, RefusesLargeHeaders) {
+  ListenAndKeep();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  ServeOneRequest(peer);
+  HttpServer::Limits limits;
+  limits.max_header_bytes = 200;
+  server->SetLimits(limits);
+  peer.Write("GET / HTTP/1.1\r\nx-a: " + std::string(200, 'a') + "\r\n\r\n");
+  RunUntil(loop, [&peer] { return peer.ReadAvailable(); });
+  STRCMP_CONTAINS("HTTP/1.1 431 ", peer.received.c_str());
+  STRCMP_CONTAINS(R"("outcome":"not_run")", peer.received.c_str());
+  CHECK_EQUAL(1, static_cast<int>(requests.size()));
+  CHECK_EQUAL(1, static_cast<int>(server->counters().refused));
+}
+
+// Guards against callers that hold connections by sending their header in
+// pieces for ever.
+TEST(Http, RefusesSlowHeaders) {
+  HttpServer::Options options;
+  options.limits.header_timeout = std::chrono::milliseconds(300);
+  ListenAndKeep(options);
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\nx-a: b");
+  int pieces = 0;
+  RunUntil(loop, [&peer, &pieces] {
+    if (peer.ReadAvailable()) {
+      return true;
+    }
+    if (++pieces < 10) {
+      peer.Write("b");
+    }
+    return false;
+  });
+  STRCMP_CONTAINS("HTTP/1.1 408 ", peer.received.c_str());
+  CHECK(requests.empty());
+}
+
+// Guards against idle connections that are kept for ever, and against the limit
+// for idle connections ending a request that takes longer.
+TEST(Http, ClosesIdleConnectionsOnly) {
+  HttpServer::Options options;
+  options.limits.idle_timeout = std::chrono::milliseconds(300);
+  ListenAndKeep(options);
+  RawPeer busy(RawPeer::Connect(server->local_address()));
+  busy.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return !responders.empty(); });
+  RawPeer idle(RawPeer::Connect(server->local_address()));
+  RunUntil(loop, [&idle] { return idle.ReadAvailable(); });
+  CHECK(idle.received.empty());
+  CHECK_FALSE(busy.ReadAvailable());
+  responders[0]->Send({200, {}, "done"});
+  RunUntil(loop, [&busy] { return busy.ReadAvailable(); });
+  CHECK(busy.received.ends_with("done"));
+}
+
 // Guards against bytes that are no HTTP and reach a handler.
 TEST(Http, RefusesOtherProtocols) {
   ListenAndKeep();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -71,7 +71,10 @@
                  log_,
                  {settings.metadata_store, settings.leaving_limit},
                  {[this](std::string_view server) { NotifyCalls(server); },
-                  [this] { ReleaseHeld(); }}) {}
+                  [this] {
+                    ApplyLimits();
+                    ReleaseHeld();
+                  }}) {}
 
   ~RouterImpl() override {
     loop_.Cancel(tick_timer_);
@@ -95,6 +98,8 @@
   void HoldUntilConfigured(HttpRequest request,
                            std::unique_ptr<HttpResponder> responder,
                            Time now);
+  // What the operator grants callers.
+  void ApplyLimits();
   void ReleaseHeld();
   void RefuseHeld(Time now);
   void Relay(HttpRequest request,
@@ -232,6 +237,15 @@
   held_.emplace(id, HeldRequest{std::move(request), std::move(responder), now});
 }
 
+void RouterImpl::ApplyLimits() {
+  if (!fleet_.has_config()) {
+    return;
+  }
+  const CallerLimits& limits = fleet_.table().config().limits;
+  server_->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
+                      limits.header_timeout, limits.idle_timeout});
+}
+
 void RouterImpl::ReleaseHeld() {
   if (!KnowsFleet()) {
     return;
--- a/testing/standins/main.cc
+++ b/testing/standins/main.cc
@@ -190,7 +190,7 @@
     return tl::unexpected(stand_in.error());
   }
   HttpServer::Options server_options;
-  server_options.max_body_bytes = kMaxBodyBytes;
+  server_options.limits.max_body_bytes = kMaxBodyBytes;
   auto server = HttpServer::Listen(
       loop, *address, server_options,
       [target = stand_in->get()](HttpRequest request,
