adapter_agent: dense demands do not put the engine's next report off

Cause: each demand planned again and re-armed the timer of the next report. With 48 routers, demands come more often than every 10 ms, so the timer never ran: the agent kept an old report in which four loads were under way, ordered nothing more, and told routers for seconds that the adapters were loading. Ruled out: engines that are cut off from the weight store (their loads ended, the agent did not see it) and the adapters' limit of the store (57 of 80 on their way).

DenseDemandsDoNotKeepItFromItsEngine failed first: the end of a load was not seen within 20 s.

--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -132,6 +132,7 @@
 
  private:
   void OnDatagram(const Address& sender, std::string_view bytes);
+  // Asks the engine after `delay`, or sooner if that was planned.
   void PollAfter(Duration delay);
   void Poll();
   void Call(const HttpRequest& request,
@@ -169,6 +170,7 @@
   Time measured_;
   std::int64_t status_sequence_ = 0;
   TimerId poll_timer_ = 0;
+  Time poll_time_;  // When the timer runs.
   TimerId limit_timer_ = 0;
   TimerId status_timer_ = 0;
   std::uint64_t orders_ = 0;
@@ -213,8 +215,15 @@
 }
 
 void AdapterAgentImpl::PollAfter(Duration delay) {
+  const Time when = loop_.Now() + delay;
+  // Demands come more often than the engine is asked, so they must not put the
+  // next question off.
+  if (poll_timer_ != 0 && poll_time_ <= when) {
+    return;
+  }
   loop_.Cancel(poll_timer_);
-  poll_timer_ = loop_.RunAfter(delay, [this] {
+  poll_time_ = when;
+  poll_timer_ = loop_.RunAt(when, [this] {
     poll_timer_ = 0;
     Poll();
   });
