router: log the inputs of a placement and the time to the first event

The end of a request names the engine's load as it was known when the request was placed, the age of that knowledge, and the time from the send to the first event.

--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -171,8 +171,18 @@
   if (!best) {
     return std::nullopt;
   }
-  return Placement{*servers[*best], candidates[*best].place,
-                   ExpectedDelayMs(candidates[*best]), candidates.size()};
+  const EngineCandidate& chosen = candidates[*best];
+  Placement placement;
+  placement.server = *servers[*best];
+  placement.place = chosen.place;
+  placement.expected_delay_ms = ExpectedDelayMs(chosen);
+  placement.candidates = candidates.size();
+  placement.running = chosen.running + chosen.recent_sends;
+  placement.queued = chosen.queued;
+  if (const EngineView* view = links_.View(placement.server.id, now)) {
+    placement.view_age_ms = ToMilliseconds(now - view->received);
+  }
+  return placement;
 }
 
 std::optional<Placement> Fleet::PlacePlain(std::string_view service,
@@ -203,8 +213,10 @@
   if (!best) {
     return std::nullopt;
   }
-  return Placement{*servers[*best], AdapterPlace::kResident, 0,
-                   candidates.size()};
+  Placement placement;
+  placement.server = *servers[*best];
+  placement.candidates = candidates.size();
+  return placement;
 }
 
 bool Fleet::IsAdapterReady(std::string_view engine,
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -28,6 +28,11 @@
   AdapterPlace place = AdapterPlace::kResident;
   double expected_delay_ms = 0;
   std::size_t candidates = 0;
+  // For generations, the engine's load as its agent said, plus the sends since
+  // then, and the age of that word; -1 if the agent is silent.
+  int running = 0;
+  int queued = 0;
+  std::int64_t view_age_ms = -1;
 };
 
 // What a router believes about configuration, backend servers and engines, and
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -291,6 +291,7 @@
     return;
   }
   progress_.answer_begun = true;
+  first_event_ = environment_.loop.Now() - sent_;
   HttpResponse start = head_;
   start.body = std::move(events);
   responder_->Start(std::move(start));
@@ -540,6 +541,9 @@
        {"adapter", facts_.adapter},
        {"place", std::string(PlaceName(placement_.place))},
        {"candidates", std::to_string(placement_.candidates)},
+       {"running", std::to_string(placement_.running)},
+       {"queued", std::to_string(placement_.queued)},
+       {"view_age_ms", std::to_string(placement_.view_age_ms)},
        {"expected_ms",
         std::to_string(static_cast<int>(placement_.expected_delay_ms))},
        {"outcome", std::string(RelayOutcomeName(outcome))},
@@ -547,6 +551,8 @@
        {"may_have_run", std::to_string(progress_.may_have_run)},
        {"not_run", std::to_string(progress_.not_run)},
        {"waited_ms", std::to_string(ToMilliseconds(waited_))},
+       {"first_ms",
+        std::to_string(first_event_ ? ToMilliseconds(*first_event_) : -1)},
        {"total_ms", std::to_string(ToMilliseconds(now - started_))},
        {"limit_ms", std::to_string(ToMilliseconds(deadline_ - started_))}});
   RelayResult result;
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -118,6 +118,8 @@
   Time sent_;
   Time wait_started_;
   Duration waited_ = Duration::zero();
+  // From the send to the first event of a stream.
+  std::optional<Duration> first_event_;
   RelayProgress progress_;
   std::set<std::string> tried_;
   WaitingRequest waiting_request_;
