backend_choice: cost of an engine by the prompts that wait there

Cause: the cost of an engine grew by 8 ms with each running request and by nothing with a waiting one while the batch was not full.

--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -30,10 +30,14 @@
 constexpr double kNoModelMs = 2000;
 // All adapter places are in use, so a load waits for a request to end.
 constexpr double kNoPlaceMs = 100;
-// Each request of the batch delays the next by its share of prompt reading.
-constexpr double kPerRunningMs = 8;
+// A request that runs slows the steps of the batch, and little else.
+constexpr double kPerRunningMs = 1.5;
+// An engine reads the prompts of waiting requests one after the other.
+constexpr double kPerQueuedMs = 25;
+// Most of the requests sent since the agent's word have been read meanwhile.
+constexpr double kPerRecentSendMs = 5;
 // A request beyond the batch waits for another to end.
-constexpr double kPerQueuedMs = 40;
+constexpr double kPerBeyondBatchMs = 25;
 constexpr double kOtherDataCentreMs = 4;
 
 double LoadMs(const EngineCandidate& candidate) {
@@ -74,7 +78,10 @@
   const int active = candidate.running + candidate.recent_sends;
   const int beyond =
       std::max(active + candidate.queued + 1 - candidate.batch_size, 0);
-  return LoadMs(candidate) + kPerRunningMs * active + kPerQueuedMs * beyond +
+  return LoadMs(candidate) + kPerRunningMs * candidate.running +
+         kPerQueuedMs * candidate.queued +
+         kPerRecentSendMs * candidate.recent_sends +
+         kPerBeyondBatchMs * beyond +
          (candidate.same_data_centre ? 0 : kOtherDataCentreMs);
 }
 
