router: engines that make events slowly cost more

Cause: a slow engine was known only by failures and silence. The adapter agent now measures the time between the events of the engine's runs, from its reports while no prompt waits; routers compare it with the median of the service and multiply the work's part of the cost.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -24,6 +24,12 @@
   bool operator==(const AdapterState&) const = default;
 };
 
+// A request that an engine runs.
+struct EngineRun {
+  std::string id;
+  std::int64_t events = 0;  // Made so far.
+};
+
 // What an engine says of itself.
 struct EngineReport {
   std::vector<std::string> models;
@@ -36,6 +42,7 @@
   std::int64_t kv_used_tokens = 0;  // Memory that running requests need.
   std::int64_t kv_total_tokens = 0;
   std::int64_t started_at_ms = 0;
+  std::vector<EngineRun> runs;
 };
 
 // An order to an engine.
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -35,6 +35,8 @@
   int free_places = 0;
   int routers = 0;
   int load_wait_ms = 0;
+  // Between the events of a run while no prompt waits; 0 if not known.
+  int event_interval_ms = 0;
   bool reachable = true;
 };
 
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -40,8 +40,19 @@
   // Until a load that is wanted now would end.
   double load_wait_ms = 250;
   int batch_size = 1;
+  // How much longer its work takes than that of a usual engine of the service.
+  double slowness = 1;
 };
 
+// The median of the times between events at the engines of a service; 0 stands
+// for an unknown one, and is returned if too few are known. Milliseconds.
+// Reorders `intervals_ms`. Thread-safe.
+double UsualIntervalMs(std::span<double> intervals_ms);
+
+// The slowness of an engine whose events follow each other in `interval_ms`; 1
+// if that or the usual interval is unknown. Thread-safe.
+double Slowness(double interval_ms, double usual_interval_ms);
+
 // The expected delay until the first event, beyond what all engines share.
 // Milliseconds. Thread-safe.
 double ExpectedDelayMs(const EngineCandidate& candidate);
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -10,6 +10,7 @@
 
 #include "amaranthcove/adapter_agent/adapter_plan.h"
 #include "amaranthcove/adapter_agent/demand_table.h"
+#include "amaranthcove/adapter_agent/engine_pace.h"
 #include "amaranthcove/agent_link/datagram.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/log/event_log.h"
@@ -157,6 +158,7 @@
   std::unique_ptr<UdpSocket> udp_;
   DemandTable demands_;
   std::optional<EngineReport> report_;
+  EnginePace pace_;
   bool reachable_ = false;
   int failures_ = 0;
   bool calling_ = false;
@@ -307,6 +309,7 @@
   }
   const bool changed = !report_ || report_->resident != report.resident ||
                        report_->models != report.models;
+  pace_.Observe(report, loop_.Now());
   report_ = std::move(report);
   MeasureLoads();
   if (regained) {
@@ -463,6 +466,8 @@
         FreePlaces(*report_, demands_.room(), demands_.Wanted());
     status.load_wait_ms = static_cast<std::int32_t>(
         LoadWaitMs(*report_, demands_.Wanted(), load_ms_));
+    status.event_interval_ms =
+        static_cast<std::int32_t>(pace_.EventIntervalMs(loop_.Now()));
     status.kv_free_tokens = report_->kv_total_tokens - report_->kv_used_tokens;
   }
   agent_wire::AgentDatagram datagram;
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -49,6 +49,7 @@
   11: bool reachable     // Whether the engine answers its agent.
   12: i64 started_at_ms  // Of the engine, as it says itself.
   13: i32 load_wait_ms   // Until a load that is ordered now would end.
+  14: i32 event_interval_ms  // Between the events of a run; 0 if not known.
 }
 
 struct AgentDatagram {
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -42,6 +42,7 @@
   view.free_places = status.free_places;
   view.routers = status.routers;
   view.load_wait_ms = status.load_wait_ms;
+  view.event_interval_ms = status.event_interval_ms;
   view.reachable = status.reachable;
   return view;
 }
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -757,6 +757,10 @@
 void EngineStatus::__set_load_wait_ms(const int32_t val) {
   this->load_wait_ms = val;
 }
+
+void EngineStatus::__set_event_interval_ms(const int32_t val) {
+  this->event_interval_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
 {
   obj.printTo(out);
@@ -925,6 +929,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->event_interval_ms);
+          this->__isset.event_interval_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1018,6 +1030,10 @@
   xfer += oprot->writeI32(this->load_wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("event_interval_ms", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->event_interval_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1038,6 +1054,7 @@
   swap(a.reachable, b.reachable);
   swap(a.started_at_ms, b.started_at_ms);
   swap(a.load_wait_ms, b.load_wait_ms);
+  swap(a.event_interval_ms, b.event_interval_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1055,6 +1072,7 @@
   reachable = other38.reachable;
   started_at_ms = other38.started_at_ms;
   load_wait_ms = other38.load_wait_ms;
+  event_interval_ms = other38.event_interval_ms;
   __isset = other38.__isset;
 }
 EngineStatus& EngineStatus::operator=(const EngineStatus& other39) {
@@ -1071,6 +1089,7 @@
   reachable = other39.reachable;
   started_at_ms = other39.started_at_ms;
   load_wait_ms = other39.load_wait_ms;
+  event_interval_ms = other39.event_interval_ms;
   __isset = other39.__isset;
   return *this;
 }
@@ -1090,6 +1109,7 @@
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "started_at_ms=" << to_string(started_at_ms);
   out << ", " << "load_wait_ms=" << to_string(load_wait_ms);
+  out << ", " << "event_interval_ms=" << to_string(event_interval_ms);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -302,7 +302,7 @@
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), load_wait_ms(false) {}
+  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), load_wait_ms(false), event_interval_ms(false) {}
   bool sequence :1;
   bool models :1;
   bool resident :1;
@@ -316,6 +316,7 @@
   bool reachable :1;
   bool started_at_ms :1;
   bool load_wait_ms :1;
+  bool event_interval_ms :1;
 } _EngineStatus__isset;
 
 class EngineStatus : public virtual ::apache::thrift::TBase {
@@ -333,7 +334,8 @@
                  incarnation(0),
                  reachable(0),
                  started_at_ms(0),
-                 load_wait_ms(0) {
+                 load_wait_ms(0),
+                 event_interval_ms(0) {
   }
 
   virtual ~EngineStatus() noexcept;
@@ -350,6 +352,7 @@
   bool reachable;
   int64_t started_at_ms;
   int32_t load_wait_ms;
+  int32_t event_interval_ms;
 
   _EngineStatus__isset __isset;
 
@@ -379,6 +382,8 @@
 
   void __set_load_wait_ms(const int32_t val);
 
+  void __set_event_interval_ms(const int32_t val);
+
   bool operator == (const EngineStatus & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -407,6 +412,8 @@
       return false;
     if (!(load_wait_ms == rhs.load_wait_ms))
       return false;
+    if (!(event_interval_ms == rhs.event_interval_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineStatus &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -30,6 +30,8 @@
 constexpr double kNoModelMs = 2000;
 // All adapter places are in use, so a load waits for a request to end.
 constexpr double kNoPlaceMs = 100;
+// From a send to the first event at an engine where nothing waits.
+constexpr double kFirstEventMs = 60;
 // A request that runs slows the steps of the batch, and little else.
 constexpr double kPerRunningMs = 1.5;
 // An engine reads the prompts of waiting requests one after the other.
@@ -67,6 +69,11 @@
          (candidate.free_places > 0 ? 0 : kNoPlaceMs);
 }
 
+// The median of fewer engines is no standard.
+constexpr std::ptrdiff_t kMinKnownIntervals = 3;
+constexpr double kMinSlowness = 0.5;
+constexpr double kMaxSlowness = 20;
+
 // In-flight requests of one instance count as busy above this share of slots,
 // since the other instances use the server as well.
 constexpr int kOwnSlotsDivisor = 3;
@@ -74,14 +81,35 @@
 
 }  // namespace
 
+double UsualIntervalMs(std::span<double> intervals_ms) {
+  const auto unknown = std::partition(intervals_ms.begin(), intervals_ms.end(),
+                                      [](double value) { return value > 0; });
+  const auto known = unknown - intervals_ms.begin();
+  if (known < kMinKnownIntervals) {
+    return 0;
+  }
+  const auto middle = intervals_ms.begin() + known / 2;
+  std::nth_element(intervals_ms.begin(), middle, unknown);
+  return *middle;
+}
+
+double Slowness(double interval_ms, double usual_interval_ms) {
+  if (interval_ms <= 0 || usual_interval_ms <= 0) {
+    return 1;
+  }
+  return std::clamp(interval_ms / usual_interval_ms, kMinSlowness,
+                    kMaxSlowness);
+}
+
 double ExpectedDelayMs(const EngineCandidate& candidate) {
   const int active = candidate.running + candidate.recent_sends;
   const int beyond =
       std::max(active + candidate.queued + 1 - candidate.batch_size, 0);
-  return LoadMs(candidate) + kPerRunningMs * candidate.running +
-         kPerQueuedMs * candidate.queued +
-         kPerRecentSendMs * candidate.recent_sends +
-         kPerBeyondBatchMs * beyond +
+  const double work_ms = kFirstEventMs + kPerRunningMs * candidate.running +
+                         kPerQueuedMs * candidate.queued +
+                         kPerRecentSendMs * candidate.recent_sends +
+                         kPerBeyondBatchMs * beyond;
+  return LoadMs(candidate) + work_ms * candidate.slowness - kFirstEventMs +
          (candidate.same_data_centre ? 0 : kOtherDataCentreMs);
 }
 
--- a/src/backend_choice/backend_choice_test.cc
+++ b/src/backend_choice/backend_choice_test.cc
@@ -25,8 +25,9 @@
 TEST_GROUP(ChooseEngine){};
 
 // Guards against loading an adapter again while an engine that holds it has
-// room, and against piling all requests of a popular adapter on one engine. What
-// delays a first event are the prompts that wait, not the running requests.
+// room, and against piling all requests of a popular adapter on one engine.
+// What delays a first event are the prompts that wait, not the running
+// requests.
 TEST(ChooseEngine, SpreadsAPopularAdapterOnlyUnderLoad) {
   std::array engines = {MakeEngine(AdapterPlace::kResident, 30, 0),
                         MakeEngine(AdapterPlace::kAbsent, 2, 1)};
@@ -36,8 +37,8 @@
 }
 
 // Guards against long queues at the engines that hold an adapter, from routers
-// that count only requests beyond the batch as waiting (20 and more waited where
-// a load takes 250 ms).
+// that count only requests beyond the batch as waiting (20 and more waited
+// where a load takes 250 ms).
 TEST(ChooseEngine, WaitingPromptsCostMoreThanALoad) {
   std::array engines = {MakeEngine(AdapterPlace::kResident, 25, 0),
                         MakeEngine(AdapterPlace::kAbsent, 25, 7)};
@@ -45,6 +46,31 @@
   CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
 }
 
+// Guards against queues at an engine that has become slow and still holds an
+// adapter, and against preferring any load to an engine that is a little slow.
+TEST(ChooseEngine, SlowEnginesCostMore) {
+  std::array engines = {MakeEngine(AdapterPlace::kResident, 3, 0),
+                        MakeEngine(AdapterPlace::kAbsent, 8, 7)};
+  engines[0].slowness = 8;
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+  engines[0].slowness = 2;
+  CHECK_EQUAL(0, static_cast<int>(*ChooseEngine(engines)));
+  engines[0].queued = 12;
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+}
+
+// Guards against a standard of speed taken from a few engines, or drawn by the
+// slow ones and those that are not known.
+TEST(ChooseEngine, SlownessIsMeasuredByTheMedian) {
+  std::array few = {40.0, 0.0, 160.0};
+  CHECK_EQUAL(0, static_cast<int>(UsualIntervalMs(few)));
+  std::array many = {0.0, 300.0, 45.0, 40.0, 0.0, 50.0, 320.0};
+  CHECK_EQUAL(50, static_cast<int>(UsualIntervalMs(many)));
+  DOUBLES_EQUAL(6, Slowness(300, 50), 0.01);
+  DOUBLES_EQUAL(1, Slowness(0, 50), 0.01);
+  DOUBLES_EQUAL(1, Slowness(300, 0), 0.01);
+}
+
 // Guards against cold loads on engines that are idle by chance.
 TEST(ChooseEngine, AbsentAdapterGoesToItsPreferredEngine) {
   const std::array engines = {MakeEngine(AdapterPlace::kAbsent, 0, 4),
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -146,6 +146,21 @@
   return candidate;
 }
 
+double Fleet::IntervalMs(const BackendServer& server, Time now) const {
+  const EngineView* view = links_.View(server.id, now);
+  return view == nullptr ? 0 : view->event_interval_ms;
+}
+
+double Fleet::UsualIntervalMs(std::span<const BackendServer* const> servers,
+                              Time now) const {
+  std::vector<double> intervals;
+  intervals.reserve(servers.size());
+  for (const BackendServer* server : servers) {
+    intervals.push_back(IntervalMs(*server, now));
+  }
+  return amaranthcove::UsualIntervalMs(intervals);
+}
+
 std::optional<Placement> Fleet::PlaceGeneration(
     std::string_view service,
     const RequestFacts& facts,
@@ -154,8 +169,11 @@
   const std::vector<const BackendServer*> servers = directory_.Serving(service);
   std::vector<EngineCandidate> candidates;
   std::vector<std::string> addresses;
+  const double usual_interval_ms = UsualIntervalMs(servers, now);
   for (const BackendServer* server : servers) {
     candidates.push_back(MakeCandidate(*server, facts, tried, now));
+    candidates.back().slowness =
+        Slowness(IntervalMs(*server, now), usual_interval_ms);
     // By address: an engine keeps its copies of adapters over a restart.
     addresses.push_back(FormatAddress(server->address));
   }
@@ -179,6 +197,7 @@
   placement.candidates = candidates.size();
   placement.running = chosen.running + chosen.recent_sends;
   placement.queued = chosen.queued;
+  placement.slowness = chosen.slowness;
   if (const EngineView* view = links_.View(placement.server.id, now)) {
     placement.view_age_ms = ToMilliseconds(now - view->received);
   }
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,7 @@
   // then, and the age of that word; -1 if the agent is silent.
   int running = 0;
   int queued = 0;
+  double slowness = 1;
   std::int64_t view_age_ms = -1;
 };
 
@@ -114,6 +116,10 @@
   };
 
   RetryBudget& BudgetOf(const std::string& service);
+  // Between the events of a run at an engine; 0 if not known. Milliseconds.
+  double IntervalMs(const BackendServer& server, Time now) const;
+  double UsualIntervalMs(std::span<const BackendServer* const> servers,
+                         Time now) const;
   EngineCandidate MakeCandidate(const BackendServer& server,
                                 const RequestFacts& facts,
                                 const std::set<std::string>& tried,
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -543,6 +543,8 @@
        {"candidates", std::to_string(placement_.candidates)},
        {"running", std::to_string(placement_.running)},
        {"queued", std::to_string(placement_.queued)},
+       {"slowness_pct",
+        std::to_string(static_cast<int>(placement_.slowness * 100))},
        {"view_age_ms", std::to_string(placement_.view_age_ms)},
        {"expected_ms",
         std::to_string(static_cast<int>(placement_.expected_delay_ms))},
