amaranthd: write the stack of a crash to the log

A process that ends by a fault left nothing but its exit code. It now writes the signal and the stack, as module offsets, to its log first.

--- a/src/programs/amaranthd/main.cc
+++ b/src/programs/amaranthd/main.cc
@@ -1,6 +1,8 @@
 // The daemon: an entry, a sidecar, a router or an adapter agent, as its
 // settings say.
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -13,6 +15,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "amaranthcove/base/crash_log.h"
 #include "amaranthcove/base/file.h"
 #include "amaranthcove/daemon/daemon.h"
 #include "amaranthcove/ini/ini.h"
@@ -115,6 +118,7 @@
     std::cerr << "amaranthd: --settings is missing\n" << description;
     return kExitUsage;
   }
+  amaranthcove::InstallCrashLog(STDOUT_FILENO);
   return RunWithSettings(values["settings"].as<std::string>(),
                          values.contains("check-settings"));
 }
