--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,8 +33,10 @@
 // The engine is on the same host; it answers in a few milliseconds.
 constexpr Duration kCallLimit = milliseconds(700);
 
-// Routers forget an engine whose agent is silent for longer than this.
+// Routers know the load of an engine this well; while no request uses the
+// engine, there is less to know.
 constexpr Duration kStatusInterval = milliseconds(250);
+constexpr Duration kIdleStatusInterval = milliseconds(500);
 
 // An unload waits for the runs of its adapter; another victim is chosen for the
 // same need after this time.
@@ -59,13 +62,19 @@
 
 constexpr int kOk = 200;
 
+// Adapters of models that the engine does not hold serve no request.
 std::vector<agent_wire::ResidentAdapter> ToWire(
-    const std::vector<AdapterState>& adapters) {
+    std::span<const std::string> models,
+    std::span<const AdapterState> adapters) {
   std::vector<agent_wire::ResidentAdapter> result;
   result.reserve(adapters.size());
   for (const AdapterState& adapter : adapters) {
+    const auto model = std::find(models.begin(), models.end(), adapter.model);
+    if (model == models.end()) {
+      continue;
+    }
     agent_wire::ResidentAdapter item;
-    item.model = adapter.model;
+    item.model = static_cast<std::int16_t>(model - models.begin());
     item.adapter = adapter.adapter;
     item.version = adapter.version;
     result.push_back(std::move(item));
@@ -442,8 +451,10 @@
 
 void AdapterAgentImpl::SendStatusToAll() {
   SendStatus(demands_.Routers());
-  status_timer_ =
-      loop_.RunAfter(kStatusInterval, [this] { SendStatusToAll(); });
+  const bool idle = demands_.Wanted().empty() &&
+                    (!report_ || report_->running + report_->queued == 0);
+  status_timer_ = loop_.RunAfter(idle ? kIdleStatusInterval : kStatusInterval,
+                                 [this] { SendStatusToAll(); });
 }
 
 void AdapterAgentImpl::SendStatus(const std::vector<Address>& routers) {
@@ -458,8 +469,8 @@
   status.routers = static_cast<std::int32_t>(demands_.Routers().size());
   if (report_) {
     status.models = report_->models;
-    status.resident = ToWire(report_->resident);
-    status.loading = ToWire(report_->loading);
+    status.resident = ToWire(report_->models, report_->resident);
+    status.loading = ToWire(report_->models, report_->loading);
     status.running = report_->running;
     status.queued = report_->queued;
     status.free_places =
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -28,10 +28,12 @@
   7: i64 incarnation         // Of the router.
 }
 
+// Statuses are most of the traffic between data centres, so a model is named
+// once for all its adapters.
 struct ResidentAdapter {
-  1: string model
   2: string adapter
   3: i64 version
+  4: i16 model           // Index into `models` of the status.
 }
 
 // From an agent to the routers that have sent it a demand lately.
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -23,9 +23,9 @@
   status.incarnation = incarnation;
   status.reachable = true;
   status.routers = 4;
+  status.models = {kSilk.first};
   if (silk_version > 0) {
     agent_wire::ResidentAdapter adapter;
-    adapter.model = kSilk.first;
     adapter.adapter = kSilk.second;
     adapter.version = silk_version;
     status.resident.push_back(adapter);
@@ -158,6 +158,42 @@
   CHECK(links_.View("e2", kStart) == nullptr);
 }
 
+// Guards against statuses that grow to most of the traffic between data centres:
+// 40 routers get four a second from each of 46 agents.
+TEST(AgentLinks, StatusesAreSmall) {
+  constexpr std::size_t kMaxStatusBytes = 300;
+  agent_wire::EngineStatus status;
+  status.models = {"lomi295653"};
+  for (int i = 0; i < 17; ++i) {
+    agent_wire::ResidentAdapter adapter;
+    adapter.adapter = "a" + std::to_string(9000 + i);
+    adapter.version = 3;
+    status.resident.push_back(adapter);
+  }
+  agent_wire::AgentDatagram datagram;
+  datagram.__set_status(status);
+  CHECK(EncodeDatagram(datagram).size() <= kMaxStatusBytes);
+}
+
+// Guards against memory that is read for a model that the status does not name.
+TEST(AgentLinks, AdaptersOfUnnamedModelsAreSkipped) {
+  agent_wire::AgentDatagram datagram;
+  agent_wire::EngineStatus status;
+  status.sequence = 1;
+  status.models = {kSilk.first};
+  for (const int model : {-1, 0, 1, 32767}) {
+    agent_wire::ResidentAdapter adapter;
+    adapter.adapter = "a" + std::to_string(model);
+    adapter.model = static_cast<std::int16_t>(model);
+    status.resident.push_back(adapter);
+  }
+  datagram.__set_status(status);
+  links_.Receive(kAgent, EncodeDatagram(datagram), kStart);
+  const EngineView* view = links_.View("e1", kStart);
+  CHECK_EQUAL(1, static_cast<int>(view->resident.size()));
+  CHECK(view->resident.contains({"base", "a0"}));
+}
+
 // Guards against hostile or broken datagrams.
 TEST(AgentLinks, BrokenDatagramsAreDropped) {
   const std::string whole = EncodeStatus(1, 1, 1);
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -20,10 +20,16 @@
 constexpr Duration kRepeatIdle = milliseconds(500);
 
 std::map<AdapterName, std::int64_t> ToVersions(
-    const std::vector<agent_wire::ResidentAdapter>& adapters) {
+    std::span<const std::string> models,
+    std::span<const agent_wire::ResidentAdapter> adapters) {
   std::map<AdapterName, std::int64_t> versions;
   for (const agent_wire::ResidentAdapter& adapter : adapters) {
-    std::int64_t& version = versions[{adapter.model, adapter.adapter}];
+    if (adapter.model < 0 ||
+        static_cast<std::size_t>(adapter.model) >= models.size()) {
+      continue;  // Not from an agent of this release.
+    }
+    std::int64_t& version = versions[{
+        models[static_cast<std::size_t>(adapter.model)], adapter.adapter}];
     version = std::max(version, adapter.version);
   }
   return versions;
@@ -35,8 +41,8 @@
   view.incarnation = status.incarnation;
   view.sequence = status.sequence;
   view.models = status.models;
-  view.resident = ToVersions(status.resident);
-  view.loading = ToVersions(status.loading);
+  view.resident = ToVersions(status.models, status.resident);
+  view.loading = ToVersions(status.models, status.loading);
   view.running = status.running;
   view.queued = status.queued;
   view.free_places = status.free_places;
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -574,10 +574,6 @@
 }
 
 
-void ResidentAdapter::__set_model(const std::string& val) {
-  this->model = val;
-}
-
 void ResidentAdapter::__set_adapter(const std::string& val) {
   this->adapter = val;
 }
@@ -585,6 +581,10 @@
 void ResidentAdapter::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void ResidentAdapter::__set_model(const int16_t val) {
+  this->model = val;
+}
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj)
 {
   obj.printTo(out);
@@ -613,14 +613,6 @@
     }
     switch (fid)
     {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->model);
-          this->__isset.model = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->adapter);
@@ -637,6 +629,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -654,10 +654,6 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ResidentAdapter");
 
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->model);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->adapter);
   xfer += oprot->writeFieldEnd();
@@ -666,6 +662,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_I16, 4);
+  xfer += oprot->writeI16(this->model);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -673,31 +673,31 @@
 
 void swap(ResidentAdapter &a, ResidentAdapter &b) {
   using ::std::swap;
-  swap(a.model, b.model);
   swap(a.adapter, b.adapter);
   swap(a.version, b.version);
+  swap(a.model, b.model);
   swap(a.__isset, b.__isset);
 }
 
 ResidentAdapter::ResidentAdapter(const ResidentAdapter& other18) {
-  model = other18.model;
   adapter = other18.adapter;
   version = other18.version;
+  model = other18.model;
   __isset = other18.__isset;
 }
 ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other19) {
-  model = other19.model;
   adapter = other19.adapter;
   version = other19.version;
+  model = other19.model;
   __isset = other19.__isset;
   return *this;
 }
 void ResidentAdapter::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ResidentAdapter(";
-  out << "model=" << to_string(model);
-  out << ", " << "adapter=" << to_string(adapter);
+  out << "adapter=" << to_string(adapter);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "model=" << to_string(model);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -245,10 +245,10 @@
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj);
 
 typedef struct _ResidentAdapter__isset {
-  _ResidentAdapter__isset() : model(false), adapter(false), version(false) {}
-  bool model :1;
+  _ResidentAdapter__isset() : adapter(false), version(false), model(false) {}
   bool adapter :1;
   bool version :1;
+  bool model :1;
 } _ResidentAdapter__isset;
 
 class ResidentAdapter : public virtual ::apache::thrift::TBase {
@@ -257,32 +257,32 @@
   ResidentAdapter(const ResidentAdapter&);
   ResidentAdapter& operator=(const ResidentAdapter&);
   ResidentAdapter() noexcept
-                  : model(),
-                    adapter(),
-                    version(0) {
+                  : adapter(),
+                    version(0),
+                    model(0) {
   }
 
   virtual ~ResidentAdapter() noexcept;
-  std::string model;
   std::string adapter;
   int64_t version;
+  int16_t model;
 
   _ResidentAdapter__isset __isset;
 
-  void __set_model(const std::string& val);
-
   void __set_adapter(const std::string& val);
 
   void __set_version(const int64_t val);
 
+  void __set_model(const int16_t val);
+
   bool operator == (const ResidentAdapter & rhs) const
   {
-    if (!(model == rhs.model))
-      return false;
     if (!(adapter == rhs.adapter))
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(model == rhs.model))
+      return false;
     return true;
   }
   bool operator != (const ResidentAdapter &rhs) const {
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -115,7 +115,6 @@
     status.reachable = true;
     status.models = {"base"};
     agent_wire::ResidentAdapter adapter;
-    adapter.model = "base";
     adapter.adapter = "silk";
     status.resident.push_back(adapter);
     datagram.__set_status(status);
--- a/src/router/router_test.cc
+++ b/src/router/router_test.cc
@@ -50,7 +50,6 @@
   status.free_places = 8;
   if (silk_version > 0) {
     agent_wire::ResidentAdapter adapter;
-    adapter.model = kSilk.first;
     adapter.adapter = kSilk.second;
     adapter.version = silk_version;
     status.resident.push_back(adapter);
