amaranthctl: explain a request from the logs of all processes

explain takes a log file or standard input beside an admin address, and prints the request's own lines with what happened at its servers before, in order of time, and a sentence on its end.

--- a/src/programs/amaranthctl/commands.cc
+++ b/src/programs/amaranthctl/commands.cc
@@ -1,6 +1,8 @@
 #include "src/programs/amaranthctl/commands.h"
 
 #include <algorithm>
+#include <fstream>
+#include <iostream>
 #include <optional>
 #include <ostream>
 
@@ -8,6 +10,7 @@
 
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/file.h"
+#include "amaranthcove/request_story/request_story.h"
 #include "amaranthcove/service_document/service_document.h"
 #include "src/programs/amaranthctl/admin_client.h"
 
@@ -27,9 +30,15 @@
     "  explain ADDRESS REQUEST-ID\n"
     "                   print where a recent request went and why, as JSON;\n"
     "                   ADDRESS is the admin port of the entry that served it\n"
+    "  explain LOG REQUEST-ID\n"
+    "                   print the request's story from the logs of routers "
+    "and\n"
+    "                   adapter agents; LOG is a file, or - for standard "
+    "input\n"
     "\n"
     "Exit code: 0 fine; 1 a document is refused, the process did not respond\n"
-    "within 5 s or does not know the request; 2 wrong usage.\n"
+    "within 5 s, or the process or the log does not know the request; 2 wrong\n"
+    "usage.\n"
     "\n";
 
 struct Arguments {
@@ -148,16 +157,48 @@
   });
 }
 
+int ExplainFromLog(const std::string& file,
+                   std::string_view request,
+                   std::ostream& out,
+                   std::ostream& err) {
+  std::vector<LogEvent> log;
+  if (file == "-") {
+    log = ReadLog(std::cin);
+  } else {
+    std::ifstream stream(file);
+    if (!stream) {
+      return UsageError(
+          err, "\"" + file + "\" is neither A.B.C.D:PORT nor a file to read");
+    }
+    log = ReadLog(stream);
+  }
+  const RequestStory story = TellRequest(log, request);
+  if (story.events.empty()) {
+    err << "amaranthctl: the log has no line of request " << request << "\n";
+    return kExitRefused;
+  }
+  for (const LogEvent& event : story.events) {
+    out << event.line << "\n";
+  }
+  for (const std::string& summary : story.summaries) {
+    out << summary << "\n";
+  }
+  return kExitFine;
+}
+
 int Explain(const std::vector<std::string>& words,
             EventLoop& loop,
             std::ostream& out,
             std::ostream& err) {
   if (words.size() != 3) {
-    return UsageError(err, "explain takes ADDRESS and REQUEST-ID");
+    return UsageError(err, "explain takes ADDRESS or LOG, and REQUEST-ID");
   }
   if (!IsRequestId(words[2])) {
     return UsageError(err, "\"" + words[2] + "\" is not a request id");
   }
+  if (!ParseAddress(words[1])) {
+    return ExplainFromLog(words[1], words[2], out, err);
+  }
   return PrintAdminPage(words[1], "/explain/" + words[2], loop, out, err);
 }
 
--- a/src/programs/amaranthctl/commands_test.cc
+++ b/src/programs/amaranthctl/commands_test.cc
@@ -84,4 +84,22 @@
   CHECK_EQUAL(kExitFine, Run({"--version"}));
 }
 
+// Guards against a story that is printed for another request, or a failure to
+// find one that looks like success.
+TEST(Amaranthctl, ExplainsFromALog) {
+  const std::string log =
+      Write("day.log",
+            "front-1 2026-04-14T00:33:49.400Z INFO  router event=request_end "
+            "request=a1 server=e7 outcome=failed status=502 total_ms=82\n"
+            "front-1 2026-04-14T00:33:49.500Z INFO  router event=request_end "
+            "request=a2 server=e8 outcome=answered status=200 total_ms=9\n");
+  CHECK_EQUAL(kExitFine, Run({"explain", log, "a1"}));
+  STRCMP_CONTAINS("server=e7", out.str().c_str());
+  STRCMP_CONTAINS("Failed with 502 after 82 ms", out.str().c_str());
+  CHECK(out.str().find("e8") == std::string::npos);
+  CHECK_EQUAL(kExitRefused, Run({"explain", log, "a3"}));
+  CHECK(out.str().empty());
+  CHECK_EQUAL(kExitUsage, Run({"explain", directory + "/absent", "a1"}));
+}
+
 }  // namespace amaranthcove
--- /dev/null
+++ b/src/request_story/request_story.cc
@@ -0,0 +1,145 @@
+#include "amaranthcove/request_story/request_story.h"
+
+#include <algorithm>
+#include <set>
+
+namespace amaranthcove {
+
+namespace {
+
+// Older events at a server rarely explain a request.
+constexpr std::int64_t kContextMs = 5000;
+
+// What concerns a request, gathered from its own lines.
+struct Concern {
+  std::int64_t first_ms = 0;
+  std::int64_t last_ms = 0;
+  std::set<std::string, std::less<>> servers;
+  std::set<std::string, std::less<>> adapters;
+  std::set<std::string, std::less<>> hosts;   // Of the servers.
+  std::set<std::string, std::less<>> agents;  // Beside them.
+  std::set<std::string, std::less<>> routers;
+};
+
+std::string_view HostOf(std::string_view address) {
+  return address.substr(0, address.find(':'));
+}
+
+void Add(std::set<std::string, std::less<>>& set, std::string_view value) {
+  if (!value.empty()) {
+    set.emplace(value);
+  }
+}
+
+Concern Gather(std::span<const LogEvent> log, std::string_view request) {
+  Concern concern;
+  bool found = false;
+  for (const LogEvent& event : log) {
+    if (event.Field("request") != request) {
+      continue;
+    }
+    concern.first_ms =
+        found ? std::min(concern.first_ms, event.time_ms) : event.time_ms;
+    concern.last_ms =
+        found ? std::max(concern.last_ms, event.time_ms) : event.time_ms;
+    found = true;
+    concern.routers.insert(event.process);
+    Add(concern.servers, event.Field("server"));
+    Add(concern.adapters, event.Field("adapter"));
+  }
+  for (const LogEvent& event : log) {
+    if (event.Field("event") == "backend_changed" &&
+        concern.servers.contains(event.Field("server"))) {
+      Add(concern.hosts, HostOf(event.Field("address")));
+    }
+  }
+  for (const LogEvent& event : log) {
+    if (event.component == "adapter_agent" && event.Field("event") == "start" &&
+        concern.hosts.contains(HostOf(event.Field("engine")))) {
+      Add(concern.agents, event.process);
+    }
+  }
+  return concern;
+}
+
+bool IsContext(const LogEvent& event, const Concern& concern) {
+  if (event.time_ms < concern.first_ms - kContextMs ||
+      event.time_ms > concern.last_ms) {
+    return false;
+  }
+  if (event.component == "adapter_agent") {
+    const std::string_view kind = event.Field("event");
+    return concern.agents.contains(event.process) &&
+           (concern.adapters.contains(event.Field("adapter")) ||
+            kind == "start" || kind == "engine_lost" ||
+            kind == "engine_regained");
+  }
+  return event.Field("event") == "backend_changed" &&
+         concern.routers.contains(event.process) &&
+         concern.servers.contains(event.Field("server"));
+}
+
+std::string Field(const LogEvent& event, std::string_view name) {
+  return std::string(event.Field(name));
+}
+
+std::string SummaryOf(const LogEvent& end) {
+  const std::string total = Field(end, "total_ms") + " ms";
+  const std::string_view outcome = end.Field("outcome");
+  if (outcome == "answered") {
+    return "Answered with " + Field(end, "status") + " by " +
+           Field(end, "server") + " after " + total + ".";
+  }
+  if (outcome == "refused") {
+    return "Refused with 503 and not run: " + Field(end, "waited_ms") +
+           " ms of waiting for its adapter, " + Field(end, "not_run") +
+           " sends turned away, and the best of " + Field(end, "candidates") +
+           " servers would have begun after " + Field(end, "expected_ms") +
+           " ms.";
+  }
+  if (outcome == "failed") {
+    return "Failed with 502 after " + total +
+           ": it may have run, and no further send was allowed.";
+  }
+  if (outcome == "timed_out" || outcome == "broken_off") {
+    const bool out_of_time = end.Field("total_ms") == end.Field("limit_ms");
+    return (outcome == "timed_out" ? "Timed out with 504 after "
+                                   : "Broke off within its answer after ") +
+           total +
+           (out_of_time ? ": the caller's time was over."
+                        : ": its server ended it, see send_failed.");
+  }
+  return "The caller left after " + total + ".";
+}
+
+}  // namespace
+
+RequestStory TellRequest(std::span<const LogEvent> log,
+                         std::string_view request) {
+  RequestStory story;
+  const Concern concern = Gather(log, request);
+  for (const LogEvent& event : log) {
+    if (event.Field("request") == request) {
+      story.events.push_back(event);
+      if (event.Field("event") == "request_end") {
+        story.summaries.push_back(SummaryOf(event));
+      } else if (event.Field("event") == "request_refused") {
+        story.summaries.push_back("Refused with " + Field(event, "status") +
+                                  " and not run: " + Field(event, "reason") +
+                                  ".");
+      }
+    } else if (!concern.servers.empty() && IsContext(event, concern)) {
+      story.events.push_back(event);
+    }
+  }
+  std::stable_sort(story.events.begin(), story.events.end(),
+                   [](const LogEvent& a, const LogEvent& b) {
+                     return a.time_ms < b.time_ms;
+                   });
+  if (concern.last_ms == 0) {
+    story.events.clear();
+  }
+  return story;
+}
+
+}  // namespace amaranthcove
