backend_choice: nearly equal engines share the requests

Cause: agents tell of their load four times a second, so all routers have the same word meanwhile and chose the same engine. The most popular adapter gets 69 requests a second and is held by about ten engines. A draw for each request and engine of up to 60 ms now spreads them.

EqualEnginesShareTheRequests needs the new field; without the draw all 1000 requests chose one engine.

--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -42,6 +42,10 @@
   int batch_size = 1;
   // How much longer its work takes than that of a usual engine of the service.
   double slowness = 1;
+  // Drawn for each request and engine, from 0 to 1. All routers have the same
+  // word of the agents for a quarter of a second; without a draw, they would
+  // all choose the same engine meanwhile.
+  double draw = 0;
 };
 
 // The median of the times between events at the engines of a service; 0 stands
@@ -54,12 +58,12 @@
 double Slowness(double interval_ms, double usual_interval_ms);
 
 // The expected delay until the first event, beyond what all engines share.
-// Milliseconds. Thread-safe.
+// The draw has no part in it. Milliseconds. Thread-safe.
 double ExpectedDelayMs(const EngineCandidate& candidate);
 
-// The index of the engine with the least expected delay, or none if there are
-// no candidates. Engines that were avoided or tried are chosen only if no
-// other is left. Thread-safe.
+// The index of an engine with the least expected delay, or nearly so by its
+// draw; none if there are no candidates. Engines that were avoided or tried are
+// chosen only if no other is left. Thread-safe.
 std::optional<std::size_t> ChooseEngine(
     std::span<const EngineCandidate> candidates);
 
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -42,6 +42,11 @@
 constexpr double kPerBeyondBatchMs = 25;
 constexpr double kOtherDataCentreMs = 4;
 
+// Engines whose delays differ by less share the requests. A popular adapter
+// gets some 17 requests between two words of the agents, each 25 ms of work,
+// and is held by ten engines.
+constexpr double kDrawMs = 60;
+
 double LoadMs(const EngineCandidate& candidate) {
   if (!candidate.has_model) {
     return kNoModelMs;
@@ -120,7 +125,8 @@
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const EngineCandidate& candidate = candidates[i];
     const std::tuple cost(candidate.tried, candidate.avoided,
-                          ExpectedDelayMs(candidate), candidate.affinity_rank);
+                          ExpectedDelayMs(candidate) + kDrawMs * candidate.draw,
+                          candidate.affinity_rank);
     if (!best || cost < best_cost) {
       best = i;
       best_cost = cost;
--- a/src/backend_choice/backend_choice_test.cc
+++ b/src/backend_choice/backend_choice_test.cc
@@ -71,6 +71,40 @@
   DOUBLES_EQUAL(1, Slowness(300, 0), 0.01);
 }
 
+// Guards against the requests for a popular adapter that all routers send to
+// one of the ten engines holding it, because their words of the agents are the
+// same.
+TEST(ChooseEngine, EqualEnginesShareTheRequests) {
+  std::vector<EngineCandidate> engines(
+      10, MakeEngine(AdapterPlace::kResident, 5, 3));
+  std::map<std::size_t, int> chosen;
+  std::uint64_t state = 1;
+  for (int request = 0; request < 1000; ++request) {
+    for (EngineCandidate& engine : engines) {
+      state = state * 6364136223846793005U + 1442695040888963407U;
+      engine.draw = static_cast<double>(state >> 40U) / (1U << 24U);
+    }
+    ++chosen[*ChooseEngine(engines)];
+  }
+  CHECK_EQUAL(10, static_cast<int>(chosen.size()));
+  for (const auto& [engine, count] : chosen) {
+    CHECK(count > 60 && count < 140);
+  }
+}
+
+// Guards against a draw that outweighs a load or a queue.
+TEST(ChooseEngine, TheDrawDecidesNothingElse) {
+  std::array engines = {MakeEngine(AdapterPlace::kResident, 5, 0),
+                        MakeEngine(AdapterPlace::kAbsent, 5, 1)};
+  engines[0].draw = 1;
+  CHECK_EQUAL(0, static_cast<int>(*ChooseEngine(engines)));
+  engines[1] = MakeEngine(AdapterPlace::kResident, 5, 1);
+  engines[0].draw = 0;
+  engines[0].queued = 4;
+  engines[1].draw = 1;
+  CHECK_EQUAL(1, static_cast<int>(*ChooseEngine(engines)));
+}
+
 // Guards against cold loads on engines that are idle by chance.
 TEST(ChooseEngine, AbsentAdapterGoesToItsPreferredEngine) {
   const std::array engines = {MakeEngine(AdapterPlace::kAbsent, 0, 4),
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -1,6 +1,7 @@
 #include "src/router/fleet.h"
 
 #include <algorithm>
+#include <limits>
 #include <span>
 #include <utility>
 
@@ -41,6 +42,12 @@
   return facts;
 }
 
+// Uniform from 0 to 1.
+double UnitHash(std::string_view text, std::uint64_t seed) {
+  return static_cast<double>(Hash64(text, seed)) /
+         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 AdapterName NameOf(const RequestFacts& facts) {
   return {facts.model, facts.adapter};
 }
@@ -172,6 +179,7 @@
   const double usual_interval_ms = UsualIntervalMs(servers, now);
   for (const BackendServer* server : servers) {
     candidates.push_back(MakeCandidate(*server, facts, tried, now));
+    candidates.back().draw = UnitHash(server->id, Hash64(facts.attempt_id));
     candidates.back().slowness =
         Slowness(IntervalMs(*server, now), usual_interval_ms);
     // By address: an engine keeps its copies of adapters over a restart.
