agent_link: demands count on when an engine restarts

Cause: the sequence of demands began anew with the entry of a restarted engine, and the agent, which outlives the engine, took them for overtaken ones until they had caught up or 3 s had passed.

SequenceGrowsOverRestartsOfTheEngine failed first.

--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -130,7 +130,6 @@
     AgentEndpoint endpoint;
     std::optional<EngineView> view;
     Time next_send;
-    std::int64_t sequence = 0;
   };
 
   Link* Find(std::string_view engine);
@@ -145,6 +144,8 @@
   const Send send_;
   std::map<std::string, Link, std::less<>> links_;
   std::map<std::string, Uses, std::less<>> uses_;  // By engine.
+  // One for all agents: an agent outlives the starts of its engine.
+  std::int64_t sequence_ = 0;
 };
 
 }  // namespace amaranthcove
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -136,6 +136,19 @@
   CHECK(sent_[0].uses.empty());
 }
 
+// Guards against an agent that drops all demands for seconds as overtaken: its
+// engine has crashed and come back under another id, and the router counts its
+// datagrams from the beginning.
+TEST(AgentLinks, SequenceGrowsOverRestartsOfTheEngine) {
+  links_.AddWaiting("e1", kSilk, 0, kRequest, kStart);
+  links_.Tick(kStart);
+  links_.SetEndpoints({{"e2", kAgent, {}, 2000}});
+  links_.AddWaiting("e2", kSilk, 0, kRequest, kStart);
+  links_.Tick(kStart);
+  CHECK_EQUAL(2, static_cast<int>(sent_.size()));
+  CHECK(sent_[1].sequence > sent_[0].sequence);
+}
+
 // Guards against giving the view of a restarted engine to the entry of its
 // predecessor at the same address.
 TEST(AgentLinks, StatusBelongsToTheStartThatItNames) {
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -218,7 +218,7 @@
   agent_wire::AdapterDemand demand = link.endpoint.facts;
   demand.router = router_;
   demand.incarnation = incarnation_;
-  demand.sequence = ++link.sequence;
+  demand.sequence = ++sequence_;
   Uses& uses = uses_[engine];
   bool waiting = false;
   for (const auto& [adapter, use] : uses) {
