--- a/src/ini/ini_test.cc
+++ b/src/ini/ini_test.cc
@@ -29,6 +29,16 @@
         (IniSection{"b", name, 5, std::vector<IniEntry>{{"y", "p=q", 6}}}));
 }
 
+// Guards against a file of an editor that writes a byte-order mark, and that is
+// refused as if its first section were missing.
+TEST(Ini, SkipsAByteOrderMarkBeforeTheFirstSection) {
+  const auto parsed = ParseIni("\xEF\xBB\xBF[a]\nx = 1\n");
+  CHECK(parsed.has_value());
+  CHECK_EQUAL(1, parsed->size());
+  CHECK((*parsed)[0] ==
+        (IniSection{"a", "", 1, std::vector<IniEntry>{{"x", "1", 2}}}));
+}
+
 // Guards against a line longer than inih's buffer being split in two.
 TEST(Ini, RefusesLongLines) {
   const std::string fits = "k=" + std::string(kMaxIniLineBytes - 2, 'v');
