--- a/src/ini/ini.cc
+++ b/src/ini/ini.cc
@@ -197,10 +197,6 @@
 
 tl::expected<std::vector<IniSection>, IniErrors> ParseIni(
     std::string_view text) {
-  constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
-  if (text.starts_with(kByteOrderMark)) {
-    text.remove_prefix(kByteOrderMark.size());
-  }
   return Parser(text).Parse();
 }
 
