--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "src/agent_link/test_status.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace amaranthcove {
@@ -15,24 +17,16 @@
 const AdapterName kSilk = {"base", "silk"};
 const WaitingRequest kRequest = {0, kStart + milliseconds(350)};
 
+// No adapter if `silk_version` is 0.
 std::string EncodeStatus(std::int64_t sequence,
                          std::int64_t incarnation,
                          std::int64_t silk_version) {
-  agent_wire::EngineStatus status;
+  agent_wire::EngineStatus status =
+      MakeTestStatus(silk_version > 0 ? silk_version : -1);
   status.sequence = sequence;
   status.incarnation = incarnation;
-  status.reachable = true;
   status.routers = 4;
-  status.models = {kSilk.first};
-  if (silk_version > 0) {
-    agent_wire::ResidentAdapter adapter;
-    adapter.adapter = kSilk.second;
-    adapter.version = silk_version;
-    status.resident.push_back(adapter);
-  }
-  agent_wire::AgentDatagram datagram;
-  datagram.__set_status(status);
-  return EncodeDatagram(datagram);
+  return EncodeTestStatus(status);
 }
 
 }  // namespace
@@ -153,12 +147,10 @@
 // predecessor at the same address.
 TEST(AgentLinks, StatusBelongsToTheStartThatItNames) {
   links_.SetEndpoints({{"old", kAgent, {}, 1000}, {"new", kAgent, {}, 2000}});
-  agent_wire::AgentDatagram datagram;
   agent_wire::EngineStatus status;
   status.sequence = 1;
   status.started_at_ms = 2000;
-  datagram.__set_status(status);
-  CHECK("new" == *links_.Receive(kAgent, EncodeDatagram(datagram), kStart));
+  CHECK("new" == *links_.Receive(kAgent, EncodeTestStatus(status), kStart));
   CHECK(links_.View("old", kStart) == nullptr);
 }
 
@@ -171,8 +163,8 @@
   CHECK(links_.View("e2", kStart) == nullptr);
 }
 
-// Guards against statuses that grow to most of the traffic between data centres:
-// 40 routers get four a second from each of 46 agents.
+// Guards against statuses that grow to most of the traffic between data
+// centres: 40 routers get four a second from each of 46 agents.
 TEST(AgentLinks, StatusesAreSmall) {
   constexpr std::size_t kMaxStatusBytes = 300;
   agent_wire::EngineStatus status;
@@ -183,14 +175,11 @@
     adapter.version = 3;
     status.resident.push_back(adapter);
   }
-  agent_wire::AgentDatagram datagram;
-  datagram.__set_status(status);
-  CHECK(EncodeDatagram(datagram).size() <= kMaxStatusBytes);
+  CHECK(EncodeTestStatus(status).size() <= kMaxStatusBytes);
 }
 
 // Guards against memory that is read for a model that the status does not name.
 TEST(AgentLinks, AdaptersOfUnnamedModelsAreSkipped) {
-  agent_wire::AgentDatagram datagram;
   agent_wire::EngineStatus status;
   status.sequence = 1;
   status.models = {kSilk.first};
@@ -200,8 +189,7 @@
     adapter.model = static_cast<std::int16_t>(model);
     status.resident.push_back(adapter);
   }
-  datagram.__set_status(status);
-  links_.Receive(kAgent, EncodeDatagram(datagram), kStart);
+  links_.Receive(kAgent, EncodeTestStatus(status), kStart);
   const EngineView* view = links_.View("e1", kStart);
   CHECK_EQUAL(1, static_cast<int>(view->resident.size()));
   CHECK(view->resident.contains({"base", "a0"}));
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/agent_link/test_status.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace amaranthcove {
@@ -109,16 +111,8 @@
 
   // A view in which the engine holds the adapter.
   void ReportResident(Time now) {
-    agent_wire::AgentDatagram datagram;
-    agent_wire::EngineStatus status;
-    status.sequence = 1;
-    status.reachable = true;
-    status.models = {"base"};
-    agent_wire::ResidentAdapter adapter;
-    adapter.adapter = "silk";
-    status.resident.push_back(adapter);
-    datagram.__set_status(status);
-    links_.Receive({"10.0.0.1", 7000}, EncodeDatagram(datagram), now);
+    links_.Receive({"10.0.0.1", 7000}, EncodeTestStatus(MakeTestStatus(0)),
+                   now);
   }
 };
 
--- a/src/router/router_test.cc
+++ b/src/router/router_test.cc
@@ -1,3 +1,4 @@
+#include "src/agent_link/test_status.h"
 #include "src/router/fleet.h"
 #include "src/router/store_feed.h"
 
@@ -41,22 +42,11 @@
 }
 
 std::string EncodeStatus(std::int64_t silk_version, int running) {
-  agent_wire::EngineStatus status;
-  status.sequence = 1;
-  status.incarnation = 1;
-  status.reachable = true;
-  status.models = {"base"};
+  agent_wire::EngineStatus status =
+      MakeTestStatus(silk_version > 0 ? silk_version : -1);
   status.running = running;
   status.free_places = 8;
-  if (silk_version > 0) {
-    agent_wire::ResidentAdapter adapter;
-    adapter.adapter = kSilk.second;
-    adapter.version = silk_version;
-    status.resident.push_back(adapter);
-  }
-  agent_wire::AgentDatagram datagram;
-  datagram.__set_status(status);
-  return EncodeDatagram(datagram);
+  return EncodeTestStatus(status);
 }
 
 }  // namespace
