net: a slow body is no slow header

The end of the header in what is kept tells the two apart. A request on a connection that is not known any more no longer adds an entry for it, which would be looked at after the connection has gone.

SlowBodiesAreNoSlowHeaders failed first: the connection was closed.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,6 +45,8 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 
+constexpr std::string_view kEndOfHeader = "\r\n\r\n";
+
 constexpr std::string_view kHeaderTooLargeBody =
     R"({"error":{"code":"header_too_large","message":)"
     R"("the header fields exceed the limit of this server",)"
@@ -588,6 +590,7 @@
     // When it was last looked at.
     std::size_t bytes_read = 0;
     bool was_busy = false;
+    bool reads_body = false;  // The header of a request has ended.
     // When part of a header was first seen to wait for the rest.
     std::optional<Time> header_since;
   };
@@ -624,8 +627,11 @@
                                                core->open_exchanges_,
                                                core->closing_, core->stopped_);
     exchange->Attach(request);
-    core->connections_[request->conn->callbacks->get_socket(request->conn)]
-        .has_requested = true;
+    const auto connection = core->connections_.find(
+        request->conn->callbacks->get_socket(request->conn));
+    if (connection != core->connections_.end()) {
+      connection->second.has_requested = true;
+    }
     if (core->stopped_) {
       // It crossed the close of its connection, where no answer can be sent.
       exchange->Abort();
@@ -718,8 +724,13 @@
     }
     connection.was_busy = is_busy;
     connection.bytes_read = socket.bytes_read;
-    // h2o keeps the bytes of a header until it is whole.
-    if (is_busy || socket.input->size == 0) {
+    // h2o keeps the bytes of a header until it is whole, and may keep them
+    // until the body is; the end of the header tells the two apart.
+    const std::string_view kept(socket.input->bytes, socket.input->size);
+    connection.reads_body =
+        !is_busy && !kept.empty() &&
+        (connection.reads_body || kept.find(kEndOfHeader) != kept.npos);
+    if (is_busy || kept.empty() || connection.reads_body) {
       connection.header_since.reset();
     } else if (!connection.header_since) {
       connection.header_since = now;
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -514,6 +514,32 @@
   CHECK(requests.empty());
 }
 
+// Guards against the limit for header fields ending a request whose body comes
+// slowly.
+TEST(Http, SlowBodiesAreNoSlowHeaders) {
+  HttpServer::Options options;
+  options.limits.header_timeout = std::chrono::milliseconds(300);
+  ListenAndKeep(options);
+  for (const char* framing : {"content-length: 4\r\n\r\nbo",
+                              "transfer-encoding: chunked\r\n\r\n4\r\nbo"}) {
+    requests.clear();
+    RawPeer peer(RawPeer::Connect(server->local_address()));
+    peer.Write("POST / HTTP/1.1\r\n");
+    peer.Write(framing);
+    // The limit passes several times in the meantime.
+    const Time resumed = SteadyNow() + std::chrono::milliseconds(1200);
+    RunUntil(loop, [&peer, resumed] {
+      CHECK_FALSE(peer.ReadAvailable());
+      return SteadyNow() >= resumed;
+    });
+    peer.Write(std::string_view(framing).starts_with("content")
+                   ? "dy"
+                   : "dy\r\n0\r\n\r\n");
+    RunUntil(loop, [this] { return !requests.empty(); });
+    CHECK("body" == requests[0].body);
+  }
+}
+
 // Guards against idle connections that are kept for ever, and against the limit
 // for idle connections ending a request that takes longer.
 TEST(Http, ClosesIdleConnectionsOnly) {
