router, adapter_agent: remove state that nothing reads

The memory of an engine went through report, status and datagram and was read by no decision; so did a service's memory and the version of a send. The story of a request cleared a list that is empty. A placement looked up the pace of every engine twice, once in a wrapper of the same name as the function it calls.

--- a/include/amaranthcove/adapter_agent/adapter_plan.h
+++ b/include/amaranthcove/adapter_agent/adapter_plan.h
@@ -39,8 +39,6 @@
   std::int64_t orders = 0;  // Accepted since the engine's start.
   int running = 0;
   int queued = 0;
-  std::int64_t kv_used_tokens = 0;  // Memory that running requests need.
-  std::int64_t kv_total_tokens = 0;
   std::int64_t started_at_ms = 0;
   std::vector<EngineRun> runs;
 };
--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -52,7 +52,6 @@
 // What an engine of a service has room for.
 struct EngineSpec {
   int batch_size = 1;
-  std::int64_t kv_capacity_tokens = 0;
   int adapter_places = 0;
   double weights_mb = 0;  // For weights and adapters together.
   std::vector<ModelSpec> models;
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -479,7 +479,6 @@
         LoadWaitMs(*report_, demands_.Wanted(), load_ms_));
     status.event_interval_ms =
         static_cast<std::int32_t>(pace_.EventIntervalMs(loop_.Now()));
-    status.kv_free_tokens = report_->kv_total_tokens - report_->kv_used_tokens;
   }
   agent_wire::AgentDatagram datagram;
   datagram.__set_status(status);
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -46,7 +46,6 @@
   6: i32 queued
   7: i32 free_places     // Empty, or holding an adapter that nobody uses.
   8: i32 routers         // Routers that sent a demand lately.
-  9: i64 kv_free_tokens
   10: i64 incarnation    // Of the agent.
   11: bool reachable     // Whether the engine answers its agent.
   12: i64 started_at_ms  // Of the engine, as it says itself.
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -738,10 +738,6 @@
   this->routers = val;
 }
 
-void EngineStatus::__set_kv_free_tokens(const int64_t val) {
-  this->kv_free_tokens = val;
-}
-
 void EngineStatus::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
@@ -889,14 +885,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->kv_free_tokens);
-          this->__isset.kv_free_tokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->incarnation);
@@ -1010,10 +998,6 @@
   xfer += oprot->writeI32(this->routers);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kv_free_tokens", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->kv_free_tokens);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
@@ -1049,7 +1033,6 @@
   swap(a.queued, b.queued);
   swap(a.free_places, b.free_places);
   swap(a.routers, b.routers);
-  swap(a.kv_free_tokens, b.kv_free_tokens);
   swap(a.incarnation, b.incarnation);
   swap(a.reachable, b.reachable);
   swap(a.started_at_ms, b.started_at_ms);
@@ -1067,7 +1050,6 @@
   queued = other38.queued;
   free_places = other38.free_places;
   routers = other38.routers;
-  kv_free_tokens = other38.kv_free_tokens;
   incarnation = other38.incarnation;
   reachable = other38.reachable;
   started_at_ms = other38.started_at_ms;
@@ -1084,7 +1066,6 @@
   queued = other39.queued;
   free_places = other39.free_places;
   routers = other39.routers;
-  kv_free_tokens = other39.kv_free_tokens;
   incarnation = other39.incarnation;
   reachable = other39.reachable;
   started_at_ms = other39.started_at_ms;
@@ -1104,7 +1085,6 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "free_places=" << to_string(free_places);
   out << ", " << "routers=" << to_string(routers);
-  out << ", " << "kv_free_tokens=" << to_string(kv_free_tokens);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "started_at_ms=" << to_string(started_at_ms);
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -302,7 +302,7 @@
 std::ostream& operator<<(std::ostream& out, const ResidentAdapter& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), kv_free_tokens(false), incarnation(false), reachable(false), started_at_ms(false), load_wait_ms(false), event_interval_ms(false) {}
+  _EngineStatus__isset() : sequence(false), models(false), resident(false), loading(false), running(false), queued(false), free_places(false), routers(false), incarnation(false), reachable(false), started_at_ms(false), load_wait_ms(false), event_interval_ms(false) {}
   bool sequence :1;
   bool models :1;
   bool resident :1;
@@ -311,7 +311,6 @@
   bool queued :1;
   bool free_places :1;
   bool routers :1;
-  bool kv_free_tokens :1;
   bool incarnation :1;
   bool reachable :1;
   bool started_at_ms :1;
@@ -330,7 +329,6 @@
                  queued(0),
                  free_places(0),
                  routers(0),
-                 kv_free_tokens(0),
                  incarnation(0),
                  reachable(0),
                  started_at_ms(0),
@@ -347,7 +345,6 @@
   int32_t queued;
   int32_t free_places;
   int32_t routers;
-  int64_t kv_free_tokens;
   int64_t incarnation;
   bool reachable;
   int64_t started_at_ms;
@@ -372,8 +369,6 @@
 
   void __set_routers(const int32_t val);
 
-  void __set_kv_free_tokens(const int64_t val);
-
   void __set_incarnation(const int64_t val);
 
   void __set_reachable(const bool val);
@@ -402,8 +397,6 @@
       return false;
     if (!(routers == rhs.routers))
       return false;
-    if (!(kv_free_tokens == rhs.kv_free_tokens))
-      return false;
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(reachable == rhs.reachable))
--- a/src/request_story/request_story.cc
+++ b/src/request_story/request_story.cc
@@ -136,9 +136,6 @@
                    [](const LogEvent& a, const LogEvent& b) {
                      return a.time_ms < b.time_ms;
                    });
-  if (concern.last_ms == 0) {
-    story.events.clear();
-  }
   return story;
 }
 
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -158,16 +158,6 @@
   return view == nullptr ? 0 : view->event_interval_ms;
 }
 
-double Fleet::UsualIntervalMs(std::span<const BackendServer* const> servers,
-                              Time now) const {
-  std::vector<double> intervals;
-  intervals.reserve(servers.size());
-  for (const BackendServer* server : servers) {
-    intervals.push_back(IntervalMs(*server, now));
-  }
-  return amaranthcove::UsualIntervalMs(intervals);
-}
-
 std::optional<Placement> Fleet::PlaceGeneration(
     std::string_view service,
     const RequestFacts& facts,
@@ -176,12 +166,11 @@
   const std::vector<const BackendServer*> servers = directory_.Serving(service);
   std::vector<EngineCandidate> candidates;
   std::vector<std::string> addresses;
-  const double usual_interval_ms = UsualIntervalMs(servers, now);
+  std::vector<double> intervals_ms;
   for (const BackendServer* server : servers) {
     candidates.push_back(MakeCandidate(*server, facts, tried, now));
     candidates.back().draw = UnitHash(server->id, Hash64(facts.attempt_id));
-    candidates.back().slowness =
-        Slowness(IntervalMs(*server, now), usual_interval_ms);
+    intervals_ms.push_back(IntervalMs(*server, now));
     // By address: an engine keeps its copies of adapters over a restart.
     addresses.push_back(FormatAddress(server->address));
   }
@@ -190,8 +179,11 @@
   const std::string& key =
       facts.adapter.empty() ? facts.shared_prefix : facts.adapter;
   RankByAffinity(key, names, ranks);
+  std::vector<double> reordered = intervals_ms;
+  const double usual_interval_ms = UsualIntervalMs(reordered);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     candidates[i].affinity_rank = ranks[i];
+    candidates[i].slowness = Slowness(intervals_ms[i], usual_interval_ms);
   }
   const std::optional<std::size_t> best = ChooseEngine(candidates);
   if (!best) {
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -118,8 +117,6 @@
   RetryBudget& BudgetOf(const std::string& service);
   // Between the events of a run at an engine; 0 if not known. Milliseconds.
   double IntervalMs(const BackendServer& server, Time now) const;
-  double UsualIntervalMs(std::span<const BackendServer* const> servers,
-                         Time now) const;
   EngineCandidate MakeCandidate(const BackendServer& server,
                                 const RequestFacts& facts,
                                 const std::set<std::string>& tried,
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -225,7 +225,6 @@
 void RelayCall::Send(std::optional<std::int64_t> version, Time now) {
   state_ = State::kSending;
   sent_ = now;
-  sent_version_ = version;
   const std::string& id = placement_.server.id;
   tried_.insert(id);
   ++progress_.may_have_run;
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -125,7 +125,6 @@
   WaitingRequest waiting_request_;
   Placement placement_;
   Duration expected_delay_ = Duration::zero();
-  std::optional<std::int64_t> sent_version_;
 
   UpstreamCallId call_ = 0;
   HttpResponse head_;
