router: log each failed store call and the age of what is known

store_call_failed is written for each failed call, with the connection (new or reused), the time since it was sent and the age of what is known; store_lost has the age; config_applied counts routes that could not be read; request_end and request_refused name the version of the configuration and its age.

Logic is unchanged.

--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -74,6 +74,7 @@
 struct RoutingConfig {
   std::int64_t version = 0;
   std::vector<Route> routes;
+  int unreadable_routes = 0;  // Left out of `routes`.
   std::map<std::string, ServiceSpec, std::less<>> services;
   CallerLimits limits;
 };
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -56,6 +56,15 @@
   bool has_config() const { return table_.has_value(); }
   const RouteTable& table() const { return *table_; }
 
+  // The version of the configuration; 0 without any.
+  std::int64_t config_version() const {
+    return table_ ? table_->config().version : 0;
+  }
+
+  // The store has confirmed at `now` that no newer configuration exists.
+  void ConfirmConfig(Time now) { config_confirmed_ = now; }
+  Duration ConfigAge(Time now) const { return now - config_confirmed_; }
+
   BackendDirectory& directory() { return directory_; }
   const BackendDirectory& directory() const { return directory_; }
 
@@ -125,6 +134,7 @@
   const Options options_;
   AgentLinks& links_;
   std::optional<RouteTable> table_;
+  Time config_confirmed_;
   BackendDirectory directory_;
   std::map<AdapterName, std::int64_t> versions_;
   std::map<std::string, BackendHealth, std::less<>> health_;
--- a/src/router/fleet_updates.cc
+++ b/src/router/fleet_updates.cc
@@ -70,7 +70,7 @@
                                     kBackendWait),
                     {[this](auto items) { OnBackendListing(items); },
                      [this](auto items) { OnBackendChanges(items); },
-                     [this] { OnStoreRegained(); }}),
+                     [this] { OnStoreRegained(); }, [](Time) {}}),
       operator_feed_(loop,
                      *store_client_,
                      log,
@@ -79,7 +79,8 @@
                                      kOperatorPause,
                                      kOperatorWait),
                      {[this](auto items) { OnOperatorItems(items); },
-                      [this](auto items) { OnOperatorItems(items); }, [] {}}) {}
+                      [this](auto items) { OnOperatorItems(items); }, [] {},
+                      [this](Time now) { fleet_.ConfirmConfig(now); }}) {}
 
 void FleetUpdates::Start() {
   backend_feed_.Start();
@@ -183,11 +184,13 @@
   }
   const std::int64_t version = config->version;
   const std::size_t routes = config->routes.size();
+  const int unreadable = config->unreadable_routes;
   if (fleet_.SetConfig(std::move(*config))) {
     log_.Write(LogLevel::kWarn, "config_applied",
                {{"version", std::to_string(version)},
                 {"revision", std::to_string(item.revision)},
-                {"routes", std::to_string(routes)}});
+                {"routes", std::to_string(routes)},
+                {"unreadable_routes", std::to_string(unreadable)}});
     callbacks_.on_known();
   }
 }
--- a/src/router/fleet_updates.h
+++ b/src/router/fleet_updates.h
@@ -58,6 +58,13 @@
   std::uint64_t store_calls() const {
     return backend_feed_.calls() + operator_feed_.calls();
   }
+  std::uint64_t failed_store_calls() const {
+    return backend_feed_.failed_calls() + operator_feed_.failed_calls();
+  }
+
+  // Time since the store last confirmed what is known.
+  Duration ConfigAge(Time now) const { return operator_feed_.Age(now); }
+  Duration BackendsAge(Time now) const { return backend_feed_.Age(now); }
 
  private:
   void OnBackendListing(const std::vector<platform::StoreItem>& items);
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -113,6 +113,8 @@
                       std::function<void(const RelayResult&)> on_done) {
   on_done_ = std::move(on_done);
   started_ = now;
+  config_version_ = environment_.fleet.config_version();
+  config_age_ = environment_.fleet.ConfigAge(now);
   const Duration limit =
       std::min(route_.timeout, facts_.patience.value_or(route_.timeout));
   deadline_ = now + limit;
@@ -535,6 +537,8 @@
       LogLevel::kInfo, "request_end",
       {{"request", facts_.attempt_id},
        {"route", route_.name},
+       {"config", std::to_string(config_version_)},
+       {"config_age_ms", std::to_string(ToMilliseconds(config_age_))},
        {"service", service_},
        {"server", placement_.server.id},
        {"adapter", facts_.adapter},
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -113,6 +113,9 @@
   // Decided once: a change of the configuration must not part the beginning of
   // a use of an adapter from its end.
   bool is_generation_ = false;
+  // The configuration by which the request is handled.
+  std::int64_t config_version_ = 0;
+  Duration config_age_ = Duration::zero();
   Time started_;
   Time deadline_;
   Time sent_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -295,7 +295,10 @@
              {{"request", facts.attempt_id},
               {"host", facts.host},
               {"status", std::to_string(status)},
-              {"reason", std::string(reason)}});
+              {"reason", std::string(reason)},
+              {"config", std::to_string(fleet_.config_version())},
+              {"config_age_ms",
+               std::to_string(ToMilliseconds(fleet_.ConfigAge(loop_.Now())))}});
   HttpResponse response;
   response.status = status;
   response.headers = {{"Content-Type", "application/json"}};
@@ -424,12 +427,14 @@
   return {
       {"instance", settings_.instance},
       {"ready", ready()},
-      {"config_version",
-       fleet_.has_config() ? fleet_.table().config().version : 0},
+      {"config_version", fleet_.config_version()},
+      {"config_age_s", ToSeconds(updates_.ConfigAge(now))},
+      {"backends_age_s", ToSeconds(updates_.BackendsAge(now))},
       {"servers", servers},
       {"router",
        {{"counters",
          {{"store_calls", updates_.store_calls()},
+          {"failed_store_calls", updates_.failed_store_calls()},
           {"upstream_connections", upstream_->counters().connections_opened},
           {"stray_answers", upstream_->counters().stray_answers},
           {"dropped_log_lines", log_.dropped()},
--- a/src/router/store_feed.cc
+++ b/src/router/store_feed.cc
@@ -74,12 +74,14 @@
 
 void StoreFeed::Fetch(const HttpRequest& request, Duration limit) {
   ++calls_;
+  call_started_ = loop_.Now();
   response_ = {};
   limit_timer_ = loop_.RunAfter(limit, [this] {
     limit_timer_ = 0;
     client_.Cancel(std::exchange(call_, 0));
     OnFailure("no answer in time");
   });
+  const std::uint64_t connections = client_.counters().connections_opened;
   call_ =
       client_.Start(options_.store, request,
                     {[this](const HttpResponse& head) {
@@ -90,12 +92,17 @@
                      [this](UpstreamEnd end) {
                        call_ = 0;
                        loop_.Cancel(std::exchange(limit_timer_, 0));
-                       OnDone(end == UpstreamEnd::kComplete);
+                       OnDone(end);
                      }});
+  on_new_connection_ = client_.counters().connections_opened != connections;
 }
 
-void StoreFeed::OnDone(bool complete) {
-  if (!complete) {
+void StoreFeed::OnDone(UpstreamEnd end) {
+  if (end == UpstreamEnd::kNotSent) {
+    OnFailure("no connection");
+    return;
+  }
+  if (end == UpstreamEnd::kBroken) {
     OnFailure("the connection broke");
     return;
   }
@@ -156,9 +163,13 @@
 
 void StoreFeed::OnFailure(const std::string& reason) {
   ++failures_;
+  ++failed_calls_;
+  LogFailedCall(reason);
   if (failures_ == 1) {
     log_.Write(LogLevel::kWarn, "store_lost",
-               {{"prefix", options_.prefix}, {"reason", reason}});
+               {{"prefix", options_.prefix},
+                {"reason", reason},
+                {"age_ms", std::to_string(ToMilliseconds(Age(loop_.Now())))}});
   }
   // Pages of a listing that was interrupted may be old by now.
   listing_.clear();
@@ -166,10 +177,25 @@
   CallAfter(StoreRetryDelay(failures_));
 }
 
+// Tells a store that does not answer from a connection that has gone deaf, and
+// how long either went unnoticed.
+void StoreFeed::LogFailedCall(const std::string& reason) {
+  const Time now = loop_.Now();
+  log_.Write(LogLevel::kWarn, "store_call_failed",
+             {{"prefix", options_.prefix},
+              {"call", mode_ == Mode::kListing ? "list" : "watch"},
+              {"reason", reason},
+              {"after_ms", std::to_string(ToMilliseconds(now - call_started_))},
+              {"connection", on_new_connection_ ? "new" : "reused"},
+              {"failures", std::to_string(failures_)},
+              {"age_ms", std::to_string(ToMilliseconds(Age(now)))}});
+}
+
 void StoreFeed::OnSuccess() {
   const Time now = loop_.Now();
-  const Duration gap = now - last_contact_;
+  const Duration gap = Age(now);
   last_contact_ = now;
+  callbacks_.on_confirmed(now);
   if (failures_ == 0) {
     return;
   }
--- a/src/router/store_feed.h
+++ b/src/router/store_feed.h
@@ -41,6 +41,8 @@
     std::function<void(std::vector<platform::StoreItem>)> on_changes;
     // The store answers again after it did not for a while.
     std::function<void()> on_regained;
+    // The store has answered: what is known was current at `now`.
+    std::function<void(Time now)> on_confirmed;
   };
 
   // Preconditions: all references outlive the feed.
@@ -57,18 +59,24 @@
 
   bool in_contact() const { return failures_ == 0; }
   std::int64_t revision() const { return revision_; }
+
+  // Time since the last answer of the store, or since `Start` without any.
+  Duration Age(Time now) const { return now - last_contact_; }
+
   std::uint64_t calls() const { return calls_; }
+  std::uint64_t failed_calls() const { return failed_calls_; }
 
  private:
   enum class Mode { kListing, kWatching };
 
   void Call();
   void Fetch(const HttpRequest& request, Duration limit);
-  void OnDone(bool complete);
+  void OnDone(UpstreamEnd end);
   void OnListAnswer(platform::StoreAnswer answer);
   void OnWatchAnswer(platform::StoreAnswer answer);
   void OnFailure(const std::string& reason);
   void OnSuccess();
+  void LogFailedCall(const std::string& reason);
   void CallAfter(Duration delay);
 
   EventLoop& loop_;
@@ -86,7 +94,10 @@
   TimerId limit_timer_ = 0;  // Of the present call.
   int failures_ = 0;
   Time last_contact_;
+  Time call_started_;
+  bool on_new_connection_ = false;
   std::uint64_t calls_ = 0;
+  std::uint64_t failed_calls_ = 0;
 };
 
 }  // namespace amaranthcove
