--- a/include/amaranthcove/node/node_settings.h
+++ b/include/amaranthcove/node/node_settings.h
@@ -28,6 +28,9 @@
   // New work to a server ends within this time after it has announced that it
   // leaves.
   Duration leaving_limit = std::chrono::seconds(2);
+  // A change of the configuration is in force within this time after the store
+  // has taken it, or, if the store did not answer then, after it does again.
+  Duration config_limit = std::chrono::seconds(2);
   double retry_ratio = 0.1;
   double retry_extra = 20;
   Duration retry_window = std::chrono::seconds(10);
