router: a lost watch is found within the configuration limit

Cause: the answer to a watch is the only proof that the watch is not lost, and the watch of op/ was given 9.2 s to bring it, also when it was the call by which contact was to be regained. A silent store accepts calls and never answers them, and leaves their connections open, so keep-alive probes show nothing.

Now one feed follows all keys. Heartbeats change the store all the time, so its watch is answered soon and is given 1.6 s (0.8 of config_limit_ms) before it counts as lost. The watch of op/ remains beside it, because it brings a change at once; it is made again when the other feed has brought a change that it should have brought. Calls to a silent store follow each other 100 ms after their limit instead of backing off on top of it. So a change is in force within config_limit_ms of the end of any silence, whatever calls it has swallowed.

--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -26,6 +26,7 @@
 constexpr IniRange kPorts = {1, 65'535};
 constexpr IniRange kStopMs = {500, 600'000};
 constexpr IniRange kLeavingMs = {1000, 600'000};
+constexpr IniRange kConfigMs = {200, 600'000};
 constexpr IniRange kWindowMs = {100, 3'600'000};
 constexpr double kMaxRatio = 10;
 constexpr double kMaxExtra = 1'000'000;
@@ -60,6 +61,8 @@
   router.metadata_store = reader.ReadAddress("metadata_store", false);
   router.leaving_limit = milliseconds(reader.Integer(
       "leaving_limit_ms", kLeavingMs, ToMilliseconds(router.leaving_limit)));
+  router.config_limit = milliseconds(reader.Integer(
+      "config_limit_ms", kConfigMs, ToMilliseconds(router.config_limit)));
   router.retry_ratio =
       reader.Number("retry_ratio", 0, kMaxRatio, router.retry_ratio);
   router.retry_extra =
--- a/src/node/node_settings_test.cc
+++ b/src/node/node_settings_test.cc
@@ -18,6 +18,7 @@
 agent_port = 7380
 metadata_store = 127.0.0.1:9001
 leaving_limit_ms = 2000
+config_limit_ms = 3000
 retry_ratio = 0.2
 retry_extra = 112
 retry_window_ms = 10000
@@ -51,6 +52,8 @@
   CHECK_EQUAL(7380, std::get<RouterSettings>(*router).agent_port);
   CHECK(std::get<RouterSettings>(*router).stop_limit ==
         std::chrono::seconds(8));
+  CHECK(std::get<RouterSettings>(*router).config_limit ==
+        std::chrono::seconds(3));
   const auto agent = ParseNodeSettings(*ParseIni(kAgentText));
   CHECK(agent.has_value());
   CHECK_EQUAL(9301, std::get<AgentSettings>(*agent).engine.port);
--- a/src/router/fleet_updates.cc
+++ b/src/router/fleet_updates.cc
@@ -1,5 +1,6 @@
 #include "src/router/fleet_updates.h"
 
+#include <algorithm>
 #include <iterator>
 #include <string>
 #include <utility>
@@ -11,13 +12,19 @@
 using std::chrono::milliseconds;
 
 // Heartbeats change the backend list all the time, and each call to the store
-// has a price, so changes are gathered for as long as the limit allows, with
+// has a price, so changes are gathered for as long as the limits allow, with
 // this margin for a slow answer.
-constexpr Duration kLeavingMargin = milliseconds(900);
-constexpr Duration kBackendWait = milliseconds(2000);
+constexpr Duration kGatheringMargin = milliseconds(900);
+
+// A lost call is found within this share of the configuration limit; the rest
+// is for the next call.
+constexpr double kLostCallShare = 0.8;
+
+// A slow store takes some hundred milliseconds for an answer.
+constexpr Duration kAnswerLimit = milliseconds(1000);
+// The part of the time until a lost call is found that an answer may take.
+constexpr double kMaxAnswerShare = 0.625;
 
-// The operator's keys change rarely. A connection that went silent is found by
-// its probes, not by the end of the wait.
 constexpr Duration kOperatorPause = milliseconds(100);
 constexpr Duration kOperatorWait = milliseconds(8000);
 
@@ -35,16 +42,30 @@
   return "unknown";
 }
 
-StoreFeed::Options MakeFeedOptions(const Address& store,
-                                   std::string_view prefix,
-                                   Duration pause,
-                                   Duration wait) {
-  StoreFeed::Options options;
-  options.store = store;
-  options.prefix = prefix;
-  options.pause = pause;
-  options.watch_wait = wait;
-  return options;
+StoreFeed::Options AllKeysOptions(const FleetUpdates::Options& options) {
+  const auto call_limit = std::chrono::duration_cast<Duration>(
+      options.config_limit * kLostCallShare);
+  StoreFeed::Options result;
+  result.store = options.store;
+  result.prefix = platform::kEveryKeyPrefix;
+  result.pause = std::max(
+      std::min(options.leaving_limit, options.config_limit) - kGatheringMargin,
+      Duration::zero());
+  result.answer_limit = std::min(
+      kAnswerLimit,
+      std::chrono::duration_cast<Duration>(call_limit * kMaxAnswerShare));
+  result.watch_wait = call_limit - result.answer_limit;
+  return result;
+}
+
+StoreFeed::Options OperatorOptions(const FleetUpdates::Options& options) {
+  StoreFeed::Options result;
+  result.store = options.store;
+  result.prefix = platform::kOperatorPrefix;
+  result.pause = kOperatorPause;
+  result.answer_limit = kAnswerLimit;
+  result.watch_wait = kOperatorWait;
+  return result;
 }
 
 }  // namespace
@@ -61,73 +82,93 @@
       log_(log),
       callbacks_(std::move(callbacks)),
       store_client_(UpstreamClient::Create(loop, {})),
-      backend_feed_(loop,
-                    *store_client_,
-                    log,
-                    MakeFeedOptions(options.store,
-                                    platform::kBackendsPrefix,
-                                    options.leaving_limit - kLeavingMargin,
-                                    kBackendWait),
-                    {[this](auto items) { OnBackendListing(items); },
-                     [this](auto items) { OnBackendChanges(items); },
-                     [this] { OnStoreRegained(); }, [](Time) {}}),
+      all_keys_feed_(loop,
+                     *store_client_,
+                     log,
+                     AllKeysOptions(options),
+                     {[this](auto items) { OnListing(items); },
+                      [this](auto items) { OnChanges(items); },
+                      [this] { OnStoreRegained(); },
+                      [this](Time now) { fleet_.ConfirmConfig(now); }}),
       operator_feed_(loop,
                      *store_client_,
                      log,
-                     MakeFeedOptions(options.store,
-                                     platform::kOperatorPrefix,
-                                     kOperatorPause,
-                                     kOperatorWait),
+                     OperatorOptions(options),
                      {[this](auto items) { OnOperatorItems(items); },
                       [this](auto items) { OnOperatorItems(items); }, [] {},
                       [this](Time now) { fleet_.ConfirmConfig(now); }}) {}
 
 void FleetUpdates::Start() {
-  backend_feed_.Start();
-  operator_feed_.Start();
+  all_keys_feed_.Start();
 }
 
 void FleetUpdates::Tick(Time now) {
   ApplyDirectoryChanges(fleet_.directory().Expire(now));
 }
 
-void FleetUpdates::OnBackendListing(
+void FleetUpdates::OnListing(const std::vector<platform::StoreItem>& items) {
+  OnOperatorItems(items);
+  ReplaceBackends(items);
+  callbacks_.on_known();
+  operator_feed_.ContinueFrom(all_keys_feed_.revision());
+}
+
+void FleetUpdates::OnChanges(const std::vector<platform::StoreItem>& items) {
+  OnOperatorItems(items);
+  UpdateBackends(items);
+  const bool overtakes = std::any_of(
+      items.begin(), items.end(), [this](const platform::StoreItem& item) {
+        return item.key.starts_with(platform::kOperatorPrefix) &&
+               item.revision > operator_feed_.revision();
+      });
+  if (overtakes) {
+    operator_feed_.ContinueFrom(all_keys_feed_.revision());
+  }
+}
+
+// An entry of another writer names no server to use.
+std::optional<BackendServer> FleetUpdates::ReadBackend(
+    const platform::StoreItem& item) {
+  auto server = platform::DecodeBackend(item.key, item.value);
+  if (!server) {
+    log_.Write(LogLevel::kInfo, "unreadable_backend",
+               {{"key", item.key}, {"reason", server.error().message}});
+    return std::nullopt;
+  }
+  return std::move(*server);
+}
+
+void FleetUpdates::ReplaceBackends(
     const std::vector<platform::StoreItem>& items) {
   std::vector<BackendServer> servers;
   for (const platform::StoreItem& item : items) {
-    auto server = platform::DecodeBackend(item.key, item.value);
-    if (server) {
+    if (platform::KindOf(item.key) != platform::ItemKind::kBackend) {
+      continue;
+    }
+    if (std::optional<BackendServer> server = ReadBackend(item)) {
       servers.push_back(std::move(*server));
-    } else {
-      log_.Write(LogLevel::kInfo, "unreadable_backend",
-                 {{"key", item.key}, {"reason", server.error().message}});
     }
   }
   has_backends_ = true;
   ApplyDirectoryChanges(
       fleet_.directory().ReplaceAll(std::move(servers), loop_.Now()));
-  callbacks_.on_known();
 }
 
-void FleetUpdates::OnBackendChanges(
+void FleetUpdates::UpdateBackends(
     const std::vector<platform::StoreItem>& items) {
   std::vector<BackendDirectory::Change> changes;
   const auto append = [&changes](std::vector<BackendDirectory::Change> more) {
     std::move(more.begin(), more.end(), std::back_inserter(changes));
   };
   for (const platform::StoreItem& item : items) {
+    if (platform::KindOf(item.key) != platform::ItemKind::kBackend) {
+      continue;
+    }
     if (item.deleted) {
       append(fleet_.directory().Remove(platform::BackendId(item.key),
                                        loop_.Now()));
-      continue;
-    }
-    auto server = platform::DecodeBackend(item.key, item.value);
-    if (server) {
+    } else if (std::optional<BackendServer> server = ReadBackend(item)) {
       append(fleet_.directory().Put(std::move(*server)));
-    } else {
-      // An entry of another writer names no server to use.
-      log_.Write(LogLevel::kInfo, "unreadable_backend",
-                 {{"key", item.key}, {"reason", server.error().message}});
     }
   }
   ApplyDirectoryChanges(changes);
--- a/src/router/fleet_updates.h
+++ b/src/router/fleet_updates.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -30,6 +31,9 @@
     // Within this time after a server has announced that it leaves, the fleet
     // knows.
     Duration leaving_limit = std::chrono::seconds(2);
+    // A change of the operator's keys is known within this time after the store
+    // has taken it, and after the store answers again.
+    Duration config_limit = std::chrono::seconds(2);
   };
 
   struct Callbacks {
@@ -56,19 +60,21 @@
   bool has_backends() const { return has_backends_; }
 
   std::uint64_t store_calls() const {
-    return backend_feed_.calls() + operator_feed_.calls();
+    return all_keys_feed_.calls() + operator_feed_.calls();
   }
   std::uint64_t failed_store_calls() const {
-    return backend_feed_.failed_calls() + operator_feed_.failed_calls();
+    return all_keys_feed_.failed_calls() + operator_feed_.failed_calls();
   }
 
-  // Time since the store last confirmed what is known.
-  Duration ConfigAge(Time now) const { return operator_feed_.Age(now); }
-  Duration BackendsAge(Time now) const { return backend_feed_.Age(now); }
+  // Time since the store last confirmed the backend servers.
+  Duration BackendsAge(Time now) const { return all_keys_feed_.Age(now); }
 
  private:
-  void OnBackendListing(const std::vector<platform::StoreItem>& items);
-  void OnBackendChanges(const std::vector<platform::StoreItem>& items);
+  void OnListing(const std::vector<platform::StoreItem>& items);
+  void OnChanges(const std::vector<platform::StoreItem>& items);
+  void ReplaceBackends(const std::vector<platform::StoreItem>& items);
+  void UpdateBackends(const std::vector<platform::StoreItem>& items);
+  std::optional<BackendServer> ReadBackend(const platform::StoreItem& item);
   void ApplyDirectoryChanges(
       const std::vector<BackendDirectory::Change>& changes);
   void OnOperatorItems(const std::vector<platform::StoreItem>& items);
@@ -82,7 +88,11 @@
   EventLog& log_;
   const Callbacks callbacks_;
   std::unique_ptr<UpstreamClient> store_client_;
-  StoreFeed backend_feed_;
+  // Its watch is answered soon, as heartbeats change the store all the time, so
+  // that a lost call is found early. It brings every change.
+  StoreFeed all_keys_feed_;
+  // Brings the operator's rare changes at once. Its watch waits long, and may
+  // be lost as long.
   StoreFeed operator_feed_;
   bool has_backends_ = false;
 };
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -69,7 +69,8 @@
                  fleet_,
                  *upstream_,
                  log_,
-                 {settings.metadata_store, settings.leaving_limit},
+                 {settings.metadata_store, settings.leaving_limit,
+                  settings.config_limit},
                  {[this](std::string_view server) { NotifyCalls(server); },
                   [this] {
                     ApplyLimits();
@@ -428,7 +429,7 @@
       {"instance", settings_.instance},
       {"ready", ready()},
       {"config_version", fleet_.config_version()},
-      {"config_age_s", ToSeconds(updates_.ConfigAge(now))},
+      {"config_age_s", ToSeconds(fleet_.ConfigAge(now))},
       {"backends_age_s", ToSeconds(updates_.BackendsAge(now))},
       {"servers", servers},
       {"router",
--- a/src/router/router_test.cc
+++ b/src/router/router_test.cc
@@ -126,9 +126,17 @@
 
 // Guards against a store that is pressed harder the longer it is down.
 TEST(StoreFeed, RetryDelaysGrowToABound) {
-  CHECK(StoreRetryDelay(1) == milliseconds(100));
-  CHECK(StoreRetryDelay(2) == milliseconds(200));
-  CHECK(StoreRetryDelay(50) == milliseconds(800));
+  const Duration at_once = Duration::zero();
+  CHECK(StoreRetryDelay(1, at_once) == milliseconds(100));
+  CHECK(StoreRetryDelay(2, at_once) == milliseconds(200));
+  CHECK(StoreRetryDelay(50, at_once) == milliseconds(800));
+}
+
+// Guards against a long silence of the store after which contact is regained
+// late: its calls fail after their whole time limit already.
+TEST(StoreFeed, CallsThatFailLateAreMadeAgainSoon) {
+  CHECK(StoreRetryDelay(50, milliseconds(300)) == milliseconds(500));
+  CHECK(StoreRetryDelay(50, milliseconds(1600)) == milliseconds(100));
 }
 
 }  // namespace amaranthcove
--- a/src/router/store_feed.cc
+++ b/src/router/store_feed.cc
@@ -12,10 +12,6 @@
 constexpr Duration kFirstRetryDelay = milliseconds(100);
 constexpr Duration kMaxRetryDelay = milliseconds(800);
 
-// A slow store takes some hundred milliseconds for an answer.
-constexpr Duration kListLimit = milliseconds(2000);
-constexpr Duration kWatchSlack = milliseconds(1200);
-
 // Shorter gaps are no loss of contact: heartbeats outlast them.
 constexpr Duration kGapWithoutLoss = milliseconds(1000);
 
@@ -23,12 +19,12 @@
 
 }  // namespace
 
-Duration StoreRetryDelay(int failures_in_a_row) {
-  Duration delay = kFirstRetryDelay;
-  for (int i = 1; i < failures_in_a_row && delay < kMaxRetryDelay; ++i) {
-    delay *= 2;
+Duration StoreRetryDelay(int failures_in_a_row, Duration took) {
+  Duration distance = kFirstRetryDelay;
+  for (int i = 1; i < failures_in_a_row && distance < kMaxRetryDelay; ++i) {
+    distance *= 2;
   }
-  return std::min(delay, kMaxRetryDelay);
+  return std::max(std::min(distance, kMaxRetryDelay) - took, kFirstRetryDelay);
 }
 
 StoreFeed::StoreFeed(EventLoop& loop,
@@ -53,6 +49,25 @@
   Call();
 }
 
+void StoreFeed::ContinueFrom(std::int64_t revision) {
+  if (mode_ == Mode::kWatching && revision <= revision_) {
+    return;
+  }
+  mode_ = Mode::kWatching;
+  listing_.clear();
+  has_first_page_ = false;
+  revision_ = revision;
+  if (call_ != 0) {
+    ++failed_calls_;
+    LogFailedCall("overtaken by another call");
+    DropCall();
+    CallAfter(Duration::zero());
+  } else if (timer_ == 0) {
+    last_contact_ = loop_.Now();
+    Call();
+  }
+}
+
 void StoreFeed::CallAfter(Duration delay) {
   loop_.Cancel(timer_);
   timer_ = loop_.RunAfter(delay, [this] {
@@ -65,11 +80,16 @@
   if (mode_ == Mode::kWatching) {
     Fetch(
         platform::WatchRequest(options_.prefix, revision_, options_.watch_wait),
-        options_.watch_wait + kWatchSlack);
+        options_.watch_wait + options_.answer_limit);
     return;
   }
   const std::string after = listing_.empty() ? "" : listing_.back().key;
-  Fetch(platform::ListRequest(options_.prefix, after), kListLimit);
+  Fetch(platform::ListRequest(options_.prefix, after), options_.answer_limit);
+}
+
+void StoreFeed::DropCall() {
+  loop_.Cancel(std::exchange(limit_timer_, 0));
+  client_.Cancel(std::exchange(call_, 0));
 }
 
 void StoreFeed::Fetch(const HttpRequest& request, Duration limit) {
@@ -77,8 +97,7 @@
   call_started_ = loop_.Now();
   response_ = {};
   limit_timer_ = loop_.RunAfter(limit, [this] {
-    limit_timer_ = 0;
-    client_.Cancel(std::exchange(call_, 0));
+    DropCall();
     OnFailure("no answer in time");
   });
   const std::uint64_t connections = client_.counters().connections_opened;
@@ -154,11 +173,10 @@
 
 void StoreFeed::OnWatchAnswer(platform::StoreAnswer answer) {
   revision_ = std::max(revision_, answer.revision);
-  const bool changed = !answer.items.empty();
-  if (changed) {
+  if (!answer.items.empty()) {
     callbacks_.on_changes(std::move(answer.items));
   }
-  CallAfter(changed ? options_.pause : Duration::zero());
+  CallAfter(options_.pause);
 }
 
 void StoreFeed::OnFailure(const std::string& reason) {
@@ -174,7 +192,7 @@
   // Pages of a listing that was interrupted may be old by now.
   listing_.clear();
   has_first_page_ = false;
-  CallAfter(StoreRetryDelay(failures_));
+  CallAfter(StoreRetryDelay(failures_, loop_.Now() - call_started_));
 }
 
 // Tells a store that does not answer from a connection that has gone deaf, and
--- a/src/router/store_feed.h
+++ b/src/router/store_feed.h
@@ -15,22 +15,29 @@
 
 namespace amaranthcove {
 
-// When a failed call to the metadata store is made again. The delay doubles
-// with each failure in a row. Thread-safe.
-Duration StoreRetryDelay(int failures_in_a_row);
+// How long after the end of a failed call to the metadata store the next one is
+// made. Calls begin further apart with each failure in a row; one that took
+// `took` until it failed has kept the distance already. Thread-safe.
+Duration StoreRetryDelay(int failures_in_a_row, Duration took);
 
 // Follows the keys of the metadata store with one prefix: lists them, then
 // watches for changes, and lists again when the store has lost the history.
 //
+// Only an answer shows that a waiting watch is not lost: the store may accept a
+// call and never answer it, while its connection stays open. So what is known
+// may lag behind the store by the time limit of one call and a retry.
+//
 // Thread safety: belongs to the loop's thread.
 class StoreFeed {
  public:
   struct Options {
     Address store;
     std::string prefix;
-    // How long one watch waits, and the pause after a watch that returned
-    // something: changes of the pause arrive together.
+    // How long the store lets a watch wait for changes.
     Duration watch_wait = std::chrono::milliseconds(2000);
+    // How long the answer may take beyond that.
+    Duration answer_limit = std::chrono::milliseconds(1000);
+    // The pause after a watch: changes of the pause arrive together.
     Duration pause = std::chrono::milliseconds(300);
   };
 
@@ -55,8 +62,13 @@
   StoreFeed(const StoreFeed&) = delete;
   StoreFeed& operator=(const StoreFeed&) = delete;
 
+  // Lists the keys, then watches them.
   void Start();
 
+  // The caller knows the keys as of `revision`: continues from there. A call
+  // that still waits for older changes is taken for lost and made again.
+  void ContinueFrom(std::int64_t revision);
+
   bool in_contact() const { return failures_ == 0; }
   std::int64_t revision() const { return revision_; }
 
@@ -71,6 +83,7 @@
 
   void Call();
   void Fetch(const HttpRequest& request, Duration limit);
+  void DropCall();
   void OnDone(UpstreamEnd end);
   void OnListAnswer(platform::StoreAnswer answer);
   void OnWatchAnswer(platform::StoreAnswer answer);
