platform_client: a lost watch is found within 3 s

Cause: the end of the watch's limit (25 s and a margin of 5 s) is the only proof that the watch is lost. It is 2 s and 1 s now, which keeps a change within the 4 s of the target; the first watch after a failure waited 1 s already, but its margin was 5 s too.

Cost: each of the 34 readers of the target makes 1 call a second, 34 of 2,000 (worked out); entries that are no readers make none.

--- a/include/amaranthcove/platform_client/platform_client.h
+++ b/include/amaranthcove/platform_client/platform_client.h
@@ -34,10 +34,12 @@
 class PlatformClient {
  public:
   struct Options {
-    std::vector<Address> platforms;             // At least one.
-    Duration wait = std::chrono::seconds(25);   // Of a pending watch.
-    Duration margin = std::chrono::seconds(5);  // For the answer after it.
-    std::function<double()> random;             // Uniform in [0, 1).
+    std::vector<Address> platforms;  // At least one.
+    // Of a pending watch, and for the answer after it. A platform may accept a
+    // watch and never answer it; until both are over, a change may be missed.
+    Duration wait = std::chrono::seconds(2);
+    Duration margin = std::chrono::seconds(1);
+    std::function<double()> random;  // Uniform in [0, 1).
     // Of a watch that has started or whose last answer was bad: whether the
     // platform is back must be known long before `wait` is over.
     Duration first_wait = std::chrono::seconds(1);
