router, adapter_agent: answers without an end are bounded

A backend server, an engine or the store in trouble may send bytes without end, in a head or a body, until the caller closes. Nothing bounded what a router or an agent took of them but the time limit of the call, so the process would have grown at the speed of the link until it was killed for its memory, with all requests in progress: a body of a plain answer (15 s in the test), an event without an end, interim answers without a final one, a stream that its caller does not read, an answer of the store (1 s), an engine's report (0.7 s, at 2 Gbit/s some 170 MB of 192).

UpstreamClient drops a connection on which 1 MiB has come before the answer to its call; a head alone was bounded by the parser already. UpstreamClient:: Fetch collects a whole answer up to a limit, and the store feeds and agents use it in place of two copies of the same collecting code. A router gives up an answer of more than 4 MiB, or an event of more than 1 MiB, as broken, and cuts off a caller that leaves more than 1 MiB of its stream unread. A watch whose answer is too long is followed by a listing, whose pages are short.

--- a/include/amaranthcove/net/upstream_client.h
+++ b/include/amaranthcove/net/upstream_client.h
@@ -18,8 +18,9 @@
 enum class UpstreamEnd {
   kComplete,  // The whole answer arrived.
   kNotSent,   // The connection was never opened: no byte left this process.
-  kBroken     // The connection broke, or the answer was no HTTP, after the
-              // request may have arrived.
+  kBroken,    // The connection broke, or the answer was no HTTP or did not
+              // begin within 1 MiB, after the request may have arrived.
+  kTooLong    // The body exceeds what `Fetch` was told to take.
 };
 
 // Names a call of an `UpstreamClient`; 0 names none.
@@ -73,6 +74,13 @@
                                const HttpRequest& request,
                                Callbacks callbacks) = 0;
 
+  // Starts a call whose answer is collected: `done` gets the end and, if it is
+  // kComplete, the whole answer.
+  UpstreamCallId Fetch(const Address& server,
+                       const HttpRequest& request,
+                       std::size_t max_body_bytes,
+                       std::function<void(UpstreamEnd, HttpResponse)> done);
+
   // Drops a call and closes its connection; no callback follows. Unknown and
   // ended calls are ignored.
   virtual void Cancel(UpstreamCallId call) = 0;
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -33,6 +33,9 @@
 // The engine is on the same host; it answers in a few milliseconds.
 constexpr Duration kCallLimit = milliseconds(700);
 
+// A report names each adapter and each run, some 100 bytes each.
+constexpr std::size_t kMaxAnswerBytes = 1 << 20;
+
 // Routers know the load of an engine this well; while no request uses the
 // engine, there is less to know.
 constexpr Duration kStatusInterval = milliseconds(250);
@@ -255,23 +258,17 @@
 void AdapterAgentImpl::Call(const HttpRequest& request,
                             std::function<void(const HttpResponse*)> done) {
   calling_ = true;
-  auto response = std::make_shared<HttpResponse>();
   auto finish = std::make_shared<std::function<void(const HttpResponse*)>>(
       [this, done = std::move(done)](const HttpResponse* result) {
         calling_ = false;
         loop_.Cancel(std::exchange(limit_timer_, 0));
         done(result);
       });
-  const UpstreamCallId call = client_->Start(
-      settings_.engine, request,
-      {[response](const HttpResponse& head) {
-         *response = head;
-         return true;
-       },
-       [response](std::string_view data) { response->body += data; },
-       [response, finish](UpstreamEnd end) {
-         (*finish)(end == UpstreamEnd::kComplete ? response.get() : nullptr);
-       }});
+  const UpstreamCallId call = client_->Fetch(
+      settings_.engine, request, kMaxAnswerBytes,
+      [finish](UpstreamEnd end, const HttpResponse& response) {
+        (*finish)(end == UpstreamEnd::kComplete ? &response : nullptr);
+      });
   limit_timer_ = loop_.RunAfter(kCallLimit, [this, call, finish] {
     limit_timer_ = 0;
     client_->Cancel(call);
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -22,6 +22,10 @@
 // a request that crosses the close may or may not have run.
 constexpr double kUsedShareOfIdleTimeout = 0.7;
 
+// Bounds heads, interim answers and answers to earlier requests, which a faulty
+// server may send without end.
+constexpr std::size_t kMaxBytesBeforeAnswer = 1 << 20;
+
 // The seconds of "timeout=N" in a Keep-Alive field; 0 without any.
 int ParseKeepAliveTimeout(std::string_view value) {
   constexpr std::string_view kKey = "timeout=";
@@ -85,6 +89,7 @@
     in_value_ = true;
     accepted_ = false;
     has_bytes_ = false;
+    bytes_before_answer_ = 0;
   }
   void OnData(std::string_view bytes);
   void OnClosed();
@@ -100,6 +105,7 @@
   bool complete_ = false;  // The present answer has ended.
   bool reusable_ = false;
   bool has_bytes_ = false;
+  std::size_t bytes_before_answer_ = 0;
   bool opened_ = false;
   bool is_head_method_ = false;
   UpstreamCallId call_ = 0;
@@ -412,7 +418,11 @@
     OnAnswerComplete(used < bytes.size());
     return;
   }
-  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+  if (!accepted_) {
+    bytes_before_answer_ += bytes.size();
+  }
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
+      bytes_before_answer_ > kMaxBytesBeforeAnswer) {
     owner_.OnConnectionLost(*this);
   }
 }
@@ -440,6 +450,44 @@
 
 }  // namespace
 
+UpstreamCallId UpstreamClient::Fetch(
+    const Address& server,
+    const HttpRequest& request,
+    std::size_t max_body_bytes,
+    std::function<void(UpstreamEnd, HttpResponse)> done) {
+  struct Collected {
+    UpstreamCallId call = 0;
+    HttpResponse response;
+    std::function<void(UpstreamEnd, HttpResponse)> done;
+  };
+  auto collected = std::make_shared<Collected>();
+  collected->done = std::move(done);
+  Callbacks callbacks;
+  callbacks.on_head = [collected](const HttpResponse& head) {
+    collected->response = head;
+    return true;
+  };
+  callbacks.on_data = [this, max_body_bytes,
+                       shared = collected](std::string_view data) {
+    // `Cancel` destroys this callback.
+    const std::shared_ptr<Collected> answer = shared;
+    if (answer->response.body.size() + data.size() > max_body_bytes) {
+      Cancel(answer->call);
+      answer->done(UpstreamEnd::kTooLong, {});
+      return;
+    }
+    answer->response.body += data;
+  };
+  callbacks.on_end = [collected](UpstreamEnd end) {
+    if (end != UpstreamEnd::kComplete) {
+      collected->response = {};
+    }
+    collected->done(end, std::move(collected->response));
+  };
+  collected->call = Start(server, request, std::move(callbacks));
+  return collected->call;
+}
+
 std::unique_ptr<UpstreamClient> UpstreamClient::Create(EventLoop& loop,
                                                        const Options& options) {
   return std::make_unique<UpstreamClientImpl>(loop, options);
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -24,6 +24,14 @@
 // A server that is silent and waited for is looked at again after this time.
 constexpr Duration kSilenceExtension = milliseconds(500);
 
+// An answer that is no stream is passed on when it is whole. A faulty server
+// may send without end, so what is kept of answers is bounded.
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+
+// A caller that leaves more unread is too slow.
+constexpr std::size_t kMaxUnreadBytes = 1 << 20;
+
 // An agent that has just started answers a demand within this time.
 constexpr Duration kWaitForSilentAgent = milliseconds(150);
 
@@ -278,17 +286,33 @@
     OnStreamData(data);
   } else {
     head_.body += data;
+    if (head_.body.size() > kMaxAnswerBytes) {
+      OnAnswerTooLong();
+    }
   }
 }
 
+void RelayCall::OnAnswerTooLong() {
+  environment_.log.Write(
+      LogLevel::kWarn, "answer_too_long",
+      {{"request", facts_.attempt_id}, {"server", placement_.server.id}});
+  environment_.upstream.Cancel(std::exchange(call_, 0));
+  FinishSend(SendEnd::kBroken, environment_.loop.Now());
+}
+
 void RelayCall::OnStreamData(std::string_view data) {
   std::string events = splitter_.Append(data);
+  if (splitter_.rest().size() > kMaxEventBytes) {
+    OnAnswerTooLong();
+    return;
+  }
   if (events.empty()) {
     return;
   }
   RestartSilenceTimer(PauseLimit(progress_));
   if (progress_.answer_begun) {
     responder_->Write(events);
+    CheckCallerReads();
     return;
   }
   progress_.answer_begun = true;
@@ -298,12 +322,25 @@
   responder_->Start(std::move(start));
 }
 
+void RelayCall::CheckCallerReads() {
+  const std::size_t unread = responder_->buffered_bytes();
+  if (unread <= kMaxUnreadBytes) {
+    return;
+  }
+  environment_.log.Write(LogLevel::kWarn, "caller_too_slow",
+                         {{"request", facts_.attempt_id},
+                          {"unread_bytes", std::to_string(unread)}});
+  responder_->Abort();
+  OnCallerGone();
+}
+
 void RelayCall::OnUpstreamEnd(UpstreamEnd end, Time now) {
   switch (end) {
     case UpstreamEnd::kNotSent:
       FinishSend(SendEnd::kNotSent, now);
       return;
     case UpstreamEnd::kBroken:
+    case UpstreamEnd::kTooLong:
       FinishSend(SendEnd::kBroken, now);
       return;
     case UpstreamEnd::kComplete:
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -84,6 +84,8 @@
   bool OnHead(const HttpResponse& head);
   void OnData(std::string_view data);
   void OnStreamData(std::string_view data);
+  void OnAnswerTooLong();
+  void CheckCallerReads();
   void OnUpstreamEnd(UpstreamEnd end, Time now);
   // Takes the end of a send into account and decides what follows.
   void FinishSend(SendEnd end, Time now);
--- a/src/router/store_feed.cc
+++ b/src/router/store_feed.cc
@@ -17,6 +17,9 @@
 
 constexpr int kOk = 200;
 
+// A page of a listing has about 1 MB; changes that a watch gathers may be more.
+constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+
 }  // namespace
 
 Duration StoreRetryDelay(int failures_in_a_row, Duration took) {
@@ -95,53 +98,51 @@
 void StoreFeed::Fetch(const HttpRequest& request, Duration limit) {
   ++calls_;
   call_started_ = loop_.Now();
-  response_ = {};
   limit_timer_ = loop_.RunAfter(limit, [this] {
     DropCall();
     OnFailure("no answer in time");
   });
   const std::uint64_t connections = client_.counters().connections_opened;
-  call_ =
-      client_.Start(options_.store, request,
-                    {[this](const HttpResponse& head) {
-                       response_ = head;
-                       return true;
-                     },
-                     [this](std::string_view data) { response_.body += data; },
-                     [this](UpstreamEnd end) {
-                       call_ = 0;
-                       loop_.Cancel(std::exchange(limit_timer_, 0));
-                       OnDone(end);
-                     }});
+  call_ = client_.Fetch(options_.store, request, kMaxAnswerBytes,
+                        [this](UpstreamEnd end, const HttpResponse& response) {
+                          call_ = 0;
+                          loop_.Cancel(std::exchange(limit_timer_, 0));
+                          OnDone(end, response);
+                        });
   on_new_connection_ = client_.counters().connections_opened != connections;
 }
 
-void StoreFeed::OnDone(UpstreamEnd end) {
-  if (end == UpstreamEnd::kNotSent) {
-    OnFailure("no connection");
-    return;
-  }
-  if (end == UpstreamEnd::kBroken) {
-    OnFailure("the connection broke");
-    return;
-  }
-  if (mode_ == Mode::kWatching && platform::IsHistoryLost(response_.status)) {
+void StoreFeed::OnDone(UpstreamEnd end, const HttpResponse& response) {
+  switch (end) {
+    case UpstreamEnd::kComplete:
+      break;
+    case UpstreamEnd::kNotSent:
+      OnFailure("no connection");
+      return;
+    case UpstreamEnd::kBroken:
+      OnFailure("the connection broke");
+      return;
+    case UpstreamEnd::kTooLong:
+      // Pages of a listing are shorter than all changes since some revision.
+      ListAgain();
+      OnFailure("the answer is too long");
+      return;
+  }
+  if (mode_ == Mode::kWatching && platform::IsHistoryLost(response.status)) {
     log_.Write(
         LogLevel::kWarn, "store_history_lost",
         {{"prefix", options_.prefix}, {"revision", std::to_string(revision_)}});
-    mode_ = Mode::kListing;
-    listing_.clear();
-    has_first_page_ = false;
+    ListAgain();
     Call();
     return;
   }
-  if (response_.status != kOk) {
-    OnFailure("status " + std::to_string(response_.status));
+  if (response.status != kOk) {
+    OnFailure("status " + std::to_string(response.status));
     return;
   }
   auto answer = mode_ == Mode::kListing
-                    ? platform::DecodeListAnswer(response_.body)
-                    : platform::DecodeWatchAnswer(response_.body);
+                    ? platform::DecodeListAnswer(response.body)
+                    : platform::DecodeWatchAnswer(response.body);
   if (!answer) {
     OnFailure(answer.error().message);
     return;
@@ -154,6 +155,12 @@
   }
 }
 
+void StoreFeed::ListAgain() {
+  mode_ = Mode::kListing;
+  listing_.clear();
+  has_first_page_ = false;
+}
+
 void StoreFeed::OnListAnswer(platform::StoreAnswer answer) {
   if (!has_first_page_) {
     // Pages are no snapshot: changes since the first page are watched for.
--- a/src/router/store_feed.h
+++ b/src/router/store_feed.h
@@ -84,7 +84,8 @@
   void Call();
   void Fetch(const HttpRequest& request, Duration limit);
   void DropCall();
-  void OnDone(UpstreamEnd end);
+  void OnDone(UpstreamEnd end, const HttpResponse& response);
+  void ListAgain();
   void OnListAnswer(platform::StoreAnswer answer);
   void OnWatchAnswer(platform::StoreAnswer answer);
   void OnFailure(const std::string& reason);
@@ -101,7 +102,6 @@
   std::int64_t revision_ = 0;
   bool has_first_page_ = false;
   std::vector<platform::StoreItem> listing_;
-  HttpResponse response_;
   UpstreamCallId call_ = 0;
   TimerId timer_ = 0;        // The next call.
   TimerId limit_timer_ = 0;  // Of the present call.
