net: a destroyed HttpClient leaves no deadlines behind

A client that was destroyed with a call in progress left the deadline of the call in the event loop. When it passed, it used the freed call: a crash, or worse, of an entry, a sidecar or amaranthctl whose loop ran on after the client had gone (a stop with calls to the platform or an engine in progress).

Found once as a heap-use-after-free in the teardown of a router_path_test that failed for another reason; traced by playing that test again on the code before. The destructor closed the connections of its calls and did not cancel their timers.

The test fails before under the address sanitizer in HttpClientImpl:: Disconnect, called from the deadline's timer, and passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -34,6 +34,7 @@
 
   ~HttpClientImpl() override {
     for (auto& [id, call] : calls_) {
+      loop_.Cancel(call->timer);
       Disconnect(*call);
     }
     for (auto& [address, pool] : pools_) {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -568,6 +568,21 @@
   CHECK(requests.empty());
 }
 
+// Guards against the deadline of a call that is left in the event loop when its
+// client is destroyed, and then uses the freed call.
+TEST(Http, DestroyedClientLeavesNoDeadlines) {
+  ListenAndKeep();
+  const Time deadline = SteadyNow() + std::chrono::milliseconds(50);
+  bool ended = false;
+  client->Fetch(server->local_address(), {"GET", "/", {}, ""}, deadline,
+                [&ended](HttpCallEnd, const HttpResponse&) { ended = true; });
+  RunUntil(loop, [this] { return !requests.empty(); });
+  client.reset();
+  RunUntil(loop, [deadline] { return SteadyNow() > deadline; });
+  loop.RunOnce(Duration::zero());
+  CHECK_FALSE(ended);
+}
+
 // Guards against requests that a graceful shutdown interrupts, and against
 // connections that stay open for more work after it.
 TEST(Http, StopAcceptingFinishesRequests) {
