net: HttpClient collects bounded bodies

The other client, of entries, sidecars and amaranthctl, collected what a platform or an engine sent until the call's deadline, as UpstreamClient did. Fetch takes 16 MiB now and ends a longer answer with kBroken. The test fails before (kComplete with 17 MiB).

--- a/include/amaranthcove/net/http_client.h
+++ b/include/amaranthcove/net/http_client.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHCOVE_NET_HTTP_CLIENT_H_
 #define AMARANTHCOVE_NET_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,8 +57,12 @@
                            Time deadline,
                            Callbacks callbacks) = 0;
 
+  // Bounds the body of a collected answer.
+  static constexpr std::size_t kMaxFetchedBytes = 16 << 20;
+
   // Starts a call whose answer is collected: `done` gets the end and, if it is
-  // kComplete, the whole answer.
+  // kComplete, the whole answer. A longer body than kMaxFetchedBytes ends with
+  // kBroken.
   HttpCallId Fetch(const Address& server,
                    HttpRequest request,
                    Time deadline,
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -272,14 +272,23 @@
     Time deadline,
     std::function<void(HttpCallEnd, HttpResponse)> done) {
   auto response = std::make_shared<HttpResponse>();
+  auto too_long = std::make_shared<bool>(false);
   Callbacks callbacks;
   callbacks.on_head = [response](const HttpResponse& head) {
     *response = head;
   };
-  callbacks.on_data = [response](std::string_view data) {
-    response->body += data;
+  callbacks.on_data = [response, too_long](std::string_view data) {
+    // The rest is dropped: the call may not end inside this callback.
+    *too_long |= response->body.size() + data.size() > kMaxFetchedBytes;
+    if (!*too_long) {
+      response->body += data;
+    }
   };
-  callbacks.on_end = [response, done = std::move(done)](HttpCallEnd end) {
+  callbacks.on_end = [response, too_long,
+                      done = std::move(done)](HttpCallEnd end) {
+    if (end == HttpCallEnd::kComplete && *too_long) {
+      end = HttpCallEnd::kBroken;
+    }
     if (end != HttpCallEnd::kComplete) {
       *response = HttpResponse();
     }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -568,6 +568,25 @@
   CHECK(requests.empty());
 }
 
+// Guards against memory that grows with an answer without an end.
+TEST(Http, FetchTakesABoundedBody) {
+  ListenAndKeep();
+  std::optional<HttpCallEnd> end;
+  client->Fetch(
+      server->local_address(), {"GET", "/", {}, ""}, SteadyNow() + kLimit,
+      [&end](HttpCallEnd fetched, const HttpResponse&) { end = fetched; });
+  RunUntil(loop, [this] { return !requests.empty(); });
+  responders[0]->Start({200, {}, ""});
+  const std::string piece(1 << 20, ' ');
+  for (std::size_t sent = 0; sent <= HttpClient::kMaxFetchedBytes;
+       sent += piece.size()) {
+    responders[0]->Write(piece);
+  }
+  responders[0]->End();
+  RunUntil(loop, [&end] { return end.has_value(); });
+  CHECK(end == HttpCallEnd::kBroken);
+}
+
 // Guards against the deadline of a call that is left in the event loop when its
 // client is destroyed, and then uses the freed call.
 TEST(Http, DestroyedClientLeavesNoDeadlines) {
