--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -467,16 +467,16 @@
     collected->response = head;
     return true;
   };
-  callbacks.on_data = [this, max_body_bytes,
-                       shared = collected](std::string_view data) {
-    // `Cancel` destroys this callback.
-    const std::shared_ptr<Collected> answer = shared;
-    if (answer->response.body.size() + data.size() > max_body_bytes) {
-      Cancel(answer->call);
-      answer->done(UpstreamEnd::kTooLong, {});
+  callbacks.on_data = [this, max_body_bytes, collected](std::string_view data) {
+    std::string& body = collected->response.body;
+    if (body.size() + data.size() <= max_body_bytes) {
+      body += data;
       return;
     }
-    answer->response.body += data;
+    // `Cancel` destroys this callback with all that it holds.
+    const auto end_call = std::move(collected->done);
+    Cancel(collected->call);
+    end_call(UpstreamEnd::kTooLong, {});
   };
   callbacks.on_end = [collected](UpstreamEnd end) {
     if (end != UpstreamEnd::kComplete) {
