--- /dev/null
+++ b/src/net/http_exchange.cc
@@ -0,0 +1,303 @@
+#include "src/net/http_exchange.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "src/net/http_fields.h"
+
+namespace amaranthcove::internal {
+
+namespace {
+
+// An aborted answer may take this long to send the piece that h2o has; a caller
+// that reads no further is cut off then.
+constexpr Duration kAbortGrace = std::chrono::seconds(1);
+
+constexpr std::size_t kUnknownLength = static_cast<std::size_t>(-1);
+
+bool MayHaveBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+// h2o frames a body of unknown length in chunks only for these answers. Others
+// would end with the connection, and callers could not see a truncation.
+bool CanBeChunked(const h2o_req_t& request, int status) {
+  return request.version >= 0x101 && (status == 200 || status == 206);
+}
+
+class Responder final : public HttpResponder {
+ public:
+  explicit Responder(std::shared_ptr<Exchange> exchange)
+      : exchange_(std::move(exchange)) {}
+
+  ~Responder() override {
+    exchange_->DropCallback();
+    exchange_->Abort();
+  }
+
+  void Send(HttpResponse response) override {
+    exchange_->Send(std::move(response));
+  }
+  void Start(HttpResponse response) override {
+    exchange_->Start(std::move(response));
+  }
+  void Write(std::string_view data) override { exchange_->Write(data); }
+  void End() override { exchange_->End(); }
+  void Abort() override { exchange_->Abort(); }
+  std::size_t buffered_bytes() const override {
+    return exchange_->buffered_bytes();
+  }
+  void OnCallerGone(std::function<void()> callback) override {
+    exchange_->OnCallerGone(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<Exchange> exchange_;
+};
+
+}  // namespace
+
+std::string ToString(h2o_iovec_t text) {
+  return text.base == nullptr ? std::string()
+                              : std::string(text.base, text.len);
+}
+
+void Exchange::Attach(h2o_req_t* request) {
+  request_ = request;
+  is_head_method_ = ToString(request->input.method) == "HEAD";
+  auto* generator = static_cast<RequestGenerator*>(h2o_mem_alloc_shared(
+      &request->pool, sizeof(RequestGenerator), &Exchange::OnRequestDisposed));
+  new (generator)
+      RequestGenerator{{&Exchange::OnProceed, nullptr}, shared_from_this()};
+  generator_ = generator;
+  open_exchanges_.insert(this);
+}
+
+int Exchange::socket_fd() const {
+  return h2o_socket_get_fd(
+      request_->conn->callbacks->get_socket(request_->conn));
+}
+
+void Exchange::Send(HttpResponse response) {
+  if (request_ == nullptr || head_given_ || ended_) {
+    return;
+  }
+  head_given_ = true;
+  pending_ = std::move(response.body);
+  response_ = std::move(response);
+  ended_ = true;
+  StartWithLength();
+}
+
+void Exchange::Start(HttpResponse response) {
+  if (request_ == nullptr || head_given_ || ended_) {
+    return;
+  }
+  head_given_ = true;
+  pending_ = std::move(response.body);
+  response_ = std::move(response);
+  if (!CanBeChunked(*request_, response_.status)) {
+    return;  // Collected until `End`.
+  }
+  StartResponse(kUnknownLength);
+  Flush();
+}
+
+void Exchange::Write(std::string_view data) {
+  if (request_ == nullptr || ended_) {
+    return;
+  }
+  pending_ += data;
+  if (started_) {
+    Flush();
+  }
+}
+
+void Exchange::End() {
+  if (request_ == nullptr || ended_) {
+    return;
+  }
+  ended_ = true;
+  if (started_) {
+    Flush();
+  } else {
+    StartWithLength();
+  }
+}
+
+void Exchange::Abort() {
+  if (request_ == nullptr || ended_) {
+    return;
+  }
+  ended_ = true;
+  aborted_ = true;
+  on_caller_gone_ = nullptr;
+  BreakConnection();
+}
+
+void Exchange::OnCallerGone(std::function<void()> callback) {
+  on_caller_gone_ = std::move(callback);
+}
+
+void Exchange::CallerHasGone() {
+  ReportCallerGone();
+  ended_ = true;
+  aborted_ = true;
+  pending_.clear();
+  // Makes an outstanding piece fail.
+  shutdown(socket_fd(), SHUT_RDWR);
+  if (!sending_) {
+    SendError();
+  }
+}
+
+std::size_t Exchange::buffered_bytes() const {
+  return pending_.size() + in_flight_.size();
+}
+
+void Exchange::OnProceed(h2o_generator_t* self, h2o_req_t* /*request*/) {
+  const auto exchange = reinterpret_cast<RequestGenerator*>(self)->exchange;
+  exchange->sending_ = false;
+  exchange->in_flight_.clear();
+  exchange->Flush();
+}
+
+void Exchange::OnRequestDisposed(void* memory) {
+  auto* generator = static_cast<RequestGenerator*>(memory);
+  const std::shared_ptr<Exchange> exchange = std::move(generator->exchange);
+  generator->~RequestGenerator();
+  exchange->Detach();
+}
+
+void Exchange::Detach() {
+  if (stopped_) {
+    // Its answer began before the server stopped, so it did not say that the
+    // connection would be closed.
+    shutdown(socket_fd(), SHUT_RDWR);
+  }
+  request_ = nullptr;
+  generator_ = nullptr;
+  open_exchanges_.erase(this);
+  pending_.clear();
+  in_flight_.clear();
+  ReportCallerGone();
+}
+
+void Exchange::ReportCallerGone() {
+  if (ended_ || !on_caller_gone_) {
+    return;
+  }
+  // Called by the loop, because h2o or the responder may be on the stack.
+  loop_.RunAfter(Duration::zero(), [self = weak_from_this()] {
+    const auto exchange = self.lock();
+    if (exchange != nullptr && exchange->on_caller_gone_) {
+      std::exchange(exchange->on_caller_gone_, nullptr)();
+    }
+  });
+}
+
+void Exchange::StartWithLength() {
+  if (!MayHaveBody(response_.status)) {
+    pending_.clear();
+    StartResponse(kUnknownLength);
+  } else {
+    StartResponse(pending_.size());
+  }
+  Flush();
+}
+
+void Exchange::StartResponse(std::size_t length) {
+  started_ = true;
+  h2o_res_t& res = request_->res;
+  res.status = response_.status;
+  res.reason = "";
+  res.content_length = length;
+  for (const HttpHeader& header : response_.headers) {
+    if (IsSendable(header)) {
+      AddHeader(header);
+    }
+  }
+  if (closing_) {
+    request_->http1_is_persistent = 0;
+  }
+  h2o_start_response(request_, &generator_->super);
+}
+
+void Exchange::AddHeader(const HttpHeader& header) {
+  h2o_mem_pool_t* pool = &request_->pool;
+  h2o_iovec_t name = h2o_strdup(pool, header.name.data(), header.name.size());
+  h2o_strtolower(name.base, name.len);
+  const h2o_iovec_t value =
+      h2o_strdup(pool, header.value.data(), header.value.size());
+  h2o_add_header_by_str(pool, &request_->res.headers, name.base, name.len, 1,
+                        nullptr, value.base, value.len);
+}
+
+void Exchange::Flush() {
+  if (sending_ || request_ == nullptr || sent_last_) {
+    return;
+  }
+  if (is_head_method_) {
+    pending_.clear();
+  }
+  // What was written before an abort is sent, such as the event that tells
+  // why the answer breaks off.
+  if (aborted_ && pending_.empty()) {
+    SendError();
+    return;
+  }
+  if (pending_.empty() && !ended_ && head_flushed_) {
+    return;
+  }
+  head_flushed_ = true;
+  in_flight_.swap(pending_);
+  sending_ = true;
+  sent_last_ = ended_ && !aborted_;
+  h2o_iovec_t buffer = h2o_iovec_init(in_flight_.data(), in_flight_.size());
+  // h2o may dispose of the request within this call.
+  const auto self = shared_from_this();
+  h2o_send(request_, &buffer, in_flight_.empty() ? 0 : 1,
+           sent_last_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void Exchange::BreakConnection() {
+  if (!started_) {
+    shutdown(socket_fd(), SHUT_RDWR);
+    SendError();
+  } else if (!sending_) {
+    SendError();
+  } else {
+    // `Flush` sends the error after the outstanding piece, because a close
+    // between two chunks is taken for the end by some clients.
+    loop_.RunAfter(kAbortGrace, [self = weak_from_this()] {
+      const auto exchange = self.lock();
+      if (exchange != nullptr && exchange->is_attached()) {
+        shutdown(exchange->socket_fd(), SHUT_RDWR);
+      }
+    });
+  }
+}
+
+void Exchange::SendError() {
+  const auto self = shared_from_this();
+  sent_last_ = true;
+  request_->http1_is_persistent = 0;
+  if (options_.abort_mark == HttpServer::AbortMark::kClose) {
+    shutdown(socket_fd(), SHUT_WR);
+  }
+  if (!started_) {
+    started_ = true;
+    request_->res.status = 500;
+    request_->res.reason = "";
+    h2o_start_response(request_, &generator_->super);
+  }
+  h2o_send(request_, nullptr, 0, H2O_SEND_STATE_ERROR);
+}
+
+std::unique_ptr<HttpResponder> MakeResponder(
+    std::shared_ptr<Exchange> exchange) {
+  return std::make_unique<Responder>(std::move(exchange));
+}
+
+}  // namespace amaranthcove::internal
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -15,12 +15,16 @@
 #include <vector>
 
 #include "src/net/h2o_headers.h"
-#include "src/net/http_fields.h"
+#include "src/net/http_errors.h"
+#include "src/net/http_exchange.h"
 
 namespace amaranthcove {
 
 namespace {
 
+using internal::Exchange;
+using internal::ToString;
+
 // How often the sockets of unanswered requests are looked at. h2o does not
 // read while a request is in progress, so it misses callers that go away.
 constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(100);
@@ -32,38 +36,11 @@
 // How often connections without a request are looked at.
 constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(250);
 
-// An aborted answer may take this long to send the piece that h2o has; a caller
-// that reads no further is cut off then.
-constexpr Duration kAbortGrace = std::chrono::seconds(1);
-
 // Connections accepted in a row before other events are handled.
 constexpr int kMaxAcceptsPerRound = 64;
 
-constexpr std::size_t kUnknownLength = static_cast<std::size_t>(-1);
-
-constexpr int kBadRequest = 400;
-constexpr int kBodyTooLarge = 413;
-constexpr int kHeaderTooLarge = 431;
-
 constexpr std::string_view kEndOfHeader = "\r\n\r\n";
 
-constexpr std::string_view kHeaderTooLargeBody =
-    R"({"error":{"code":"header_too_large","message":)"
-    R"("the header fields exceed the limit of this server",)"
-    R"("outcome":"not_run","request_id":""}})";
-
-constexpr std::string_view kHeaderTooSlowBody =
-    R"({"error":{"code":"header_too_slow","message":)"
-    R"("the header fields did not arrive in time",)"
-    R"("outcome":"not_run","request_id":""}})";
-
-std::string HeaderTooSlowAnswer() {
-  return "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n"
-         "content-type: application/json\r\ncontent-length: " +
-         std::to_string(kHeaderTooSlowBody.size()) + "\r\n\r\n" +
-         std::string(kHeaderTooSlowBody);
-}
-
 // The size of a request's line and header fields as HTTP/1.1 writes them.
 std::size_t HeaderBytes(const HttpRequest& request) {
   constexpr std::size_t kLineOverhead = 12;  // Spaces, version, end of line.
@@ -76,397 +53,6 @@
   return bytes;
 }
 
-std::string ToString(h2o_iovec_t text) {
-  return text.base == nullptr ? std::string()
-                              : std::string(text.base, text.len);
-}
-
-bool MayHaveBody(int status) {
-  return status >= 200 && status != 204 && status != 304;
-}
-
-// h2o frames a body of unknown length in chunks only for these answers. Others
-// would end with the connection, and callers could not see a truncation.
-bool CanBeChunked(const h2o_req_t& request, int status) {
-  return request.version >= 0x101 && (status == 200 || status == 206);
-}
-
-class Exchange;
-
-// Lives in the memory pool of h2o's request and tells the exchange when h2o
-// disposes of the request.
-struct RequestGenerator {
-  h2o_generator_t super;
-  std::shared_ptr<Exchange> exchange;
-};
-
-// One request and its answer. Shared by the request's pool and the responder:
-// an answer that has ended is still being sent after its responder has gone.
-class Exchange : public std::enable_shared_from_this<Exchange> {
- public:
-  Exchange(EventLoop& loop,
-           const HttpServer::Options& options,
-           std::unordered_set<Exchange*>& open_exchanges,
-           const bool& closing,
-           const bool& stopped)
-      : loop_(loop),
-        options_(options),
-        open_exchanges_(open_exchanges),
-        closing_(closing),
-        stopped_(stopped) {}
-
-  void Attach(h2o_req_t* request) {
-    request_ = request;
-    is_head_method_ = ToString(request->input.method) == "HEAD";
-    auto* generator = static_cast<RequestGenerator*>(
-        h2o_mem_alloc_shared(&request->pool, sizeof(RequestGenerator),
-                             &Exchange::OnRequestDisposed));
-    new (generator)
-        RequestGenerator{{&Exchange::OnProceed, nullptr}, shared_from_this()};
-    generator_ = generator;
-    open_exchanges_.insert(this);
-  }
-
-  bool is_attached() const { return request_ != nullptr; }
-
-  bool has_ended() const { return ended_; }
-
-  int socket_fd() const {
-    return h2o_socket_get_fd(
-        request_->conn->callbacks->get_socket(request_->conn));
-  }
-
-  void Send(HttpResponse response) {
-    if (request_ == nullptr || head_given_ || ended_) {
-      return;
-    }
-    head_given_ = true;
-    pending_ = std::move(response.body);
-    response_ = std::move(response);
-    ended_ = true;
-    StartWithLength();
-  }
-
-  void Start(HttpResponse response) {
-    if (request_ == nullptr || head_given_ || ended_) {
-      return;
-    }
-    head_given_ = true;
-    pending_ = std::move(response.body);
-    response_ = std::move(response);
-    if (!CanBeChunked(*request_, response_.status)) {
-      return;  // Collected until `End`.
-    }
-    StartResponse(kUnknownLength);
-    Flush();
-  }
-
-  void Write(std::string_view data) {
-    if (request_ == nullptr || ended_) {
-      return;
-    }
-    pending_ += data;
-    if (started_) {
-      Flush();
-    }
-  }
-
-  void End() {
-    if (request_ == nullptr || ended_) {
-      return;
-    }
-    ended_ = true;
-    if (started_) {
-      Flush();
-    } else {
-      StartWithLength();
-    }
-  }
-
-  void Abort() {
-    if (request_ == nullptr || ended_) {
-      return;
-    }
-    ended_ = true;
-    aborted_ = true;
-    on_caller_gone_ = nullptr;
-    BreakConnection();
-  }
-
-  void OnCallerGone(std::function<void()> callback) {
-    on_caller_gone_ = std::move(callback);
-  }
-
-  void DropCallback() { on_caller_gone_ = nullptr; }
-
-  // The caller has closed its side; h2o does not know it yet.
-  void CallerHasGone() {
-    ReportCallerGone();
-    ended_ = true;
-    aborted_ = true;
-    pending_.clear();
-    // Makes an outstanding piece fail.
-    shutdown(socket_fd(), SHUT_RDWR);
-    if (!sending_) {
-      SendError();
-    }
-  }
-
-  std::size_t buffered_bytes() const {
-    return pending_.size() + in_flight_.size();
-  }
-
- private:
-  static void OnProceed(h2o_generator_t* self, h2o_req_t* /*request*/) {
-    const auto exchange = reinterpret_cast<RequestGenerator*>(self)->exchange;
-    exchange->sending_ = false;
-    exchange->in_flight_.clear();
-    exchange->Flush();
-  }
-
-  static void OnRequestDisposed(void* memory) {
-    auto* generator = static_cast<RequestGenerator*>(memory);
-    const std::shared_ptr<Exchange> exchange = std::move(generator->exchange);
-    generator->~RequestGenerator();
-    exchange->Detach();
-  }
-
-  void Detach() {
-    if (stopped_) {
-      // Its answer began before the server stopped, so it did not say that the
-      // connection would be closed.
-      shutdown(socket_fd(), SHUT_RDWR);
-    }
-    request_ = nullptr;
-    generator_ = nullptr;
-    open_exchanges_.erase(this);
-    pending_.clear();
-    in_flight_.clear();
-    ReportCallerGone();
-  }
-
-  void ReportCallerGone() {
-    if (ended_ || !on_caller_gone_) {
-      return;
-    }
-    // Called by the loop, because h2o or the responder may be on the stack.
-    loop_.RunAfter(Duration::zero(), [self = weak_from_this()] {
-      const auto exchange = self.lock();
-      if (exchange != nullptr && exchange->on_caller_gone_) {
-        std::exchange(exchange->on_caller_gone_, nullptr)();
-      }
-    });
-  }
-
-  void StartWithLength() {
-    if (!MayHaveBody(response_.status)) {
-      pending_.clear();
-      StartResponse(kUnknownLength);
-    } else {
-      StartResponse(pending_.size());
-    }
-    Flush();
-  }
-
-  void StartResponse(std::size_t length) {
-    started_ = true;
-    h2o_res_t& res = request_->res;
-    res.status = response_.status;
-    res.reason = "";
-    res.content_length = length;
-    for (const HttpHeader& header : response_.headers) {
-      if (internal::IsSendable(header)) {
-        AddHeader(header);
-      }
-    }
-    if (closing_) {
-      request_->http1_is_persistent = 0;
-    }
-    h2o_start_response(request_, &generator_->super);
-  }
-
-  void AddHeader(const HttpHeader& header) {
-    h2o_mem_pool_t* pool = &request_->pool;
-    h2o_iovec_t name = h2o_strdup(pool, header.name.data(), header.name.size());
-    h2o_strtolower(name.base, name.len);
-    const h2o_iovec_t value =
-        h2o_strdup(pool, header.value.data(), header.value.size());
-    h2o_add_header_by_str(pool, &request_->res.headers, name.base, name.len, 1,
-                          nullptr, value.base, value.len);
-  }
-
-  // Hands what has been collected to h2o, which takes one piece at a time.
-  void Flush() {
-    if (sending_ || request_ == nullptr || sent_last_) {
-      return;
-    }
-    if (is_head_method_) {
-      pending_.clear();
-    }
-    // What was written before an abort is sent, such as the event that tells
-    // why the answer breaks off.
-    if (aborted_ && pending_.empty()) {
-      SendError();
-      return;
-    }
-    if (pending_.empty() && !ended_ && head_flushed_) {
-      return;
-    }
-    head_flushed_ = true;
-    in_flight_.swap(pending_);
-    sending_ = true;
-    sent_last_ = ended_ && !aborted_;
-    h2o_iovec_t buffer = h2o_iovec_init(in_flight_.data(), in_flight_.size());
-    // h2o may dispose of the request within this call.
-    const auto self = shared_from_this();
-    h2o_send(request_, &buffer, in_flight_.empty() ? 0 : 1,
-             sent_last_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
-  }
-
-  // Ends the connection without a proper end of the answer.
-  void BreakConnection() {
-    if (!started_) {
-      shutdown(socket_fd(), SHUT_RDWR);
-      SendError();
-    } else if (!sending_) {
-      SendError();
-    } else {
-      // `Flush` sends the error after the outstanding piece, because a close
-      // between two chunks is taken for the end by some clients.
-      loop_.RunAfter(kAbortGrace, [self = weak_from_this()] {
-        const auto exchange = self.lock();
-        if (exchange != nullptr && exchange->is_attached()) {
-          shutdown(exchange->socket_fd(), SHUT_RDWR);
-        }
-      });
-    }
-  }
-
-  // Closes the connection without an end of the answer. h2o writes a malformed
-  // chunk first, unless the connection cannot be written any more.
-  void SendError() {
-    const auto self = shared_from_this();
-    sent_last_ = true;
-    request_->http1_is_persistent = 0;
-    if (options_.abort_mark == HttpServer::AbortMark::kClose) {
-      shutdown(socket_fd(), SHUT_WR);
-    }
-    if (!started_) {
-      started_ = true;
-      request_->res.status = 500;
-      request_->res.reason = "";
-      h2o_start_response(request_, &generator_->super);
-    }
-    h2o_send(request_, nullptr, 0, H2O_SEND_STATE_ERROR);
-  }
-
-  EventLoop& loop_;
-  const HttpServer::Options options_;
-  std::unordered_set<Exchange*>& open_exchanges_;
-  const bool& closing_;
-  const bool& stopped_;
-  h2o_req_t* request_ = nullptr;  // Null once h2o has disposed of it.
-  RequestGenerator* generator_ = nullptr;
-  HttpResponse response_;
-  std::string pending_;
-  std::string in_flight_;
-  std::function<void()> on_caller_gone_;
-  bool is_head_method_ = false;
-  bool head_given_ = false;    // `Send` or `Start` was called.
-  bool started_ = false;       // h2o knows the head of the answer.
-  bool head_flushed_ = false;  // The head was sent, perhaps without a body.
-  bool sending_ = false;       // h2o has a piece and has not asked for more.
-  bool ended_ = false;
-  bool aborted_ = false;
-  bool sent_last_ = false;  // h2o has the last piece.
-};
-
-class Responder final : public HttpResponder {
- public:
-  explicit Responder(std::shared_ptr<Exchange> exchange)
-      : exchange_(std::move(exchange)) {}
-
-  ~Responder() override {
-    exchange_->DropCallback();
-    exchange_->Abort();
-  }
-
-  void Send(HttpResponse response) override {
-    exchange_->Send(std::move(response));
-  }
-  void Start(HttpResponse response) override {
-    exchange_->Start(std::move(response));
-  }
-  void Write(std::string_view data) override { exchange_->Write(data); }
-  void End() override { exchange_->End(); }
-  void Abort() override { exchange_->Abort(); }
-  std::size_t buffered_bytes() const override {
-    return exchange_->buffered_bytes();
-  }
-  void OnCallerGone(std::function<void()> callback) override {
-    exchange_->OnCallerGone(std::move(callback));
-  }
-
- private:
-  std::shared_ptr<Exchange> exchange_;
-};
-
-// h2o answers oversized requests and bad chunks itself, in plain text, before
-// any handler. This output stream puts JSON in the place of that text. The 400
-// for bytes that are no HTTP request is a constant in h2o and stays plain text.
-struct ErrorBodyStream {
-  h2o_ostream_t super;
-  bool sent;
-};
-
-std::string_view ErrorBody(int status) {
-  if (status == kBodyTooLarge) {
-    return R"({"error":{"code":"request_too_large","message":)"
-           R"("the request body exceeds the limit of this server",)"
-           R"("outcome":"not_run","request_id":""}})";
-  }
-  return R"({"error":{"code":"bad_request","message":)"
-         R"("the request is not well-formed HTTP/1.1",)"
-         R"("outcome":"not_run","request_id":""}})";
-}
-
-void SendErrorBody(h2o_ostream_t* self,
-                   h2o_req_t* request,
-                   h2o_iovec_t* /*buffers*/,
-                   size_t /*buffer_count*/,
-                   h2o_send_state_t state) {
-  auto* stream = reinterpret_cast<ErrorBodyStream*>(self);
-  const std::string_view body = ErrorBody(request->res.status);
-  h2o_iovec_t buffer = h2o_iovec_init(body.data(), body.size());
-  h2o_ostream_send_next(self, request, &buffer, stream->sent ? 0 : 1, state);
-  stream->sent = true;
-}
-
-// Counts what h2o refuses itself.
-struct ErrorFilter {
-  h2o_filter_t super;
-  std::uint64_t* refused;
-};
-
-void SetUpErrorBody(h2o_filter_t* self,
-                    h2o_req_t* request,
-                    h2o_ostream_t** slot) {
-  const int status = request->res.status;
-  if (status == kBadRequest || status == kBodyTooLarge) {
-    ++*reinterpret_cast<ErrorFilter*>(self)->refused;
-    request->res.content_length = ErrorBody(status).size();
-    static constexpr std::string_view kJson = "application/json";
-    h2o_set_header(&request->pool, &request->res.headers,
-                   H2O_TOKEN_CONTENT_TYPE, kJson.data(), kJson.size(), 1);
-    auto* stream = reinterpret_cast<ErrorBodyStream*>(
-        h2o_add_ostream(request, sizeof(ErrorBodyStream), slot));
-    stream->super.do_send = &SendErrorBody;
-    stream->sent = false;
-    slot = &stream->super.next;
-  }
-  h2o_setup_next_ostream(request, slot);
-}
-
 // What h2o's connections refer to. It outlives the `HttpServer` until the last
 // of them is closed, because h2o closes a connection only from the loop.
 class ServerCore {
@@ -489,10 +75,7 @@
     h2o_hostconf_t* host = h2o_config_register_host(
         &config_, h2o_iovec_init(kHost.data(), kHost.size()), 65535);
     AddHandler(h2o_config_register_path(host, "/", 0));
-    auto* filter = reinterpret_cast<ErrorFilter*>(
-        h2o_create_filter(&host->fallback_path, sizeof(ErrorFilter)));
-    filter->super.on_setup_ostream = &SetUpErrorBody;
-    filter->refused = &counters_.refused;
+    internal::AddErrorFilter(&host->fallback_path, &counters_.refused);
     h2o_context_init(&context_, loop.native(), &config_);
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
@@ -642,9 +225,7 @@
     if (HeaderBytes(copy) > core->limits_.max_header_bytes) {
       ++core->counters_.refused;
       request->http1_is_persistent = 0;
-      exchange->Send({kHeaderTooLarge,
-                      {{"content-type", "application/json"}},
-                      std::string(kHeaderTooLargeBody)});
+      exchange->Send(internal::HeaderTooLargeAnswer());
       return 0;
     }
     // Called by the loop: h2o reads a pipelined request while it ends the
@@ -659,8 +240,8 @@
             exchange->Abort();
             return;
           }
-          auto responder = std::make_unique<Responder>(std::move(exchange));
-          core->handler_(std::move(copy), std::move(responder));
+          core->handler_(std::move(copy),
+                         internal::MakeResponder(std::move(exchange)));
         });
     return 0;
   }
@@ -741,7 +322,7 @@
   // answer that the socket does not take at once is lost with the connection.
   void RefuseSlowHeader(int fd) {
     ++counters_.refused;
-    const std::string answer = HeaderTooSlowAnswer();
+    const std::string answer = internal::HeaderTooSlowAnswer();
     send(fd, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     shutdown(fd, SHUT_RDWR);
   }
