net: a request that crosses the idle close of its connection is not handled

The request was sent at 30.437 s, its connection closed at 30.561 s, and the request passed on at 30.568 s.

Cause: the server shuts an idle connection down at the limit; a request that had come in since the sockets were read last was then read from it, handled and passed on, and its answer went nowhere. A header that was too slow could be completed in the same way after its 408, which promises that the request has not run. Connections closed by a graceful stop were told apart already.

A connection that the server has shut down is marked, and a request on it is dropped before it is handled, so that a caller may send it again.

The test fails before (three of three) and passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -168,6 +168,7 @@
 
   struct Connection {
     bool has_requested = false;  // A whole request has arrived.
+    bool shut_down = false;      // By this server: no answer can be sent.
     // Since then no request was in progress and no byte came.
     Time quiet_since;
     // When it was last looked at.
@@ -212,10 +213,12 @@
     exchange->Attach(request);
     const auto connection = core->connections_.find(
         request->conn->callbacks->get_socket(request->conn));
+    bool shut_down = core->stopped_;
     if (connection != core->connections_.end()) {
       connection->second.has_requested = true;
+      shut_down = shut_down || connection->second.shut_down;
     }
-    if (core->stopped_) {
+    if (shut_down) {
       // It crossed the close of its connection, where no answer can be sent.
       exchange->Abort();
       return 0;
@@ -286,8 +289,10 @@
       if (connection.header_since &&
           now - *connection.header_since >= limits_.header_timeout) {
         RefuseSlowHeader(fd);
+        connection.shut_down = true;
       } else if (now - connection.quiet_since >= limits_.idle_timeout) {
         shutdown(fd, SHUT_RDWR);
+        connection.shut_down = true;
       }
     }
     if (!connections_.empty()) {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -635,6 +635,29 @@
   CHECK_EQUAL(1, static_cast<int>(responders.size()));
 }
 
+// Guards against a request that is handled, and perhaps passed on, although its
+// connection was closed as idle just before it was read.
+TEST(Http, RequestThatCrossesTheIdleCloseIsNotCutOff) {
+  HttpServer::Options options;
+  options.limits.idle_timeout = std::chrono::milliseconds(400);
+  ListenAndKeep(options);
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  ServeOneRequest(peer);
+  // The connection is seen to be idle.
+  const Time seen = SteadyNow() + std::chrono::milliseconds(300);
+  RunUntil(loop, [seen] { return SteadyNow() > seen; });
+  // The request arrives in a round that began after the idle limit.
+  loop.RunAfter(Duration::zero(),
+                [&peer] { peer.Write("GET / HTTP/1.1\r\n\r\n"); });
+  usleep(800'000);
+  bool closed = false;
+  for (int round = 0; round < 5; ++round) {
+    loop.RunOnce(Duration::zero());
+    closed = peer.ReadAvailable() || closed;
+  }
+  CHECK(!closed || responders.size() == 1);
+}
+
 // Guards against a request that arrives on an idle connection when the process
 // is about to end, and is then cut off: such a connection is closed before.
 TEST(Http, StopAcceptingClosesIdleConnections) {
