router: read each change of the operator's keys once

Since the feed of all keys was added, both feeds handed over every change of op/: a configuration was decoded twice, and each adapter version was logged twice. FleetUpdates now takes from the feed of all keys only those that the other feed has not brought; while that one lists, it counts as knowing nothing.

A call that ended as too long was logged as a listing, because the mode was changed before the line was written. DropListing stands for three copies of the same two lines; in_contact, which nothing called, is gone.

--- a/src/router/fleet_updates.cc
+++ b/src/router/fleet_updates.cc
@@ -110,20 +110,22 @@
   OnOperatorItems(items);
   ReplaceBackends(items);
   callbacks_.on_known();
-  operator_feed_.ContinueFrom(all_keys_feed_.revision());
+  operator_feed_.ContinueFrom(all_keys_feed_.known_revision());
 }
 
 void FleetUpdates::OnChanges(const std::vector<platform::StoreItem>& items) {
-  OnOperatorItems(items);
-  UpdateBackends(items);
-  const bool overtakes = std::any_of(
-      items.begin(), items.end(), [this](const platform::StoreItem& item) {
-        return item.key.starts_with(platform::kOperatorPrefix) &&
-               item.revision > operator_feed_.revision();
-      });
-  if (overtakes) {
-    operator_feed_.ContinueFrom(all_keys_feed_.revision());
+  // Nearly always the other feed has brought the operator's changes before.
+  std::vector<platform::StoreItem> overtaking;
+  std::copy_if(items.begin(), items.end(), std::back_inserter(overtaking),
+               [this](const platform::StoreItem& item) {
+                 return item.key.starts_with(platform::kOperatorPrefix) &&
+                        item.revision > operator_feed_.known_revision();
+               });
+  if (!overtaking.empty()) {
+    OnOperatorItems(overtaking);
+    operator_feed_.ContinueFrom(all_keys_feed_.known_revision());
   }
+  UpdateBackends(items);
 }
 
 // An entry of another writer names no server to use.
--- a/src/router/store_feed.cc
+++ b/src/router/store_feed.cc
@@ -53,12 +53,11 @@
 }
 
 void StoreFeed::ContinueFrom(std::int64_t revision) {
-  if (mode_ == Mode::kWatching && revision <= revision_) {
+  if (revision <= known_revision()) {
     return;
   }
   mode_ = Mode::kWatching;
-  listing_.clear();
-  has_first_page_ = false;
+  DropListing();
   revision_ = revision;
   if (call_ != 0) {
     ++failed_calls_;
@@ -123,16 +122,17 @@
       OnFailure("the connection broke");
       return;
     case UpstreamEnd::kTooLong:
-      // Pages of a listing are shorter than all changes since some revision.
-      ListAgain();
       OnFailure("the answer is too long");
+      // Pages of a listing are shorter than all changes since some revision.
+      mode_ = Mode::kListing;
       return;
   }
   if (mode_ == Mode::kWatching && platform::IsHistoryLost(response.status)) {
     log_.Write(
         LogLevel::kWarn, "store_history_lost",
         {{"prefix", options_.prefix}, {"revision", std::to_string(revision_)}});
-    ListAgain();
+    mode_ = Mode::kListing;
+    DropListing();
     Call();
     return;
   }
@@ -155,8 +155,7 @@
   }
 }
 
-void StoreFeed::ListAgain() {
-  mode_ = Mode::kListing;
+void StoreFeed::DropListing() {
   listing_.clear();
   has_first_page_ = false;
 }
@@ -197,8 +196,7 @@
                 {"age_ms", std::to_string(ToMilliseconds(Age(loop_.Now())))}});
   }
   // Pages of a listing that was interrupted may be old by now.
-  listing_.clear();
-  has_first_page_ = false;
+  DropListing();
   CallAfter(StoreRetryDelay(failures_, loop_.Now() - call_started_));
 }
 
--- a/src/router/store_feed.h
+++ b/src/router/store_feed.h
@@ -69,8 +69,10 @@
   // that still waits for older changes is taken for lost and made again.
   void ContinueFrom(std::int64_t revision);
 
-  bool in_contact() const { return failures_ == 0; }
-  std::int64_t revision() const { return revision_; }
+  // All changes up to this revision have been handed over; 0 while listing.
+  std::int64_t known_revision() const {
+    return mode_ == Mode::kWatching ? revision_ : 0;
+  }
 
   // Time since the last answer of the store, or since `Start` without any.
   Duration Age(Time now) const { return now - last_contact_; }
@@ -85,7 +87,7 @@
   void Fetch(const HttpRequest& request, Duration limit);
   void DropCall();
   void OnDone(UpstreamEnd end, const HttpResponse& response);
-  void ListAgain();
+  void DropListing();
   void OnListAnswer(platform::StoreAnswer answer);
   void OnWatchAnswer(platform::StoreAnswer answer);
   void OnFailure(const std::string& reason);
