engine_client: accept refusals with members of any type

Cause: nlohmann's value() throws if a member is there but no string. An engine's refusal with a numeric error code, or a state with a numeric boot id, ended the whole process, because nothing catches the exception.

Change: the members are read only if they are strings; otherwise the refusal keeps the default code and the state counts as of another start.

Test: EngineClient.MalformedRefusalsAreRefusals. Against the previous code it fails with an uncaught type_error.

--- a/src/engine_client/engine_client_test.cc
+++ b/src/engine_client/engine_client_test.cc
@@ -52,4 +52,33 @@
   CHECK(*end == GenerationEnd::kDeadline);
 }
 
+// Guards against an engine whose refusal ends the process: its error code may
+// be of any type.
+TEST(EngineClient, MalformedRefusalsAreRefusals) {
+  for (const char* body :
+       {R"({"error":{"code":7}})", R"({"error":{"code":null}})",
+        R"({"error":[1]})", R"([])", "{"}) {
+    const auto server = HttpServer::Listen(
+        loop, {"127.0.0.1", 0}, HttpServer::Options(),
+        [body](const HttpRequest&, std::unique_ptr<HttpResponder> responder) {
+          responder->Send({503, {}, body});
+        });
+    CHECK(server.has_value());
+    EngineClient client(loop, *http, (*server)->local_address(), {});
+    std::optional<GenerationResult> end;
+    GenerationRequest request;
+    request.path = "/v1/completions";
+    request.stream_id = std::string("stream-1");
+    request.deadline = SteadyNow() + std::chrono::seconds(5);
+    client.Generate(std::move(request),
+                    {[](std::string_view) {},
+                     [&end](const GenerationResult& result) { end = result; }});
+    while (!end) {
+      loop.RunOnce(std::chrono::milliseconds(20));
+    }
+    CHECK(end->end == GenerationEnd::kNotRun);
+    CHECK("engine_refused" == end->code);
+  }
+}
+
 }  // namespace amaranthcove
--- a/src/engine_client/generation.cc
+++ b/src/engine_client/generation.cc
@@ -1,6 +1,8 @@
 #include "src/engine_client/generation.h"
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -113,6 +115,19 @@
   bool is_object_ = false;
 };
 
+// Returns the member `name` of an object, or nullopt if `json` is no object or
+// the member is no string.
+std::optional<std::string> TextMember(const Json& json, std::string_view name) {
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto member = json.find(name);
+  if (member == json.end() || !member->is_string()) {
+    return std::nullopt;
+  }
+  return member->get<std::string>();
+}
+
 }  // namespace
 
 bool IsAnswerOf(std::string_view json,
@@ -255,8 +270,8 @@
   }
   const Json json = Json::parse(body_, nullptr, false);
   std::string code = "engine_refused";
-  if (json.is_object() && json.contains("error") && json["error"].is_object()) {
-    code = json["error"].value("code", code);
+  if (json.is_object() && json.contains("error")) {
+    code = TextMember(json["error"], "code").value_or(code);
   }
   Finish({GenerationEnd::kNotRun, code, status_, ""});
 }
@@ -315,8 +330,7 @@
     return;
   }
   const Json state = Json::parse(response.body, nullptr, false);
-  if (!state.is_object() ||
-      state.value("boot_id", std::string()) != request_.boot_id) {
+  if (TextMember(state, "boot_id") != request_.boot_id) {
     Finish(GenerationEnd::kEngineRestart);
     return;
   }
