--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -2,13 +2,16 @@
 #define AMARANTHCOVE_ADAPTER_AGENT_DEMAND_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "amaranthcove/adapter_agent/adapter_plan.h"
+#include "amaranthcove/adapter_agent/prompt_admission.h"
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/time.h"
 
@@ -22,6 +25,29 @@
   std::vector<WantedAdapter> uses;
   EngineCapacity capacity;
   std::vector<AgentModel> models;
+  // Tokens of the router's prompts that the engine has not read yet.
+  std::int64_t prompt_tokens = 0;
+  std::int64_t sent_tokens = 0;  // Total of the incarnation.
+  // Prompts that wait for admission.
+  std::vector<PromptDemand> prompts;
+  PromptLimits prompt_limits;
+  bool has_late_pauses = false;  // Because of prompts.
+};
+
+// The requests that routers have at an engine, and the tokens of their prompts
+// that it has not read yet.
+struct RequestLoad {
+  int requests = 0;
+  std::int64_t prompt_tokens = 0;  // Unread, or waiting to be sent.
+  std::int64_t unread_tokens = 0;
+
+  bool operator==(const RequestLoad&) const = default;
+};
+
+// The load that all routers but `router` put on an engine.
+struct LoadOfOthers {
+  Address router;
+  RequestLoad load;
 };
 
 // The demands of all routers for adapters of one engine.
@@ -34,6 +60,14 @@
  public:
   static constexpr Duration kDemandLifetime = std::chrono::seconds(3);
 
+  // The load of a router that has not repeated its demand within this time does
+  // not count: the router has most likely ended, and its requests with it.
+  static constexpr Duration kLoadLifetime = std::chrono::seconds(1);
+
+  // Prompts stay limited for this time after enough routers have seen late
+  // pauses, so that the limit outlives a restart of all routers.
+  static constexpr Duration kLimitLifetime = std::chrono::seconds(30);
+
   // Replaces the demand of `router`. Returns false and changes nothing if the
   // demand is not newer than the stored one of the same incarnation.
   bool Put(const Address& router, RouterDemand demand, Time now);
@@ -55,15 +89,55 @@
   const EngineCapacity& capacity() const { return capacity_; }
   std::span<const AgentModel> models() const { return models_; }
 
+  // Admits waiting prompts by `AdmitPrompts`. Returns all admitted prompts that
+  // their routers still list as waiting, by router: the datagram that told a
+  // router may have been lost. An admitted prompt counts as sent until its
+  // router no longer lists it.
+  std::map<Address, std::vector<std::int64_t>> AdmitPrompts(Time now);
+
+  // Returns the limits by which prompts are admitted: the mean of what routers
+  // state, without a limit of tokens unless enough of them have seen late
+  // pauses within `kLimitLifetime`.
+  PromptLimits Limits(Time now);
+
+  // Returns whether prompts wait for admission.
+  bool has_waiting_prompts() const;
+
+  // Returns the load that all routers put on the engine.
+  RequestLoad TotalLoad(Time now) const;
+
+  // Returns the load of the others for each router, so that a router can add
+  // its own, which it knows without delay.
+  std::vector<LoadOfOthers> LoadsOfOthers(Time now) const;
+
  private:
+  struct AskedPrompt {
+    PromptDemand demand;
+    Time since;
+    bool admitted = false;
+  };
   struct Entry {
     RouterDemand demand;
     Time received;
+    RequestLoad load;
+    // When each waiting prompt was listed first, and whether it is admitted.
+    std::map<std::int64_t, AskedPrompt> prompts;
     // When the router's requests began to wait, by model and adapter name.
     std::map<std::pair<std::string, std::string>, Time> waiting_since;
   };
 
+  struct SentTokens {
+    Time at;
+    std::int64_t tokens = 0;
+  };
+  // Records the prompts of `entry` that were sent without admission.
+  void AddSent(const Entry& entry, const RouterDemand& demand, Time now);
+  // Returns the tokens sent after `since`, and forgets the earlier ones.
+  std::int64_t SentSince(Time since);
+
   std::map<Address, Entry> entries_;
+  std::optional<Time> late_pauses_seen_;
+  std::deque<SentTokens> sent_;  // In the order of time.
   LastUseTimes last_uses_;
   EngineCapacity capacity_;
   std::vector<AgentModel> models_;
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -38,6 +38,16 @@
   // Mean time between the events of a run while no prompt waits; 0 if unknown.
   int event_interval_ms = 0;
   bool reachable = true;
+  // The requests of other routers at the engine, and the tokens of their
+  // prompts that it has not read yet; as of `load_received`.
+  int other_requests = 0;
+  std::int64_t other_prompt_tokens = 0;
+  std::int64_t other_unread_tokens = 0;  // Without those that wait.
+  // Whether the agent limits the prompts that the engine reads at a time.
+  bool limits_prompts = false;
+  std::int64_t load_sequence = 0;
+  // No value if the agent does not report the load.
+  std::optional<Time> load_received;
 };
 
 // A request that waits for an adapter.
@@ -90,18 +100,28 @@
   // again before that.
   void SetEndpoints(std::vector<AgentEndpoint> endpoints);
 
-  // Processes a datagram from `sender`. Returns the id of the engine whose
-  // snapshot was updated, if any. Drops malformed datagrams, those of unknown
-  // senders, and those that are not newer than the current snapshot of the same
-  // incarnation of the agent.
-  std::optional<std::string> Receive(const Address& sender,
-                                     std::string_view bytes,
-                                     Time now);
+  // What a datagram has changed.
+  struct Update {
+    // The engine whose snapshot was updated by a status, if any.
+    std::optional<std::string> engine;
+    // Prompts that may be sent now.
+    std::vector<std::int64_t> admitted;
+  };
+
+  // Processes a datagram from `sender`. Drops malformed datagrams, those of
+  // unknown senders, and those that are not newer than the current snapshot of
+  // the same incarnation of the agent.
+  Update Receive(const Address& sender, std::string_view bytes, Time now);
 
   // Returns the snapshot of an engine, or null if there is no recent snapshot.
   // The pointer is valid until the next call that changes this object.
   const EngineSnapshot* Snapshot(std::string_view engine, Time now) const;
 
+  // Returns whether the engine holds `adapter` or has held it since its start,
+  // as far as known. An engine keeps copies of the adapters that it held last
+  // and loads them from there, without the weight store.
+  bool HasHeld(std::string_view engine, const AdapterName& adapter) const;
+
   // Add and remove requests that wait for an adapter or use it at an engine.
   // `version` is the lowest version that serves the request. The agent loads
   // adapters in the order of `WaitingRank`.
@@ -118,6 +138,42 @@
                   Time now);
   void RemoveRunning(std::string_view engine, const AdapterName& adapter);
 
+  // Add and remove a prompt that the engine has to read: from the send until
+  // the first event.
+  void AddPrompt(std::string_view engine, std::int64_t tokens, Time now);
+  void RemovePrompt(std::string_view engine, std::int64_t tokens, Time now);
+  // Asks the agent of `engine` to admit a prompt. Returns the id by which
+  // `Update` names it. The agent counts the prompt as sent once it is admitted,
+  // until a demand shows otherwise.
+  std::int64_t AskAdmission(std::string_view engine,
+                            std::int64_t tokens,
+                            const WaitingRequest& request,
+                            Time now);
+  // Withdraws a prompt that was not admitted, or that is sent now.
+  void WithdrawPrompt(std::string_view engine, std::int64_t id, Time now);
+
+  // The prompt tokens that an engine may read in each period of `gap` without
+  // making its streams late; 0 if there is no limit.
+  struct PromptWindow {
+    std::int64_t tokens = 0;
+    Duration gap = Duration::zero();
+  };
+  void SetPromptWindow(std::string_view engine, const PromptWindow& window);
+
+  // Sets whether this router has lately seen that prompts make the streams at
+  // the engine and its like late.
+  void SetLatePauses(std::string_view engine, bool has_late_pauses, Time now);
+
+  // Returns the tokens of this router's prompts that the engine has to read,
+  // with those that wait for admission.
+  std::int64_t prompt_tokens(std::string_view engine) const;
+  // Likewise, without those that wait for admission.
+  std::int64_t unread_tokens(std::string_view engine) const;
+
+  // Tells the agent of `engine` soon that a request has ended, if others may
+  // wait for its place. Otherwise the agent learns it with the next demand.
+  void ReportEnd(std::string_view engine, Time now);
+
   // Removes `adapter` from the snapshot of `engine`. To be called when the
   // engine refuses a request for an adapter that its snapshot contains.
   void MarkAbsent(std::string_view engine, const AdapterName& adapter);
@@ -134,11 +190,24 @@
     int running = 0;
     std::int64_t version = 0;  // The lowest version that serves all requests.
   };
+  struct AskedPrompt {
+    std::int64_t tokens = 0;
+    WaitingRequest request;
+  };
+  struct Prompts {
+    std::int64_t tokens = 0;                    // Sent and not read.
+    std::int64_t sent_tokens = 0;               // Total since the start.
+    std::map<std::int64_t, AskedPrompt> asked;  // By id.
+  };
   using Uses = std::map<AdapterName, Use>;
   struct Link {
     AgentEndpoint endpoint;
     std::optional<EngineSnapshot> snapshot;
+    // Hashes of the adapters that the engine held last; the latest is last.
+    std::vector<std::uint64_t> held;
     Time next_send;
+    PromptWindow window;
+    bool has_late_pauses = false;
   };
 
   Link* FindLink(std::string_view engine);
@@ -146,13 +215,18 @@
   Use& GetOrAddUse(std::string_view engine, const AdapterName& adapter);
   // Makes the demand for `engine` due no later than `at`.
   void ScheduleSend(std::string_view engine, Time at);
+  void AddPromptsTo(agent_wire::AdapterDemand& demand,
+                    const std::string& engine,
+                    Time now) const;
   void SendDemand(const std::string& engine, Link& link, Time now);
 
   const std::string router_;
   const Incarnation incarnation_;
   const Send send_;
   std::map<std::string, Link, std::less<>> links_;
-  std::map<std::string, Uses, std::less<>> uses_;  // By engine.
+  std::map<std::string, Uses, std::less<>> uses_;        // By engine.
+  std::map<std::string, Prompts, std::less<>> prompts_;  // By engine.
+  std::int64_t last_prompt_id_ = 0;
   // Shared by all engines, because an agent outlives a restart of its engine
   // and would reject a sequence that starts anew.
   std::int64_t sequence_ = 0;
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/engine_cost/engine_cost.h"
 
 namespace amaranthcove {
 
@@ -27,6 +28,9 @@
   bool avoided = false;  // Because of recent failures.
   bool tried = false;    // This request was sent there before.
   AdapterPlace place = AdapterPlace::kAbsent;
+  // Whether the engine has held the adapter, so that it most likely keeps a
+  // copy.
+  bool held = false;
   bool has_model = true;  // False while the base model is not loaded.
   // Rank of the engine in the adapter's order of preference; 0 is first.
   std::size_t affinity_rank = 0;
@@ -37,6 +41,13 @@
   // since that status: this router's own, times the number of routers.
   int recent_sends = 0;
   int recent_waits = 0;
+  // Requests of all routers at the engine and the tokens of their prompts that
+  // it has still to read, if its agent reports them. Otherwise both are
+  // estimated from the numbers above.
+  std::optional<int> requests;
+  std::optional<double> unread_prompt_tokens;
+  // Whether the agent limits the prompts that the engine reads at a time.
+  bool limits_prompts = false;
   int free_places = 1;  // For adapters.
   // Time until a load that is requested now would end.
   double load_wait_ms = 250;
@@ -58,16 +69,38 @@
 // bounds; 1 if either is unknown (0). Thread-safe.
 double Slowness(double interval_ms, double median_interval_ms);
 
-// Returns the expected delay until the first event in milliseconds, in addition
-// to the time that an idle engine of median speed needs. Excludes the jitter.
+// Returns the work of an engine, as far as it delays another request.
 // Thread-safe.
-double ExpectedDelayMs(const EngineCandidate& candidate);
+EngineWork WorkOf(const EngineCandidate& candidate);
+
+// Returns the expected delay until the first event in milliseconds, in addition
+// to the time that an idle engine of median speed needs for a prompt of no
+// length. Excludes the jitter. Thread-safe.
+double ExpectedDelayMs(const EngineCandidate& candidate,
+                       const EnginePace& pace = kPriorPace,
+                       double prompt_tokens = kPriorPromptTokens);
+
+// Returns what sending a request to the engine costs all callers, in
+// milliseconds of delay: the delay of the request itself, and the target
+// latency for each answer that it makes late. Excludes the jitter. Thread-safe.
+double PlacementCostMs(const EngineCandidate& candidate,
+                       const EnginePace& pace,
+                       const RequestGoal& goal);
+
+// Returns whether the engine's agent should admit the prompt before it is sent:
+// the engine is so busy that prompts of several routers at once would make its
+// streams late. Thread-safe.
+bool NeedsAdmission(const EngineCandidate& candidate,
+                    const EnginePace& pace,
+                    const RequestGoal& goal);
 
-// Returns the index of the engine with the lowest sum of expected delay and
+// Returns the index of the engine with the lowest sum of placement cost and
 // jitter, or nullopt if there are no candidates. Engines that are avoided or
 // were tried are chosen only if there is no other. Thread-safe.
 std::optional<std::size_t> ChooseEngine(
-    std::span<const EngineCandidate> candidates);
+    std::span<const EngineCandidate> candidates,
+    const EnginePace& pace = kPriorPace,
+    const RequestGoal& goal = {});
 
 // Stores the rank of each engine in the order of preference of `adapter`, which
 // may be any affinity key. The order is computed by rendezvous hashing: it is
--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -38,6 +38,9 @@
   // The time within which an answer, or the first event of a stream, is on
   // time.
   Duration target_latency = std::chrono::seconds(1);
+  // The longest pause between two events with which a stream is on time; zero
+  // if there is no limit.
+  Duration target_gap = Duration::zero();
   int priority = 0;  // 0 is the most urgent.
   std::vector<WeightedService> services;
   int max_attempts = 1;  // Maximum number of sends that may run the request.
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -43,6 +43,13 @@
 constexpr Duration kStatusInterval = milliseconds(250);
 constexpr Duration kIdleStatusInterval = milliseconds(500);
 
+// Interval at which waiting prompts are checked while nothing else happens.
+constexpr Duration kAdmissionInterval = milliseconds(20);
+
+// Upper bound of the datagrams per second that tell routers of the growth of
+// the engine's load. With more routers, each of them is told less often.
+constexpr int kMaxLoadDatagramsPerSecond = 200;
+
 // An unload waits for the runs of its adapter. If the adapter is still resident
 // after this time, an adapter to unload is chosen again.
 constexpr Duration kUnloadRetryDelay = milliseconds(500);
@@ -96,6 +103,14 @@
   RouterDemand demand;
   demand.incarnation = wire.incarnation;
   demand.sequence = wire.sequence;
+  demand.prompt_tokens = wire.prompt_tokens;
+  for (const agent_wire::WaitingPrompt& prompt : wire.prompts) {
+    demand.prompts.push_back({prompt.id, prompt.tokens, prompt.rank});
+  }
+  demand.sent_tokens = wire.sent_tokens;
+  demand.has_late_pauses = wire.has_late_pauses;
+  demand.prompt_limits = {wire.prompt_window, milliseconds(wire.gap_ms),
+                          wire.batch_size};
   demand.capacity = {wire.adapter_places, wire.weights_mb};
   for (const agent_wire::BaseModel& model : wire.models) {
     demand.models.push_back({model.name, model.weights_mb});
@@ -144,6 +159,8 @@
     loop_.Cancel(poll_timer_);
     loop_.Cancel(call_timeout_timer_);
     loop_.Cancel(status_timer_);
+    loop_.Cancel(loads_timer_);
+    loop_.Cancel(admission_timer_);
   }
 
   Status Start() override;
@@ -168,6 +185,13 @@
   Duration PollInterval() const;
   void SendStatus(const std::vector<Address>& routers);
   void SendStatusToAll();
+  // Tells the routers soon that the engine's load has grown.
+  void SendLoadsSoon();
+  void SendLoads();
+  // Admits waiting prompts and tells their routers.
+  void SendAdmissions();
+  void LogLimitChange();
+  agent_wire::EngineLoad MakeLoad(const RequestLoad& load);
 
   EventLoop& loop_;
   const AgentSettings settings_;
@@ -195,6 +219,10 @@
   Time poll_time_;  // When `poll_timer_` expires.
   TimerId call_timeout_timer_ = 0;
   TimerId status_timer_ = 0;
+  TimerId loads_timer_ = 0;
+  TimerId admission_timer_ = 0;
+  Time loads_sent_;
+  bool prompts_limited_ = false;
   std::uint64_t orders_ = 0;
   std::uint64_t reports_ = 0;
 };
@@ -226,11 +254,22 @@
                {{"sender", FormatAddress(sender)}});
     return;
   }
+  const RequestLoad load_before = demands_.TotalLoad(loop_.Now());
   const bool is_new =
       demands_.Put(sender, FromWire(datagram->demand), loop_.Now());
   if (!is_new) {
     return;
   }
+  const RequestLoad load = demands_.TotalLoad(loop_.Now());
+  // A single prompt delays nobody.
+  if (load_before.prompt_tokens > 0 &&
+      load.prompt_tokens > load_before.prompt_tokens) {
+    SendLoadsSoon();
+  }
+  LogLimitChange();
+  if (demands_.has_waiting_prompts()) {
+    SendAdmissions();
+  }
   if (report_ && demands_.capacity().adapter_places > 0 && !calling_) {
     PlanNext();
   }
@@ -492,9 +531,87 @@
   }
   agent_wire::AgentDatagram datagram;
   datagram.__set_status(status);
-  const std::string bytes = EncodeDatagram(datagram);
-  for (const Address& router : routers) {
-    udp_->Send(router, bytes);
+  for (const LoadOfOthers& others : demands_.LoadsOfOthers(loop_.Now())) {
+    if (std::find(routers.begin(), routers.end(), others.router) ==
+        routers.end()) {
+      continue;
+    }
+    datagram.__set_load(MakeLoad(others.load));
+    udp_->Send(others.router, EncodeDatagram(datagram));
+  }
+}
+
+agent_wire::EngineLoad AdapterAgentImpl::MakeLoad(const RequestLoad& load) {
+  agent_wire::EngineLoad wire;
+  wire.sequence = status_sequence_;
+  wire.incarnation = incarnation_;
+  wire.requests = load.requests;
+  wire.prompt_tokens = load.prompt_tokens;
+  wire.unread_tokens = load.unread_tokens;
+  wire.limits_prompts = demands_.Limits(loop_.Now()).window_tokens > 0;
+  return wire;
+}
+
+void AdapterAgentImpl::LogLimitChange() {
+  const PromptLimits limits = demands_.Limits(loop_.Now());
+  const bool limited = limits.window_tokens > 0;
+  if (limited == prompts_limited_) {
+    return;
+  }
+  prompts_limited_ = limited;
+  log_.Write(LogLevel::kWarn, "prompt_limit_changed",
+             {{"limited", limited ? "1" : "0"},
+              {"window_tokens", std::to_string(limits.window_tokens)},
+              {"gap_ms", std::to_string(ToMilliseconds(limits.gap))},
+              {"batch_size", std::to_string(limits.batch_size)}});
+}
+
+void AdapterAgentImpl::SendAdmissions() {
+  const auto admitted = demands_.AdmitPrompts(loop_.Now());
+  if (demands_.has_waiting_prompts() && admission_timer_ == 0) {
+    admission_timer_ = loop_.RunAfter(kAdmissionInterval, [this] {
+      admission_timer_ = 0;
+      SendAdmissions();
+    });
+  }
+  if (admitted.empty()) {
+    return;
+  }
+  ++status_sequence_;
+  for (const LoadOfOthers& others : demands_.LoadsOfOthers(loop_.Now())) {
+    const auto found = admitted.find(others.router);
+    if (found == admitted.end()) {
+      continue;
+    }
+    agent_wire::AgentDatagram datagram;
+    agent_wire::EngineLoad load = MakeLoad(others.load);
+    load.admitted = found->second;
+    datagram.__set_load(load);
+    udp_->Send(others.router, EncodeDatagram(datagram));
+  }
+}
+
+void AdapterAgentImpl::SendLoadsSoon() {
+  if (loads_timer_ != 0) {
+    return;
+  }
+  const Duration interval =
+      std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) *
+      demands_.Routers().size() / kMaxLoadDatagramsPerSecond;
+  loads_timer_ =
+      loop_.RunAt(std::max(loop_.Now(), loads_sent_ + interval), [this] {
+        loads_timer_ = 0;
+        SendLoads();
+      });
+}
+
+void AdapterAgentImpl::SendLoads() {
+  loads_sent_ = loop_.Now();
+  ++status_sequence_;
+  for (const LoadOfOthers& others : demands_.LoadsOfOthers(loop_.Now())) {
+    agent_wire::AgentDatagram datagram;
+    datagram.__set_load(MakeLoad(others.load));
+    udp_->Send(others.router, EncodeDatagram(datagram));
   }
 }
 
@@ -513,6 +630,7 @@
     dump["loading"] = report_->loading.size();
     dump["running"] = report_->running;
     dump["queued"] = report_->queued;
+    dump["prompts_limited"] = prompts_limited_;
   }
   return dump;
 }
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -10,6 +10,10 @@
 // Maximum number of stored last uses. Above it, the oldest ones are removed.
 constexpr std::size_t kMaxLastUses = 4096;
 
+// Prompts are limited if one of this many routers has seen that they make
+// streams late. A single router among many may have a fault of its own.
+constexpr int kRoutersPerWitness = 4;
+
 std::pair<std::string, std::string> KeyOf(const AdapterState& adapter) {
   return {adapter.model, adapter.adapter};
 }
@@ -23,9 +27,22 @@
     return false;
   }
   std::map<std::pair<std::string, std::string>, Time> waiting_since;
+  AddSent(entry, demand, now);
+  entry.load = {0, demand.prompt_tokens, demand.prompt_tokens};
+  std::map<std::int64_t, AskedPrompt> prompts;
+  for (const PromptDemand& prompt : demand.prompts) {
+    const auto known = entry.prompts.find(prompt.id);
+    AskedPrompt& asked = prompts[prompt.id];
+    asked.demand = prompt;
+    asked.since = known == entry.prompts.end() ? now : known->second.since;
+    asked.admitted = known != entry.prompts.end() && known->second.admitted;
+    entry.load.prompt_tokens += prompt.tokens;
+  }
+  entry.prompts = std::move(prompts);
   for (WantedAdapter& use : demand.uses) {
     const auto key = KeyOf(use.target);
     last_uses_[key] = now;
+    entry.load.requests += use.running;
     if (use.waiting > 0) {
       const auto known = entry.waiting_since.find(key);
       use.waiting_since =
@@ -80,6 +97,144 @@
   return result;
 }
 
+void DemandTable::AddSent(const Entry& entry,
+                          const RouterDemand& demand,
+                          Time now) {
+  if (entry.demand.incarnation != demand.incarnation) {
+    return;  // The first demand: when its prompts were sent is unknown.
+  }
+  std::int64_t tokens = demand.sent_tokens - entry.demand.sent_tokens;
+  for (const auto& [id, prompt] : entry.prompts) {
+    const bool listed = std::any_of(
+        demand.prompts.begin(), demand.prompts.end(),
+        [id = id](const PromptDemand& item) { return item.id == id; });
+    if (prompt.admitted && !listed) {
+      tokens -= prompt.demand.tokens;  // Recorded at its admission.
+    }
+  }
+  if (tokens > 0) {
+    sent_.push_back({now, tokens});
+  }
+}
+
+std::int64_t DemandTable::SentSince(Time since) {
+  while (!sent_.empty() && sent_.front().at <= since) {
+    sent_.pop_front();
+  }
+  std::int64_t tokens = 0;
+  for (const SentTokens& sent : sent_) {
+    tokens += sent.tokens;
+  }
+  return tokens;
+}
+
+PromptLimits DemandTable::Limits(Time now) {
+  PromptLimits limits;
+  std::int64_t tokens = 0;
+  int windows = 0;
+  int routers = 0;
+  int late = 0;
+  for (const auto& [router, entry] : entries_) {
+    if (now - entry.received >= kLoadLifetime) {
+      continue;
+    }
+    ++routers;
+    late += entry.demand.has_late_pauses ? 1 : 0;
+    const PromptLimits& stated = entry.demand.prompt_limits;
+    limits.batch_size = std::max(limits.batch_size, stated.batch_size);
+    if (stated.window_tokens > 0) {
+      tokens += stated.window_tokens;
+      limits.gap = stated.gap;
+      ++windows;
+    }
+  }
+  if (late > 0 && late * kRoutersPerWitness >= routers) {
+    late_pauses_seen_ = now;
+  }
+  const bool limited =
+      late_pauses_seen_ && now - *late_pauses_seen_ < kLimitLifetime;
+  if (windows > 0 && limited) {
+    limits.window_tokens = tokens / windows;
+  }
+  return limits;
+}
+
+bool DemandTable::has_waiting_prompts() const {
+  return std::any_of(entries_.begin(), entries_.end(), [](const auto& item) {
+    return !item.second.prompts.empty();
+  });
+}
+
+std::map<Address, std::vector<std::int64_t>> DemandTable::AdmitPrompts(
+    Time now) {
+  std::vector<WaitingPrompt> waiting;
+  std::vector<AskedPrompt*> asked;
+  std::int64_t unread_tokens = 0;
+  const PromptLimits limits = Limits(now);
+  int requests = 0;
+  for (auto& [router, entry] : entries_) {
+    if (now - entry.received >= kLoadLifetime) {
+      continue;
+    }
+    unread_tokens += entry.demand.prompt_tokens;
+    requests += entry.load.requests;
+    for (auto& [id, prompt] : entry.prompts) {
+      if (prompt.admitted) {
+        unread_tokens += prompt.demand.tokens;
+        ++requests;
+      } else {
+        waiting.push_back(
+            {prompt.demand.tokens, prompt.demand.rank, prompt.since});
+        asked.push_back(&prompt);
+      }
+    }
+  }
+  const std::int64_t tokens =
+      std::max(unread_tokens, SentSince(now - limits.gap));
+  for (const std::size_t index :
+       amaranthcove::AdmitPrompts(waiting, limits, tokens, requests)) {
+    asked[index]->admitted = true;
+    sent_.push_back({now, asked[index]->demand.tokens});
+  }
+  std::map<Address, std::vector<std::int64_t>> result;
+  for (const auto& [router, entry] : entries_) {
+    for (const auto& [id, prompt] : entry.prompts) {
+      if (prompt.admitted) {
+        result[router].push_back(id);
+      }
+    }
+  }
+  return result;
+}
+
+RequestLoad DemandTable::TotalLoad(Time now) const {
+  RequestLoad total;
+  for (const auto& [router, entry] : entries_) {
+    if (now - entry.received < kLoadLifetime) {
+      total.requests += entry.load.requests;
+      total.prompt_tokens += entry.load.prompt_tokens;
+      total.unread_tokens += entry.load.unread_tokens;
+    }
+  }
+  return total;
+}
+
+std::vector<LoadOfOthers> DemandTable::LoadsOfOthers(Time now) const {
+  const RequestLoad total = TotalLoad(now);
+  std::vector<LoadOfOthers> result;
+  result.reserve(entries_.size());
+  for (const auto& [router, entry] : entries_) {
+    RequestLoad others = total;
+    if (now - entry.received < kLoadLifetime) {
+      others.requests -= entry.load.requests;
+      others.prompt_tokens -= entry.load.prompt_tokens;
+      others.unread_tokens -= entry.load.unread_tokens;
+    }
+    result.push_back({router, others});
+  }
+  return result;
+}
+
 std::vector<Address> DemandTable::WaitingRouters() const {
   std::vector<Address> result;
   for (const auto& [router, entry] : entries_) {
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -19,6 +19,13 @@
   2: double weights_mb
 }
 
+// A prompt that the router sends to the engine when the agent admits it.
+struct WaitingPrompt {
+  1: i64 id              // Unique within the incarnation of the router.
+  2: i64 tokens
+  3: i32 rank            // 0 is first.
+}
+
 // Sent by a router to an agent.
 struct AdapterDemand {
   1: string router
@@ -29,6 +36,17 @@
                              // from the configuration.
   6: list<BaseModel> models  // Models that the engine may hold.
   7: i64 incarnation         // Incarnation of the router.
+  8: i64 prompt_tokens       // Tokens of the prompts that the engine has not
+                             // read yet.
+  9: list<WaitingPrompt> prompts  // Further prompts, not in `prompt_tokens`.
+  10: i64 prompt_window      // Tokens that the engine may read in `gap_ms`
+                             // without making its streams late; 0 if there is
+                             // no limit.
+  11: i32 batch_size         // Of the engine, from the configuration.
+  12: i64 sent_tokens        // Tokens of all prompts that the incarnation of
+                             // the router has sent to the engine.
+  13: i32 gap_ms
+  14: bool has_late_pauses   // Whether prompts have lately made streams late.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
@@ -59,7 +77,20 @@
                              // unknown.
 }
 
+// The work that the other routers have given to an engine. Sent by an agent to
+// each router, with each status and when the work grows.
+struct EngineLoad {
+  1: i64 sequence        // Shared with the statuses of the agent.
+  2: i64 incarnation     // Incarnation of the agent.
+  3: i32 requests        // Requests that other routers have at the engine.
+  4: i64 prompt_tokens   // Unread and waiting prompt tokens of other routers.
+  5: i64 unread_tokens   // Those of them that are sent and unread.
+  6: bool limits_prompts // Whether the agent keeps to the prompt window.
+  7: list<i64> admitted  // Waiting prompts of the receiver that it may send.
+}
+
 struct AgentDatagram {
   1: optional AdapterDemand demand
   2: optional EngineStatus status
+  3: optional EngineLoad load
 }
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -5,6 +5,8 @@
 #include <span>
 #include <utility>
 
+#include "amaranthcove/base/hash.h"
+
 namespace amaranthcove {
 
 namespace {
@@ -18,8 +20,17 @@
 // Maximum delay of the demand when a request begins to use an adapter. It is
 // short so that the agent does not consider the adapter idle.
 constexpr Duration kMaxRunningDemandDelay = milliseconds(10);
+// Up to this share of the engine's batch, no request waits for a place.
+constexpr double kFreeBatchShare = 0.5;
+// Maximum delay of the demand after the engine has read a prompt.
+constexpr Duration kMaxReadDemandDelay = milliseconds(30);
 constexpr Duration kRepeatIntervalWhileIdle = milliseconds(500);
 
+// Number of adapters per engine that are remembered as held. How many copies an
+// engine keeps is not known; few adapters are asked for again after so many
+// others.
+constexpr std::size_t kMaxHeldAdapters = 64;
+
 std::map<AdapterName, std::int64_t> ToVersions(
     std::span<const std::string> models,
     std::span<const agent_wire::ResidentAdapter> adapters) {
@@ -54,6 +65,52 @@
   return snapshot;
 }
 
+bool IsOfOtherStart(const agent_wire::EngineStatus& status,
+                    const AgentEndpoint& endpoint) {
+  return status.started_at_ms != 0 && endpoint.started_at_ms != 0 &&
+         status.started_at_ms != endpoint.started_at_ms;
+}
+
+// Applies the load of the other routers. Returns false and changes nothing if
+// it is of another incarnation or `snapshot` has a newer one.
+bool ApplyLoad(EngineSnapshot& snapshot,
+               const agent_wire::EngineLoad& load,
+               Time now) {
+  if (load.incarnation != snapshot.incarnation ||
+      load.sequence < snapshot.load_sequence) {
+    return false;
+  }
+  snapshot.load_sequence = load.sequence;
+  snapshot.other_requests = std::max(load.requests, 0);
+  snapshot.other_prompt_tokens = std::max<std::int64_t>(load.prompt_tokens, 0);
+  snapshot.other_unread_tokens = std::max<std::int64_t>(load.unread_tokens, 0);
+  snapshot.limits_prompts = load.limits_prompts;
+  snapshot.load_received = now;
+  return true;
+}
+
+std::uint64_t HashOf(const AdapterName& adapter) {
+  return Hash64(adapter.second, Hash64(adapter.first));
+}
+
+// Moves the adapters that the engine holds to the end of `held`.
+void AddHeld(std::vector<std::uint64_t>& held, const EngineSnapshot& snapshot) {
+  std::vector<std::uint64_t> resident;
+  resident.reserve(snapshot.resident.size());
+  for (const auto& [adapter, version] : snapshot.resident) {
+    resident.push_back(HashOf(adapter));
+  }
+  std::sort(resident.begin(), resident.end());
+  std::erase_if(held, [&resident](std::uint64_t hash) {
+    return std::binary_search(resident.begin(), resident.end(), hash);
+  });
+  held.insert(held.end(), resident.begin(), resident.end());
+  if (held.size() > kMaxHeldAdapters) {
+    held.erase(held.begin(),
+               held.end() - static_cast<std::ptrdiff_t>(kMaxHeldAdapters));
+  }
+}
+
 int LowestRank(std::span<const WaitingRequest> waiting, Time now) {
   int lowest = std::numeric_limits<int>::max();
   for (const WaitingRequest& request : waiting) {
@@ -98,30 +155,40 @@
   std::erase_if(uses_, [](const auto& item) { return item.second.empty(); });
 }
 
-std::optional<std::string> AgentLinks::Receive(const Address& sender,
-                                               std::string_view bytes,
-                                               Time now) {
+AgentLinks::Update AgentLinks::Receive(const Address& sender,
+                                       std::string_view bytes,
+                                       Time now) {
+  Update update;
   const auto datagram = DecodeDatagram(bytes);
-  if (!datagram || !datagram->__isset.status) {
-    return std::nullopt;
+  if (!datagram) {
+    return update;
   }
   for (auto& [engine, link] : links_) {
     if (link.endpoint.agent != sender) {
       continue;
     }
-    const agent_wire::EngineStatus& status = datagram->status;
-    if (status.started_at_ms != 0 && link.endpoint.started_at_ms != 0 &&
-        status.started_at_ms != link.endpoint.started_at_ms) {
-      continue;
+    if (datagram->__isset.status) {
+      const agent_wire::EngineStatus& status = datagram->status;
+      if (IsOfOtherStart(status, link.endpoint)) {
+        continue;
+      }
+      if (link.snapshot && link.snapshot->incarnation == status.incarnation &&
+          link.snapshot->sequence >= status.sequence) {
+        return update;
+      }
+      link.snapshot = ToSnapshot(status, now);
+      AddHeld(link.held, *link.snapshot);
+      update.engine = engine;
+    }
+    if (datagram->__isset.load && link.snapshot &&
+        ApplyLoad(*link.snapshot, datagram->load, now)) {
+      update.admitted = datagram->load.admitted;
     }
-    if (link.snapshot && link.snapshot->incarnation == status.incarnation &&
-        link.snapshot->sequence >= status.sequence) {
-      return std::nullopt;
+    if (update.engine) {
+      break;
     }
-    link.snapshot = ToSnapshot(status, now);
-    return engine;
   }
-  return std::nullopt;
+  return update;
 }
 
 const EngineSnapshot* AgentLinks::Snapshot(std::string_view engine,
@@ -134,6 +201,14 @@
   return &*link->second.snapshot;
 }
 
+bool AgentLinks::HasHeld(std::string_view engine,
+                         const AdapterName& adapter) const {
+  const auto link = links_.find(engine);
+  return link != links_.end() &&
+         std::find(link->second.held.begin(), link->second.held.end(),
+                   HashOf(adapter)) != link->second.held.end();
+}
+
 AgentLinks::Link* AgentLinks::FindLink(std::string_view engine) {
   const auto link = links_.find(engine);
   return link == links_.end() ? nullptr : &link->second;
@@ -199,6 +274,109 @@
   }
 }
 
+void AgentLinks::AddPrompt(std::string_view engine,
+                           std::int64_t tokens,
+                           Time now) {
+  Prompts& prompts = prompts_[std::string(engine)];
+  prompts.tokens += tokens;
+  prompts.sent_tokens += tokens;
+  ScheduleSend(engine, now);
+}
+
+void AgentLinks::RemovePrompt(std::string_view engine,
+                              std::int64_t tokens,
+                              Time now) {
+  const auto found = prompts_.find(engine);
+  if (found == prompts_.end()) {
+    return;
+  }
+  found->second.tokens -= tokens;
+  ScheduleSend(engine, now + kMaxReadDemandDelay);
+}
+
+std::int64_t AgentLinks::AskAdmission(std::string_view engine,
+                                      std::int64_t tokens,
+                                      const WaitingRequest& request,
+                                      Time now) {
+  const std::int64_t id = ++last_prompt_id_;
+  prompts_[std::string(engine)].asked[id] = {tokens, request};
+  ScheduleSend(engine, now);
+  return id;
+}
+
+void AgentLinks::WithdrawPrompt(std::string_view engine,
+                                std::int64_t id,
+                                Time now) {
+  const auto found = prompts_.find(engine);
+  if (found != prompts_.end()) {
+    found->second.asked.erase(id);
+    ScheduleSend(engine, now + kMaxReadDemandDelay);
+  }
+}
+
+void AgentLinks::SetPromptWindow(std::string_view engine,
+                                 const PromptWindow& window) {
+  if (Link* link = FindLink(engine)) {
+    link->window = window;
+  }
+}
+
+void AgentLinks::SetLatePauses(std::string_view engine,
+                               bool has_late_pauses,
+                               Time now) {
+  Link* link = FindLink(engine);
+  if (link != nullptr && link->has_late_pauses != has_late_pauses) {
+    link->has_late_pauses = has_late_pauses;
+    link->next_send = std::min(link->next_send, now);
+  }
+}
+
+std::int64_t AgentLinks::prompt_tokens(std::string_view engine) const {
+  const auto found = prompts_.find(engine);
+  if (found == prompts_.end()) {
+    return 0;
+  }
+  std::int64_t tokens = found->second.tokens;
+  for (const auto& [id, prompt] : found->second.asked) {
+    tokens += prompt.tokens;
+  }
+  return tokens;
+}
+
+std::int64_t AgentLinks::unread_tokens(std::string_view engine) const {
+  const auto found = prompts_.find(engine);
+  return found == prompts_.end() ? 0 : found->second.tokens;
+}
+
+void AgentLinks::AddPromptsTo(agent_wire::AdapterDemand& demand,
+                              const std::string& engine,
+                              Time now) const {
+  const auto found = prompts_.find(engine);
+  if (found == prompts_.end()) {
+    return;
+  }
+  demand.prompt_tokens = found->second.tokens;
+  demand.sent_tokens = found->second.sent_tokens;
+  for (const auto& [id, prompt] : found->second.asked) {
+    agent_wire::WaitingPrompt item;
+    item.id = id;
+    item.tokens = prompt.tokens;
+    item.rank = WaitingRank(prompt.request, now);
+    demand.prompts.push_back(item);
+  }
+}
+
+void AgentLinks::ReportEnd(std::string_view engine, Time now) {
+  const Link* link = FindLink(engine);
+  if (link == nullptr || !link->snapshot || !link->snapshot->load_received) {
+    return;
+  }
+  const int batch_size = link->endpoint.demand_template.batch_size;
+  if (link->snapshot->other_requests > kFreeBatchShare * batch_size) {
+    ScheduleSend(engine, now + kMaxRunningDemandDelay);
+  }
+}
+
 void AgentLinks::MarkAbsent(std::string_view engine,
                             const AdapterName& adapter) {
   Link* link = FindLink(engine);
@@ -221,8 +399,12 @@
   demand.router = router_;
   demand.incarnation = incarnation_;
   demand.sequence = ++sequence_;
+  demand.prompt_window = link.window.tokens;
+  demand.gap_ms = static_cast<std::int32_t>(ToMilliseconds(link.window.gap));
+  demand.has_late_pauses = link.has_late_pauses;
+  AddPromptsTo(demand, engine, now);
   Uses& uses = uses_[engine];
-  bool waiting = false;
+  bool waiting = !demand.prompts.empty();
   for (const auto& [adapter, use] : uses) {
     agent_wire::AdapterUse item;
     item.model = adapter.first;
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -318,6 +318,138 @@
 }
 
 
+WaitingPrompt::~WaitingPrompt() noexcept {
+}
+
+
+void WaitingPrompt::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void WaitingPrompt::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void WaitingPrompt::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+std::ostream& operator<<(std::ostream& out, const WaitingPrompt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WaitingPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WaitingPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WaitingPrompt");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WaitingPrompt &a, WaitingPrompt &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.tokens, b.tokens);
+  swap(a.rank, b.rank);
+  swap(a.__isset, b.__isset);
+}
+
+WaitingPrompt::WaitingPrompt(const WaitingPrompt& other4) noexcept {
+  id = other4.id;
+  tokens = other4.tokens;
+  rank = other4.rank;
+  __isset = other4.__isset;
+}
+WaitingPrompt& WaitingPrompt::operator=(const WaitingPrompt& other5) noexcept {
+  id = other5.id;
+  tokens = other5.tokens;
+  rank = other5.rank;
+  __isset = other5.__isset;
+  return *this;
+}
+void WaitingPrompt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WaitingPrompt(";
+  out << "id=" << to_string(id);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "rank=" << to_string(rank);
+  out << ")";
+}
+
+
 AdapterDemand::~AdapterDemand() noexcept {
 }
 
@@ -349,6 +481,34 @@
 void AdapterDemand::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void AdapterDemand::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+
+void AdapterDemand::__set_prompts(const std::vector<WaitingPrompt> & val) {
+  this->prompts = val;
+}
+
+void AdapterDemand::__set_prompt_window(const int64_t val) {
+  this->prompt_window = val;
+}
+
+void AdapterDemand::__set_batch_size(const int32_t val) {
+  this->batch_size = val;
+}
+
+void AdapterDemand::__set_sent_tokens(const int64_t val) {
+  this->sent_tokens = val;
+}
+
+void AdapterDemand::__set_gap_ms(const int32_t val) {
+  this->gap_ms = val;
+}
+
+void AdapterDemand::__set_has_late_pauses(const bool val) {
+  this->has_late_pauses = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -397,14 +557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->uses.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->uses.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->uses[_i8].read(iprot);
+              xfer += this->uses[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -433,14 +593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->models.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->models.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += this->models[_i13].read(iprot);
+              xfer += this->models[_i15].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -457,6 +617,74 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prompts.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->prompts.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->prompts[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_window);
+          this->__isset.prompt_window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->batch_size);
+          this->__isset.batch_size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_tokens);
+          this->__isset.sent_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gap_ms);
+          this->__isset.gap_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_late_pauses);
+          this->__isset.has_late_pauses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -485,10 +713,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<AdapterUse> ::const_iterator _iter14;
-    for (_iter14 = this->uses.begin(); _iter14 != this->uses.end(); ++_iter14)
+    std::vector<AdapterUse> ::const_iterator _iter21;
+    for (_iter21 = this->uses.begin(); _iter21 != this->uses.end(); ++_iter21)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -505,10 +733,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<BaseModel> ::const_iterator _iter15;
-    for (_iter15 = this->models.begin(); _iter15 != this->models.end(); ++_iter15)
+    std::vector<BaseModel> ::const_iterator _iter22;
+    for (_iter22 = this->models.begin(); _iter22 != this->models.end(); ++_iter22)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter22).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -518,6 +746,42 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
+    std::vector<WaitingPrompt> ::const_iterator _iter23;
+    for (_iter23 = this->prompts.begin(); _iter23 != this->prompts.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_window", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->prompt_window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("batch_size", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->batch_size);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_tokens", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->sent_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gap_ms", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->gap_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("has_late_pauses", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->has_late_pauses);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -532,28 +796,49 @@
   swap(a.weights_mb, b.weights_mb);
   swap(a.models, b.models);
   swap(a.incarnation, b.incarnation);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.prompts, b.prompts);
+  swap(a.prompt_window, b.prompt_window);
+  swap(a.batch_size, b.batch_size);
+  swap(a.sent_tokens, b.sent_tokens);
+  swap(a.gap_ms, b.gap_ms);
+  swap(a.has_late_pauses, b.has_late_pauses);
   swap(a.__isset, b.__isset);
 }
 
-AdapterDemand::AdapterDemand(const AdapterDemand& other16) {
-  router = other16.router;
-  sequence = other16.sequence;
-  uses = other16.uses;
-  adapter_places = other16.adapter_places;
-  weights_mb = other16.weights_mb;
-  models = other16.models;
-  incarnation = other16.incarnation;
-  __isset = other16.__isset;
-}
-AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other17) {
-  router = other17.router;
-  sequence = other17.sequence;
-  uses = other17.uses;
-  adapter_places = other17.adapter_places;
-  weights_mb = other17.weights_mb;
-  models = other17.models;
-  incarnation = other17.incarnation;
-  __isset = other17.__isset;
+AdapterDemand::AdapterDemand(const AdapterDemand& other24) {
+  router = other24.router;
+  sequence = other24.sequence;
+  uses = other24.uses;
+  adapter_places = other24.adapter_places;
+  weights_mb = other24.weights_mb;
+  models = other24.models;
+  incarnation = other24.incarnation;
+  prompt_tokens = other24.prompt_tokens;
+  prompts = other24.prompts;
+  prompt_window = other24.prompt_window;
+  batch_size = other24.batch_size;
+  sent_tokens = other24.sent_tokens;
+  gap_ms = other24.gap_ms;
+  has_late_pauses = other24.has_late_pauses;
+  __isset = other24.__isset;
+}
+AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other25) {
+  router = other25.router;
+  sequence = other25.sequence;
+  uses = other25.uses;
+  adapter_places = other25.adapter_places;
+  weights_mb = other25.weights_mb;
+  models = other25.models;
+  incarnation = other25.incarnation;
+  prompt_tokens = other25.prompt_tokens;
+  prompts = other25.prompts;
+  prompt_window = other25.prompt_window;
+  batch_size = other25.batch_size;
+  sent_tokens = other25.sent_tokens;
+  gap_ms = other25.gap_ms;
+  has_late_pauses = other25.has_late_pauses;
+  __isset = other25.__isset;
   return *this;
 }
 void AdapterDemand::printTo(std::ostream& out) const {
@@ -566,6 +851,13 @@
   out << ", " << "weights_mb=" << to_string(weights_mb);
   out << ", " << "models=" << to_string(models);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "prompts=" << to_string(prompts);
+  out << ", " << "prompt_window=" << to_string(prompt_window);
+  out << ", " << "batch_size=" << to_string(batch_size);
+  out << ", " << "sent_tokens=" << to_string(sent_tokens);
+  out << ", " << "gap_ms=" << to_string(gap_ms);
+  out << ", " << "has_late_pauses=" << to_string(has_late_pauses);
   out << ")";
 }
 
@@ -679,17 +971,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ResidentAdapter::ResidentAdapter(const ResidentAdapter& other18) {
-  adapter = other18.adapter;
-  version = other18.version;
-  model = other18.model;
-  __isset = other18.__isset;
+ResidentAdapter::ResidentAdapter(const ResidentAdapter& other26) {
+  adapter = other26.adapter;
+  version = other26.version;
+  model = other26.model;
+  __isset = other26.__isset;
 }
-ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other19) {
-  adapter = other19.adapter;
-  version = other19.version;
-  model = other19.model;
-  __isset = other19.__isset;
+ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other27) {
+  adapter = other27.adapter;
+  version = other27.version;
+  model = other27.model;
+  __isset = other27.__isset;
   return *this;
 }
 void ResidentAdapter::printTo(std::ostream& out) const {
@@ -797,14 +1089,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->models.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->models.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += iprot->readString(this->models[_i24]);
+              xfer += iprot->readString(this->models[_i32]);
             }
             xfer += iprot->readListEnd();
           }
@@ -817,14 +1109,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resident.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->resident.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->resident.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->resident[_i29].read(iprot);
+              xfer += this->resident[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -837,14 +1129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loading.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->loading.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->loading.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->loading[_i34].read(iprot);
+              xfer += this->loading[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -949,10 +1241,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter35;
-    for (_iter35 = this->models.begin(); _iter35 != this->models.end(); ++_iter35)
+    std::vector<std::string> ::const_iterator _iter43;
+    for (_iter43 = this->models.begin(); _iter43 != this->models.end(); ++_iter43)
     {
-      xfer += oprot->writeString((*_iter35));
+      xfer += oprot->writeString((*_iter43));
     }
     xfer += oprot->writeListEnd();
   }
@@ -961,10 +1253,10 @@
   xfer += oprot->writeFieldBegin("resident", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resident.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter36;
-    for (_iter36 = this->resident.begin(); _iter36 != this->resident.end(); ++_iter36)
+    std::vector<ResidentAdapter> ::const_iterator _iter44;
+    for (_iter44 = this->resident.begin(); _iter44 != this->resident.end(); ++_iter44)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -973,10 +1265,10 @@
   xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loading.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter37;
-    for (_iter37 = this->loading.begin(); _iter37 != this->loading.end(); ++_iter37)
+    std::vector<ResidentAdapter> ::const_iterator _iter45;
+    for (_iter45 = this->loading.begin(); _iter45 != this->loading.end(); ++_iter45)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1041,37 +1333,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other38) {
-  sequence = other38.sequence;
-  models = other38.models;
-  resident = other38.resident;
-  loading = other38.loading;
-  running = other38.running;
-  queued = other38.queued;
-  free_places = other38.free_places;
-  routers = other38.routers;
-  incarnation = other38.incarnation;
-  reachable = other38.reachable;
-  started_at_ms = other38.started_at_ms;
-  load_wait_ms = other38.load_wait_ms;
-  event_interval_ms = other38.event_interval_ms;
-  __isset = other38.__isset;
-}
-EngineStatus& EngineStatus::operator=(const EngineStatus& other39) {
-  sequence = other39.sequence;
-  models = other39.models;
-  resident = other39.resident;
-  loading = other39.loading;
-  running = other39.running;
-  queued = other39.queued;
-  free_places = other39.free_places;
-  routers = other39.routers;
-  incarnation = other39.incarnation;
-  reachable = other39.reachable;
-  started_at_ms = other39.started_at_ms;
-  load_wait_ms = other39.load_wait_ms;
-  event_interval_ms = other39.event_interval_ms;
-  __isset = other39.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other46) {
+  sequence = other46.sequence;
+  models = other46.models;
+  resident = other46.resident;
+  loading = other46.loading;
+  running = other46.running;
+  queued = other46.queued;
+  free_places = other46.free_places;
+  routers = other46.routers;
+  incarnation = other46.incarnation;
+  reachable = other46.reachable;
+  started_at_ms = other46.started_at_ms;
+  load_wait_ms = other46.load_wait_ms;
+  event_interval_ms = other46.event_interval_ms;
+  __isset = other46.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other47) {
+  sequence = other47.sequence;
+  models = other47.models;
+  resident = other47.resident;
+  loading = other47.loading;
+  running = other47.running;
+  queued = other47.queued;
+  free_places = other47.free_places;
+  routers = other47.routers;
+  incarnation = other47.incarnation;
+  reachable = other47.reachable;
+  started_at_ms = other47.started_at_ms;
+  load_wait_ms = other47.load_wait_ms;
+  event_interval_ms = other47.event_interval_ms;
+  __isset = other47.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -1094,6 +1386,238 @@
 }
 
 
+EngineLoad::~EngineLoad() noexcept {
+}
+
+
+void EngineLoad::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EngineLoad::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EngineLoad::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void EngineLoad::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+
+void EngineLoad::__set_unread_tokens(const int64_t val) {
+  this->unread_tokens = val;
+}
+
+void EngineLoad::__set_limits_prompts(const bool val) {
+  this->limits_prompts = val;
+}
+
+void EngineLoad::__set_admitted(const std::vector<int64_t> & val) {
+  this->admitted = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unread_tokens);
+          this->__isset.unread_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->limits_prompts);
+          this->__isset.limits_prompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->admitted.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->admitted.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += iprot->readI64(this->admitted[_i52]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineLoad");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unread_tokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->unread_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits_prompts", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->limits_prompts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
+    std::vector<int64_t> ::const_iterator _iter53;
+    for (_iter53 = this->admitted.begin(); _iter53 != this->admitted.end(); ++_iter53)
+    {
+      xfer += oprot->writeI64((*_iter53));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineLoad &a, EngineLoad &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.incarnation, b.incarnation);
+  swap(a.requests, b.requests);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.unread_tokens, b.unread_tokens);
+  swap(a.limits_prompts, b.limits_prompts);
+  swap(a.admitted, b.admitted);
+  swap(a.__isset, b.__isset);
+}
+
+EngineLoad::EngineLoad(const EngineLoad& other54) {
+  sequence = other54.sequence;
+  incarnation = other54.incarnation;
+  requests = other54.requests;
+  prompt_tokens = other54.prompt_tokens;
+  unread_tokens = other54.unread_tokens;
+  limits_prompts = other54.limits_prompts;
+  admitted = other54.admitted;
+  __isset = other54.__isset;
+}
+EngineLoad& EngineLoad::operator=(const EngineLoad& other55) {
+  sequence = other55.sequence;
+  incarnation = other55.incarnation;
+  requests = other55.requests;
+  prompt_tokens = other55.prompt_tokens;
+  unread_tokens = other55.unread_tokens;
+  limits_prompts = other55.limits_prompts;
+  admitted = other55.admitted;
+  __isset = other55.__isset;
+  return *this;
+}
+void EngineLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineLoad(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "unread_tokens=" << to_string(unread_tokens);
+  out << ", " << "limits_prompts=" << to_string(limits_prompts);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ")";
+}
+
+
 AgentDatagram::~AgentDatagram() noexcept {
 }
 
@@ -1107,6 +1631,11 @@
   this->status = val;
 __isset.status = true;
 }
+
+void AgentDatagram::__set_load(const EngineLoad& val) {
+  this->load = val;
+__isset.load = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentDatagram& obj)
 {
   obj.printTo(out);
@@ -1151,6 +1680,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1178,6 +1715,11 @@
     xfer += this->status.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1187,18 +1729,21 @@
   using ::std::swap;
   swap(a.demand, b.demand);
   swap(a.status, b.status);
+  swap(a.load, b.load);
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other40) {
-  demand = other40.demand;
-  status = other40.status;
-  __isset = other40.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other56) {
+  demand = other56.demand;
+  status = other56.status;
+  load = other56.load;
+  __isset = other56.__isset;
 }
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other41) {
-  demand = other41.demand;
-  status = other41.status;
-  __isset = other41.__isset;
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other57) {
+  demand = other57.demand;
+  status = other57.status;
+  load = other57.load;
+  __isset = other57.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
@@ -1206,6 +1751,7 @@
   out << "AgentDatagram(";
   out << "demand="; (__isset.demand ? (out << to_string(demand)) : (out << "<null>"));
   out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -25,12 +25,16 @@
 
 class BaseModel;
 
+class WaitingPrompt;
+
 class AdapterDemand;
 
 class ResidentAdapter;
 
 class EngineStatus;
 
+class EngineLoad;
+
 class AgentDatagram;
 
 typedef struct _AdapterUse__isset {
@@ -161,8 +165,65 @@
 
 std::ostream& operator<<(std::ostream& out, const BaseModel& obj);
 
+typedef struct _WaitingPrompt__isset {
+  _WaitingPrompt__isset() : id(false), tokens(false), rank(false) {}
+  bool id :1;
+  bool tokens :1;
+  bool rank :1;
+} _WaitingPrompt__isset;
+
+class WaitingPrompt : public virtual ::apache::thrift::TBase {
+ public:
+
+  WaitingPrompt(const WaitingPrompt&) noexcept;
+  WaitingPrompt& operator=(const WaitingPrompt&) noexcept;
+  WaitingPrompt() noexcept
+                : id(0),
+                  tokens(0),
+                  rank(0) {
+  }
+
+  virtual ~WaitingPrompt() noexcept;
+  int64_t id;
+  int64_t tokens;
+  int32_t rank;
+
+  _WaitingPrompt__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_rank(const int32_t val);
+
+  bool operator == (const WaitingPrompt & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    return true;
+  }
+  bool operator != (const WaitingPrompt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WaitingPrompt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WaitingPrompt &a, WaitingPrompt &b);
+
+std::ostream& operator<<(std::ostream& out, const WaitingPrompt& obj);
+
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -170,6 +231,13 @@
   bool weights_mb :1;
   bool models :1;
   bool incarnation :1;
+  bool prompt_tokens :1;
+  bool prompts :1;
+  bool prompt_window :1;
+  bool batch_size :1;
+  bool sent_tokens :1;
+  bool gap_ms :1;
+  bool has_late_pauses :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -182,7 +250,13 @@
                   sequence(0),
                   adapter_places(0),
                   weights_mb(0),
-                  incarnation(0) {
+                  incarnation(0),
+                  prompt_tokens(0),
+                  prompt_window(0),
+                  batch_size(0),
+                  sent_tokens(0),
+                  gap_ms(0),
+                  has_late_pauses(0) {
   }
 
   virtual ~AdapterDemand() noexcept;
@@ -193,6 +267,13 @@
   double weights_mb;
   std::vector<BaseModel>  models;
   int64_t incarnation;
+  int64_t prompt_tokens;
+  std::vector<WaitingPrompt>  prompts;
+  int64_t prompt_window;
+  int32_t batch_size;
+  int64_t sent_tokens;
+  int32_t gap_ms;
+  bool has_late_pauses;
 
   _AdapterDemand__isset __isset;
 
@@ -210,6 +291,20 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_prompt_tokens(const int64_t val);
+
+  void __set_prompts(const std::vector<WaitingPrompt> & val);
+
+  void __set_prompt_window(const int64_t val);
+
+  void __set_batch_size(const int32_t val);
+
+  void __set_sent_tokens(const int64_t val);
+
+  void __set_gap_ms(const int32_t val);
+
+  void __set_has_late_pauses(const bool val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -226,6 +321,20 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(prompts == rhs.prompts))
+      return false;
+    if (!(prompt_window == rhs.prompt_window))
+      return false;
+    if (!(batch_size == rhs.batch_size))
+      return false;
+    if (!(sent_tokens == rhs.sent_tokens))
+      return false;
+    if (!(gap_ms == rhs.gap_ms))
+      return false;
+    if (!(has_late_pauses == rhs.has_late_pauses))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
@@ -425,10 +534,95 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj);
 
+typedef struct _EngineLoad__isset {
+  _EngineLoad__isset() : sequence(false), incarnation(false), requests(false), prompt_tokens(false), unread_tokens(false), limits_prompts(false), admitted(false) {}
+  bool sequence :1;
+  bool incarnation :1;
+  bool requests :1;
+  bool prompt_tokens :1;
+  bool unread_tokens :1;
+  bool limits_prompts :1;
+  bool admitted :1;
+} _EngineLoad__isset;
+
+class EngineLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineLoad(const EngineLoad&);
+  EngineLoad& operator=(const EngineLoad&);
+  EngineLoad() noexcept
+             : sequence(0),
+               incarnation(0),
+               requests(0),
+               prompt_tokens(0),
+               unread_tokens(0),
+               limits_prompts(0) {
+  }
+
+  virtual ~EngineLoad() noexcept;
+  int64_t sequence;
+  int64_t incarnation;
+  int32_t requests;
+  int64_t prompt_tokens;
+  int64_t unread_tokens;
+  bool limits_prompts;
+  std::vector<int64_t>  admitted;
+
+  _EngineLoad__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_prompt_tokens(const int64_t val);
+
+  void __set_unread_tokens(const int64_t val);
+
+  void __set_limits_prompts(const bool val);
+
+  void __set_admitted(const std::vector<int64_t> & val);
+
+  bool operator == (const EngineLoad & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(unread_tokens == rhs.unread_tokens))
+      return false;
+    if (!(limits_prompts == rhs.limits_prompts))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineLoad &a, EngineLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
+
 typedef struct _AgentDatagram__isset {
-  _AgentDatagram__isset() : demand(false), status(false) {}
+  _AgentDatagram__isset() : demand(false), status(false), load(false) {}
   bool demand :1;
   bool status :1;
+  bool load :1;
 } _AgentDatagram__isset;
 
 class AgentDatagram : public virtual ::apache::thrift::TBase {
@@ -442,6 +636,7 @@
   virtual ~AgentDatagram() noexcept;
   AdapterDemand demand;
   EngineStatus status;
+  EngineLoad load;
 
   _AgentDatagram__isset __isset;
 
@@ -449,6 +644,8 @@
 
   void __set_status(const EngineStatus& val);
 
+  void __set_load(const EngineLoad& val);
+
   bool operator == (const AgentDatagram & rhs) const
   {
     if (__isset.demand != rhs.__isset.demand)
@@ -459,6 +656,10 @@
       return false;
     else if (__isset.status && !(status == rhs.status))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
     return true;
   }
   bool operator != (const AgentDatagram &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -11,69 +11,75 @@
 
 namespace {
 
-// Contributions to the expected delay of the first event, in milliseconds.
-constexpr double kLoadingMs = 60;
-// An engine that held the adapter recently loads it from its own memory, which
-// is likely for the first engines in the order of preference.
-constexpr double kPreferredLoadMs = 50;
-constexpr double kSecondLoadMs = 200;
-constexpr double kColdLoadMs = 260;
+// Durations of loads, in units of `EnginePace::load_ms`.
+// Remaining time of a load that is under way.
+constexpr double kLoadingLoads = 0.25;
+// An engine that held the adapter loads it from its own memory.
+constexpr double kCopyLoads = 0.16;
+// Without such a copy, the first engines in the order of preference are chosen,
+// so that later requests find the adapter or its copy there.
+constexpr double kPreferredLoads = 0.2;
+constexpr double kSecondLoads = 0.8;
+constexpr double kColdLoads = 1.04;
 // Increases the delay with the rank. Otherwise all routers would send all
 // adapters whose first engines are lost or busy to the same idle engine.
-constexpr double kPerRankMs = 20;
+constexpr double kPerRankLoads = 0.08;
 // For each load that a request started to wait for since the agent's last
 // status.
-constexpr double kPerRecentWaitMs = 60;
-constexpr double kUnknownMs = 600;
-// Duration of a load from the weight store without other loads.
-constexpr double kUncontendedLoadMs = 250;
-// Loading a base model takes seconds.
-constexpr double kNoModelMs = 2000;
+constexpr double kPerRecentWaitLoads = 0.24;
+// Without a status, the adapter may be absent and the engine out of order.
+constexpr double kUnknownLoads = 2.4;
+// Loading a base model takes several times as long as an adapter.
+constexpr double kNoModelLoads = 8;
 // With all adapter places in use, a load waits for a request to end.
-constexpr double kNoPlaceMs = 100;
-// Time from a send to the first event at an engine without a queue.
-constexpr double kFirstEventMs = 60;
-// A running request slows the steps of the batch and has little other effect.
-constexpr double kPerRunningMs = 1.5;
-// An engine processes the prompts of queued requests one after the other.
-constexpr double kPerQueuedMs = 25;
-// The prompts of most requests sent since the agent's last status have been
-// processed by now.
-constexpr double kPerRecentSendMs = 5;
-// A request in excess of the batch size waits for another one to end.
-constexpr double kPerExcessRequestMs = 25;
-constexpr double kOtherDataCentreMs = 4;
-
-// Engines whose expected delays differ by less share the requests. A popular
-// adapter receives some 17 requests between two statuses of an agent, each of
-// them takes 25 ms of work, and ten engines hold the adapter.
-constexpr double kMaxJitterMs = 60;
-
-double LoadMs(const EngineCandidate& candidate) {
+constexpr double kNoPlaceLoads = 0.4;
+
+// Share of the prompts sent since the agent's last status that the engine has
+// not read yet, if the agent does not report them.
+constexpr double kUnreadShareOfRecentSends = 0.5;
+
+// Up to these shares of an engine's limits, prompts are sent without admission.
+constexpr double kFreeWindowShare = 0.25;
+constexpr double kFreeBatchShare = 0.75;
+
+// What a load and the traffic to another data centre cost, as a share of a late
+// answer. A load takes capacity of the weight store and an adapter place from
+// other requests.
+constexpr double kLoadWeight = 0.4;
+constexpr double kOtherDataCentreWeight = 0.04;
+
+// Engines whose costs differ by less than the time to read this many prompts
+// share the requests: prompts of other routers may be on their way there.
+constexpr double kJitterPrompts = 1;
+
+// Returns the time until the adapter can serve, in milliseconds.
+double LoadMs(const EngineCandidate& candidate, const EnginePace& pace) {
   if (!candidate.has_model) {
-    return kNoModelMs;
+    return kNoModelLoads * pace.load_ms;
   }
   switch (candidate.place) {
     case AdapterPlace::kResident:
       return 0;
     case AdapterPlace::kLoading:
-      return kLoadingMs;
+      return kLoadingLoads * pace.load_ms;
     case AdapterPlace::kUnknown:
-      return kUnknownMs;
+      return kUnknownLoads * pace.load_ms;
     case AdapterPlace::kAbsent:
       break;
   }
-  double load_ms =
-      kColdLoadMs + kPerRankMs * static_cast<double>(candidate.affinity_rank);
-  if (candidate.affinity_rank == 0) {
-    load_ms = kPreferredLoadMs;
+  double loads =
+      kColdLoads + kPerRankLoads * static_cast<double>(candidate.affinity_rank);
+  if (candidate.held) {
+    loads = kCopyLoads;
+  } else if (candidate.affinity_rank == 0) {
+    loads = kPreferredLoads;
   } else if (candidate.affinity_rank == 1) {
-    load_ms = kSecondLoadMs;
+    loads = kSecondLoads;
   }
-  const double queue_ms =
-      std::max(candidate.load_wait_ms - kUncontendedLoadMs, 0.0);
-  return load_ms + queue_ms + kPerRecentWaitMs * candidate.recent_waits +
-         (candidate.free_places > 0 ? 0 : kNoPlaceMs);
+  loads += kPerRecentWaitLoads * candidate.recent_waits +
+           (candidate.free_places > 0 ? 0 : kNoPlaceLoads);
+  const double queue_ms = std::max(candidate.load_wait_ms - pace.load_ms, 0.0);
+  return loads * pace.load_ms + queue_ms;
 }
 
 // The median of fewer engines is not representative.
@@ -108,28 +114,85 @@
                     kMaxSlowness);
 }
 
-double ExpectedDelayMs(const EngineCandidate& candidate) {
-  const int active = candidate.running + candidate.recent_sends;
-  const int excess =
-      std::max(active + candidate.queued + 1 - candidate.batch_size, 0);
-  const double work_ms = kFirstEventMs + kPerRunningMs * candidate.running +
-                         kPerQueuedMs * candidate.queued +
-                         kPerRecentSendMs * candidate.recent_sends +
-                         kPerExcessRequestMs * excess;
-  return LoadMs(candidate) + work_ms * candidate.slowness - kFirstEventMs +
-         (candidate.same_data_centre ? 0 : kOtherDataCentreMs);
+EngineWork WorkOf(const EngineCandidate& candidate) {
+  const double recent_tokens =
+      kUnreadShareOfRecentSends * kPriorPromptTokens * candidate.recent_sends;
+  const int requests = candidate.requests.value_or(
+      candidate.running + candidate.recent_sends + candidate.queued);
+  EngineWork work;
+  work.unread_prompt_tokens = candidate.unread_prompt_tokens.value_or(
+      kPriorPromptTokens * candidate.queued + recent_tokens);
+  work.streams = candidate.running;
+  work.excess_requests = std::max(requests + 1 - candidate.batch_size, 0);
+  work.slowness = candidate.slowness;
+  return work;
+}
+
+double ExpectedDelayMs(const EngineCandidate& candidate,
+                       const EnginePace& pace,
+                       double prompt_tokens) {
+  return LoadMs(candidate, pace) +
+         FirstEventMs(pace, WorkOf(candidate), prompt_tokens) -
+         pace.first_event_ms;
+}
+
+double PlacementCostMs(const EngineCandidate& candidate,
+                       const EnginePace& pace,
+                       const RequestGoal& goal) {
+  EngineWork work = WorkOf(candidate);
+  const double first_event_ms =
+      LoadMs(candidate, pace) + FirstEventMs(pace, work, goal.prompt_tokens);
+  if (!candidate.limits_prompts) {
+    work.streams = 0;  // No streams were late because of prompts.
+  } else if (candidate.unread_prompt_tokens) {
+    // The agent admits prompts one after the other, so that only the size of
+    // the prompt itself matters.
+    work.unread_prompt_tokens = 0;
+  }
+  const double pause_ms = PauseMs(pace, work, goal.prompt_tokens);
+  const double late_answers =
+      LateProbability(first_event_ms, goal.target_latency_ms) +
+      work.streams * LateProbability(pause_ms, goal.target_gap_ms);
+  const bool needs_load =
+      candidate.place == AdapterPlace::kAbsent && !candidate.held;
+  return ExpectedDelayMs(candidate, pace, goal.prompt_tokens) +
+         goal.target_latency_ms *
+             (late_answers + (needs_load ? kLoadWeight : 0) +
+              (candidate.same_data_centre ? 0 : kOtherDataCentreWeight));
+}
+
+bool NeedsAdmission(const EngineCandidate& candidate,
+                    const EnginePace& pace,
+                    const RequestGoal& goal) {
+  if (!candidate.unread_prompt_tokens) {
+    return false;  // The agent does not admit prompts.
+  }
+  const EngineWork work = WorkOf(candidate);
+  const auto window = static_cast<double>(
+      candidate.limits_prompts ? PromptWindow(pace, candidate.slowness, goal)
+                               : 0);
+  const bool long_queue =
+      window > 0 && work.unread_prompt_tokens + goal.prompt_tokens >
+                        kFreeWindowShare * window;
+  const bool full = candidate.requests.value_or(0) + 1 >
+                    kFreeBatchShare * candidate.batch_size;
+  return full || (work.unread_prompt_tokens > 0 && long_queue);
 }
 
 std::optional<std::size_t> ChooseEngine(
-    std::span<const EngineCandidate> candidates) {
+    std::span<const EngineCandidate> candidates,
+    const EnginePace& pace,
+    const RequestGoal& goal) {
+  const double max_jitter_ms =
+      kJitterPrompts * kPriorPromptTokens * pace.prompt_token_ms;
   std::optional<std::size_t> best;
   std::tuple<bool, bool, double, std::size_t> best_cost;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const EngineCandidate& candidate = candidates[i];
-    const std::tuple cost(
-        candidate.tried, candidate.avoided,
-        ExpectedDelayMs(candidate) + kMaxJitterMs * candidate.jitter,
-        candidate.affinity_rank);
+    const std::tuple cost(candidate.tried, candidate.avoided,
+                          PlacementCostMs(candidate, pace, goal) +
+                              max_jitter_ms * candidate.jitter,
+                          candidate.affinity_rank);
     if (!best || cost < best_cost) {
       best = i;
       best_cost = cost;
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Bounds the times of sends and waits that are kept per server.
 constexpr std::size_t kMaxRecentSends = 256;
 
@@ -34,6 +36,7 @@
   agent_wire::AdapterDemand demand;
   demand.adapter_places = spec.adapter_places;
   demand.weights_mb = spec.weights_mb;
+  demand.batch_size = spec.batch_size;
   for (const ModelSpec& model : spec.models) {
     agent_wire::BaseModel item;
     item.name = model.name;
@@ -118,6 +121,7 @@
 
 EngineCandidate Fleet::MakeCandidate(const BackendServer& server,
                                      const RequestInfo& info,
+                                     const EnginePace& pace,
                                      const std::set<std::string>& tried,
                                      Time now) const {
   EngineCandidate candidate;
@@ -137,6 +141,7 @@
   }
   candidate.avoided = candidate.avoided || !snapshot->reachable;
   candidate.place = FindAdapterPlace(*snapshot, info, MinVersion(NameOf(info)));
+  candidate.held = links_.HasHeld(server.id, NameOf(info));
   candidate.has_model =
       std::find(snapshot->models.begin(), snapshot->models.end(), info.model) !=
       snapshot->models.end();
@@ -145,7 +150,19 @@
   candidate.free_places = snapshot->free_places;
   candidate.load_wait_ms = snapshot->load_wait_ms;
   const auto activity = activity_.find(server.id);
+  if (snapshot->load_received) {
+    candidate.requests = snapshot->other_requests;
+    const Duration age = now - *snapshot->load_received;
+    candidate.unread_prompt_tokens =
+        TokensLeft(static_cast<double>(snapshot->other_prompt_tokens), pace,
+                   age) +
+        static_cast<double>(links_.prompt_tokens(server.id));
+    candidate.limits_prompts = snapshot->limits_prompts;
+  }
   if (activity != activity_.end()) {
+    if (candidate.requests) {
+      *candidate.requests += activity->second.in_flight;
+    }
     const int routers = std::clamp(snapshot->routers, 1, kMaxCountedRouters);
     candidate.recent_sends =
         routers * CountSince(activity->second.recent_sends, snapshot->received);
@@ -163,16 +180,25 @@
 std::optional<Placement> Fleet::PlaceGeneration(
     std::string_view service,
     const RequestInfo& info,
+    const RequestGoal& goal,
     const std::set<std::string>& tried,
     Time now) const {
   const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  std::vector<double> intervals_ms;
+  for (const BackendServer* server : servers) {
+    intervals_ms.push_back(EventIntervalMs(*server, now));
+  }
+  std::vector<double> reordered = intervals_ms;
+  const double median_interval_ms = MedianIntervalMs(reordered);
+  const auto estimator = paces_.find(service);
+  const EnginePace pace = estimator == paces_.end()
+                              ? kPriorPace
+                              : estimator->second.Pace(median_interval_ms);
   std::vector<EngineCandidate> candidates;
   std::vector<std::string> addresses;
-  std::vector<double> intervals_ms;
   for (const BackendServer* server : servers) {
-    candidates.push_back(MakeCandidate(*server, info, tried, now));
+    candidates.push_back(MakeCandidate(*server, info, pace, tried, now));
     candidates.back().jitter = UnitHash(server->id, Hash64(info.attempt_id));
-    intervals_ms.push_back(EventIntervalMs(*server, now));
     // The affinity depends on the address because an engine keeps its copies of
     // adapters over a restart, which may change its id.
     addresses.push_back(FormatAddress(server->address));
@@ -182,13 +208,11 @@
   const std::string& key =
       info.adapter.empty() ? info.shared_prefix : info.adapter;
   RankByAffinity(key, names, ranks);
-  std::vector<double> reordered = intervals_ms;
-  const double median_interval_ms = MedianIntervalMs(reordered);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     candidates[i].affinity_rank = ranks[i];
     candidates[i].slowness = Slowness(intervals_ms[i], median_interval_ms);
   }
-  const std::optional<std::size_t> best = ChooseEngine(candidates);
+  const std::optional<std::size_t> best = ChooseEngine(candidates, pace, goal);
   if (!best) {
     return std::nullopt;
   }
@@ -196,11 +220,16 @@
   Placement placement;
   placement.server = *servers[*best];
   placement.place = chosen.place;
-  placement.expected_delay_ms = ExpectedDelayMs(chosen);
+  placement.expected_delay_ms =
+      ExpectedDelayMs(chosen, pace, goal.prompt_tokens);
+  links_.SetPromptWindow(placement.server.id,
+                         {PromptWindow(pace, chosen.slowness, goal),
+                          milliseconds(static_cast<int>(goal.target_gap_ms))});
   placement.candidates = candidates.size();
   placement.running = chosen.running + chosen.recent_sends;
   placement.queued = chosen.queued;
   placement.slowness = chosen.slowness;
+  placement.pace = pace;
   if (const EngineSnapshot* snapshot =
           links_.Snapshot(placement.server.id, now)) {
     placement.view_age_ms = ToMilliseconds(now - snapshot->received);
@@ -208,6 +237,60 @@
   return placement;
 }
 
+bool Fleet::NeedsAdmission(const Placement& placement,
+                           const RequestInfo& info,
+                           const RequestGoal& goal,
+                           Time now) const {
+  EngineCandidate candidate =
+      MakeCandidate(placement.server, info, placement.pace, {}, now);
+  candidate.slowness = placement.slowness;
+  return amaranthcove::NeedsAdmission(candidate, placement.pace, goal);
+}
+
+void Fleet::RecordFirstEvent(const Placement& placement,
+                             std::int64_t tokens,
+                             Duration first_event,
+                             Time now) {
+  paces_[placement.server.service].Observe(static_cast<double>(tokens),
+                                           ToSeconds(first_event) * 1000,
+                                           placement.slowness, now);
+}
+
+void Fleet::RecordPause(const std::string& service,
+                        Duration pause,
+                        Duration limit,
+                        Time now) {
+  if (!pauses_[service].Observe(pause, limit, now)) {
+    return;
+  }
+  const bool late = pauses_[service].has_late_pauses();
+  for (const BackendServer* server : directory_.Serving(service)) {
+    links_.SetLatePauses(server->id, late, now);
+  }
+}
+
+std::optional<std::int64_t> Fleet::UnreadTokens(std::string_view engine,
+                                                Time now) const {
+  const EngineSnapshot* snapshot = links_.Snapshot(engine, now);
+  if (snapshot == nullptr || !snapshot->load_received) {
+    return std::nullopt;
+  }
+  return snapshot->other_unread_tokens + links_.unread_tokens(engine);
+}
+
+Fleet::ServiceEstimate Fleet::EstimateOf(const std::string& service) const {
+  ServiceEstimate estimate;
+  const auto pace = paces_.find(service);
+  if (pace != paces_.end()) {
+    estimate.pace = pace->second.Pace(0);
+    estimate.updated = pace->second.updated();
+  }
+  const auto pauses = pauses_.find(service);
+  estimate.has_late_pauses =
+      pauses != pauses_.end() && pauses->second.has_late_pauses();
+  return estimate;
+}
+
 std::optional<Placement> Fleet::PlacePlain(std::string_view service,
                                            const std::set<std::string>& tried,
                                            std::uint64_t random,
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -15,6 +15,9 @@
 #include "amaranthcove/backends/backend_directory.h"
 #include "amaranthcove/backends/backend_health.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/engine_cost/engine_cost.h"
+#include "amaranthcove/engine_cost/pace_estimator.h"
+#include "amaranthcove/engine_cost/pause_monitor.h"
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/retry_budget/retry_budget.h"
 #include "amaranthcove/routing/route_table.h"
@@ -33,6 +36,7 @@
   int running = 0;
   int queued = 0;
   double slowness = 1;
+  EnginePace pace;  // Of the service.
   // Age of the status; -1 without a recent status.
   std::int64_t view_age_ms = -1;
 };
@@ -89,9 +93,44 @@
   // resort. Returns nullopt if no server of `service` takes work.
   std::optional<Placement> PlaceGeneration(std::string_view service,
                                            const RequestInfo& info,
+                                           const RequestGoal& goal,
                                            const std::set<std::string>& tried,
                                            Time now) const;
 
+  // Returns whether the agent of the chosen engine should admit the prompt
+  // before it is sent.
+  bool NeedsAdmission(const Placement& placement,
+                      const RequestInfo& info,
+                      const RequestGoal& goal,
+                      Time now) const;
+
+  // Records the time from a send to the first event of a generation, before
+  // which the engine had to read `tokens` prompt tokens.
+  void RecordFirstEvent(const Placement& placement,
+                        std::int64_t tokens,
+                        Duration first_event,
+                        Time now);
+
+  // Records a pause between two events of a stream of `service`, whose longest
+  // pause should be `limit`.
+  void RecordPause(const std::string& service,
+                   Duration pause,
+                   Duration limit,
+                   Time now);
+
+  // Returns the prompt tokens that were sent to an engine and are not read yet,
+  // or nullopt if its agent does not report them.
+  std::optional<std::int64_t> UnreadTokens(std::string_view engine,
+                                           Time now) const;
+
+  // What is known about the engines of a service.
+  struct ServiceEstimate {
+    EnginePace pace;
+    std::optional<Time> updated;  // No value if `pace` is the prior.
+    bool has_late_pauses = false;
+  };
+  ServiceEstimate EstimateOf(const std::string& service) const;
+
   // Chooses a server for a plain call. `random` breaks ties between servers.
   // Returns nullopt if no server of `service` takes work.
   std::optional<Placement> PlacePlain(std::string_view service,
@@ -146,6 +185,7 @@
   double EventIntervalMs(const BackendServer& server, Time now) const;
   EngineCandidate MakeCandidate(const BackendServer& server,
                                 const RequestInfo& info,
+                                const EnginePace& pace,
                                 const std::set<std::string>& tried,
                                 Time now) const;
 
@@ -158,6 +198,8 @@
   std::map<std::string, BackendHealth, std::less<>> health_;
   std::map<std::string, Activity, std::less<>> activity_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
+  std::map<std::string, PauseMonitor, std::less<>> pauses_;  // By service.
+  std::map<std::string, PaceEstimator, std::less<>> paces_;  // By service.
 };
 
 }  // namespace amaranthcove
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -146,7 +146,7 @@
   Fleet& fleet = environment_.fleet;
   const std::optional<Placement> placement =
       is_generation_
-          ? fleet.PlaceGeneration(service_, info_, tried_, now)
+          ? fleet.PlaceGeneration(service_, info_, Goal(), tried_, now)
           : fleet.PlacePlain(service_, tried_, Hash64(info_.attempt_id), now);
   if (!placement) {
     expected_delay_ = kDelayWithoutServer;
@@ -166,12 +166,99 @@
   std::optional<std::int64_t> version;
   if (!is_generation_ ||
       fleet.IsAdapterReady(placement_.server.id, info_, now, version)) {
-    Send(version, now);
+    SendOrAsk(version, now);
     return;
   }
   WaitForAdapter(now);
 }
 
+void RelayCall::SendOrAsk(std::optional<std::int64_t> version, Time now) {
+  if (is_generation_ &&
+      environment_.fleet.NeedsAdmission(placement_, info_, Goal(), now)) {
+    WaitForAdmission(now);
+  } else {
+    Send(version, now);
+  }
+}
+
+void RelayCall::WaitForAdmission(Time now) {
+  state_ = State::kWaiting;
+  wait_started_ = now;
+  asked_prompt_ = environment_.fleet.links().AskAdmission(
+      placement_.server.id, info_.prompt_tokens, waiting_request_, now);
+  environment_.demand_changed();
+  ScheduleAdmissionCheck();
+}
+
+void RelayCall::ScheduleAdmissionCheck() {
+  wait_timer_ = environment_.loop.RunAfter(kWaitForSilentAgent, [this] {
+    wait_timer_ = 0;
+    CheckAdmission(environment_.loop.Now());
+  });
+}
+
+void RelayCall::CheckAdmission(Time now) {
+  Fleet& fleet = environment_.fleet;
+  const std::string& engine = placement_.server.id;
+  const EngineSnapshot* snapshot = fleet.links().Snapshot(engine, now);
+  const bool agent_answers = snapshot != nullptr && snapshot->load_received &&
+                             *snapshot->load_received >= wait_started_;
+  if (agent_answers && now - wait_started_ < kWaitBeforePlacingAgain) {
+    ScheduleAdmissionCheck();
+    return;
+  }
+  std::optional<std::int64_t> version;
+  if (!agent_answers && fleet.IsServing(placement_.server) &&
+      fleet.IsAdapterReady(engine, info_, now, version)) {
+    // Without its agent, the engine queues what it cannot run yet.
+    StopWaiting();
+    Send(version, now);
+    return;
+  }
+  OnWaitTimeout(now);
+}
+
+void RelayCall::OnAdmitted(std::int64_t prompt, Time now) {
+  if (state_ != State::kWaiting || asked_prompt_ != prompt) {
+    return;
+  }
+  StopWaiting();
+  std::optional<std::int64_t> version;
+  if (!environment_.fleet.IsServing(placement_.server) ||
+      !environment_.fleet.IsAdapterReady(placement_.server.id, info_, now,
+                                         version)) {
+    Place(now);
+    return;
+  }
+  Send(version, now);
+}
+
+RequestGoal RelayCall::Goal() const {
+  RequestGoal goal;
+  if (info_.prompt_tokens > 0) {
+    goal.prompt_tokens = static_cast<double>(info_.prompt_tokens);
+  }
+  goal.target_latency_ms = ToSeconds(route_.target_latency) * 1000;
+  goal.target_gap_ms = ToSeconds(route_.target_gap) * 1000;
+  return goal;
+}
+
+void RelayCall::AddPrompt(Time now) {
+  if (is_generation_) {
+    prompt_added_ = true;
+    environment_.fleet.links().AddPrompt(placement_.server.id,
+                                         info_.prompt_tokens, now);
+    environment_.demand_changed();
+  }
+}
+
+void RelayCall::RemovePrompt(Time now) {
+  if (std::exchange(prompt_added_, false)) {
+    environment_.fleet.links().RemovePrompt(placement_.server.id,
+                                            info_.prompt_tokens, now);
+  }
+}
+
 void RelayCall::WaitForAdapter(Time now) {
   state_ = State::kWaiting;
   wait_started_ = now;
@@ -195,8 +282,14 @@
     return;
   }
   state_ = State::kNew;
-  waited_ += environment_.loop.Now() - wait_started_;
+  const Time now = environment_.loop.Now();
+  waited_ += now - wait_started_;
   environment_.loop.Cancel(std::exchange(wait_timer_, 0));
+  if (asked_prompt_ != 0) {
+    environment_.fleet.links().WithdrawPrompt(
+        placement_.server.id, std::exchange(asked_prompt_, 0), now);
+    return;
+  }
   environment_.fleet.links().RemoveWaiting(
       placement_.server.id, {info_.model, info_.adapter}, waiting_request_);
 }
@@ -228,9 +321,10 @@
     return;
   }
   std::optional<std::int64_t> version;
-  if (environment_.fleet.IsAdapterReady(server, info_, now, version)) {
+  if (asked_prompt_ == 0 &&
+      environment_.fleet.IsAdapterReady(server, info_, now, version)) {
     StopWaiting();
-    Send(version, now);
+    SendOrAsk(version, now);
   }
 }
 
@@ -240,6 +334,9 @@
   const std::string& id = placement_.server.id;
   tried_.insert(id);
   ++progress_.may_have_run;
+  AddPrompt(now);
+  unread_at_send_ =
+      is_generation_ ? environment_.fleet.UnreadTokens(id, now) : std::nullopt;
   has_head_ = false;
   streaming_ = false;
   head_ = {};
@@ -312,13 +409,28 @@
     return;
   }
   RestartSilenceTimer(PauseLimit(progress_));
+  const Time now = environment_.loop.Now();
   if (progress_.answer_begun) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_);
+    environment_.fleet.RecordPause(service_, now - last_event_,
+                                   route_.target_gap, now);
+    last_event_ = now;
+    RemovePrompt(now);
     responder_->Write(events);
     AbortSlowCaller();
     return;
   }
+  RemovePrompt(now);
   progress_.answer_begun = true;
-  first_event_ = environment_.loop.Now() - sent_;
+  last_event_ = now;
+  first_event_ = now - sent_;
+  // Otherwise, how much of the prompts before it was read is not known.
+  const bool reads_only_this_prompt =
+      unread_at_send_ && *unread_at_send_ <= info_.prompt_tokens;
+  if (reads_only_this_prompt) {
+    environment_.fleet.RecordFirstEvent(placement_, info_.prompt_tokens,
+                                        *first_event_, now);
+  }
   HttpResponse start = head_;
   start.body = std::move(events);
   responder_->Start(std::move(start));
@@ -377,9 +489,11 @@
 void RelayCall::EndActivity() {
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
   environment_.fleet.EndSend(placement_.server.id);
+  RemovePrompt(environment_.loop.Now());
   if (is_generation_) {
-    environment_.fleet.links().RemoveRunning(placement_.server.id,
-                                             {info_.model, info_.adapter});
+    AgentLinks& links = environment_.fleet.links();
+    links.RemoveRunning(placement_.server.id, {info_.model, info_.adapter});
+    links.ReportEnd(placement_.server.id, environment_.loop.Now());
   }
 }
 
@@ -585,6 +699,12 @@
        {"candidates", std::to_string(placement_.candidates)},
        {"running", std::to_string(placement_.running)},
        {"queued", std::to_string(placement_.queued)},
+       {"token_us", std::to_string(static_cast<int>(
+                        placement_.pace.prompt_token_ms * 1000))},
+       {"base_ms",
+        std::to_string(static_cast<int>(placement_.pace.first_event_ms))},
+       {"event_ms",
+        std::to_string(static_cast<int>(placement_.pace.event_interval_ms))},
        {"slowness_pct",
         std::to_string(static_cast<int>(placement_.slowness * 100))},
        {"view_age_ms", std::to_string(placement_.view_age_ms)},
@@ -597,6 +717,9 @@
        {"waited_ms", std::to_string(ToMilliseconds(waited_))},
        {"first_ms",
         std::to_string(first_event_ ? ToMilliseconds(*first_event_) : -1)},
+       {"longest_pause_ms", std::to_string(ToMilliseconds(longest_pause_))},
+       {"unread_tokens", std::to_string(unread_at_send_.value_or(-1))},
+       {"prompt_tokens", std::to_string(info_.prompt_tokens)},
        {"total_ms", std::to_string(ToMilliseconds(now - started_))},
        {"limit_ms", std::to_string(ToMilliseconds(deadline_ - started_))}});
   RelayResult result;
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -71,6 +71,9 @@
   // is called once, as the last action of the call, possibly inside `Start`.
   void Start(Time now, std::function<void(const RelayResult&)> on_done);
 
+  // Handles the admission of a prompt; ignores those of other calls.
+  void OnAdmitted(std::int64_t prompt, Time now);
+
   // Handles a change at a server: of its adapters, or whether it serves.
   void OnServerChanged(std::string_view server, Time now);
 
@@ -78,6 +81,18 @@
   enum class State { kNew, kWaiting, kSending, kDone };
 
   void Place(Time now);
+  // Adds the prompt to the work of the chosen engine, and removes it when the
+  // engine has read it or will not read it.
+  void AddPrompt(Time now);
+  void RemovePrompt(Time now);
+  RequestGoal Goal() const;
+  // Sends the request, or waits until the engine's agent admits its prompt.
+  void SendOrAsk(std::optional<std::int64_t> version, Time now);
+  void WaitForAdmission(Time now);
+  void ScheduleAdmissionCheck();
+  // Goes on waiting for admission, unless the agent is silent or it takes so
+  // long that another engine may be better.
+  void CheckAdmission(Time now);
   void WaitForAdapter(Time now);
   void StopWaiting();
   void OnWaitTimeout(Time now);
@@ -117,6 +132,10 @@
   // Determined once at the start: every `AddRunning` needs its `RemoveRunning`,
   // even if the configuration changes in between.
   bool is_generation_ = false;
+  // Whether the prompt counts as work of the chosen engine.
+  bool prompt_added_ = false;
+  // Id of the prompt while it waits for admission; 0 otherwise.
+  std::int64_t asked_prompt_ = 0;
   // Version and age of the configuration when the request started.
   std::int64_t config_version_ = 0;
   Duration config_age_ = Duration::zero();
@@ -127,6 +146,12 @@
   Duration waited_ = Duration::zero();
   // Time from the send to the first event of a stream.
   std::optional<Duration> first_event_;
+  // Prompt tokens at the engine that were not read at the send, with those of
+  // this request. No value if the agent does not report them.
+  std::optional<std::int64_t> unread_at_send_;
+  Time last_event_;
+  // The longest time between two events that were passed on.
+  Duration longest_pause_ = Duration::zero();
   RelayProgress progress_;
   std::set<std::string> tried_;
   WaitingRequest waiting_request_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -117,6 +117,8 @@
   void OnReadinessRequest(const HttpRequest& request, HttpResponder& responder);
   void OnCallDone(std::uint64_t call, const RelayResult& result);
   void OnDatagram(const Address& sender, std::string_view bytes);
+  // Returns the estimates of the services with engines.
+  nlohmann::json DumpServices(Time now) const;
   void NotifyCalls(std::string_view server);
   void SendDemandsSoon();
   void Tick();
@@ -331,9 +333,14 @@
 }
 
 void RouterImpl::OnDatagram(const Address& sender, std::string_view bytes) {
-  const auto engine = links_.Receive(sender, bytes, loop_.Now());
-  if (engine) {
-    NotifyCalls(*engine);
+  const AgentLinks::Update update = links_.Receive(sender, bytes, loop_.Now());
+  for (const std::int64_t prompt : update.admitted) {
+    for (const auto& [id, call] : calls_) {
+      call->OnAdmitted(prompt, loop_.Now());
+    }
+  }
+  if (update.engine) {
+    NotifyCalls(*update.engine);
   }
 }
 
@@ -405,6 +412,26 @@
   });
 }
 
+nlohmann::json RouterImpl::DumpServices(Time now) const {
+  nlohmann::json services = nlohmann::json::object();
+  if (!fleet_.has_config()) {
+    return services;
+  }
+  for (const auto& [name, service] : fleet_.table().config().services) {
+    if (!service.engine) {
+      continue;
+    }
+    const Fleet::ServiceEstimate estimate = fleet_.EstimateOf(name);
+    services[name] = {
+        {"prompt_token_ms", estimate.pace.prompt_token_ms},
+        {"first_event_ms", estimate.pace.first_event_ms},
+        {"estimate_age_ms",
+         estimate.updated ? ToMilliseconds(now - *estimate.updated) : -1},
+        {"has_late_pauses", estimate.has_late_pauses}};
+  }
+  return services;
+}
+
 nlohmann::json RouterImpl::Dump() const {
   const Time now = loop_.Now();
   nlohmann::json servers = nlohmann::json::array();
@@ -420,6 +447,10 @@
       item["resident"] = snapshot->resident.size();
       item["free_places"] = snapshot->free_places;
       item["view_age_ms"] = ToMilliseconds(now - snapshot->received);
+      item["other_requests"] = snapshot->other_requests;
+      item["prompt_tokens"] =
+          snapshot->other_prompt_tokens + links_.prompt_tokens(server->id);
+      item["limits_prompts"] = snapshot->limits_prompts;
     }
     const auto health = fleet_.health().find(server->id);
     if (health != fleet_.health().end()) {
@@ -430,6 +461,7 @@
   }
   return {
       {"instance", settings_.instance},
+      {"services", DumpServices(now)},
       {"ready", ready()},
       {"config_version", fleet_.config_version()},
       {"config_age_s", ToSeconds(fleet_.ConfigAge(now))},
