adapter_agent, agent_link: forget prompts that no longer count

Cause, found on reading the diff: an agent remembered the prompts that were sent to its engine until the next prompt waited for admission, which may be never, and a router kept a record of prompts for each engine that had gone. Both grew without bound.

Change: sent prompts are forgotten after a second, which bounds the period of a window as well; records of absent engines are erased once they are empty. What is remembered is not visible from outside, so no test shows it.

--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -132,8 +132,10 @@
   };
   // Records the prompts of `entry` that were sent without admission.
   void AddSent(const Entry& entry, const RouterDemand& demand, Time now);
-  // Returns the tokens sent after `since`, and forgets the earlier ones.
-  std::int64_t SentSince(Time since);
+  void ForgetSentBefore(Time time);
+  // Returns the tokens sent after `since`, which is at most `kLoadLifetime`
+  // ago.
+  std::int64_t SentSince(Time since) const;
 
   std::map<Address, Entry> entries_;
   std::optional<Time> late_pauses_seen_;
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -100,6 +100,7 @@
 void DemandTable::AddSent(const Entry& entry,
                           const RouterDemand& demand,
                           Time now) {
+  ForgetSentBefore(now - kLoadLifetime);
   if (entry.demand.incarnation != demand.incarnation) {
     return;  // The first demand: when its prompts were sent is unknown.
   }
@@ -117,13 +118,16 @@
   }
 }
 
-std::int64_t DemandTable::SentSince(Time since) {
-  while (!sent_.empty() && sent_.front().at <= since) {
+void DemandTable::ForgetSentBefore(Time time) {
+  while (!sent_.empty() && sent_.front().at < time) {
     sent_.pop_front();
   }
+}
+
+std::int64_t DemandTable::SentSince(Time since) const {
   std::int64_t tokens = 0;
   for (const SentTokens& sent : sent_) {
-    tokens += sent.tokens;
+    tokens += sent.at > since ? sent.tokens : 0;
   }
   return tokens;
 }
@@ -189,8 +193,8 @@
       }
     }
   }
-  const std::int64_t tokens =
-      std::max(unread_tokens, SentSince(now - limits.gap));
+  const Duration period = std::min(limits.gap, kLoadLifetime);
+  const std::int64_t tokens = std::max(unread_tokens, SentSince(now - period));
   for (const std::size_t index :
        amaranthcove::AdmitPrompts(waiting, limits, tokens, requests)) {
     asked[index]->admitted = true;
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -153,6 +153,10 @@
     }
   }
   std::erase_if(uses_, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(prompts_, [this](const auto& item) {
+    return item.second.tokens == 0 && item.second.asked.empty() &&
+           FindLink(item.first) == nullptr;
+  });
 }
 
 AgentLinks::Update AgentLinks::Receive(const Address& sender,
