--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -185,6 +185,7 @@
     Time now) const {
   const std::vector<const BackendServer*> servers = directory_.Serving(service);
   std::vector<double> intervals_ms;
+  intervals_ms.reserve(servers.size());
   for (const BackendServer* server : servers) {
     intervals_ms.push_back(EventIntervalMs(*server, now));
   }
