router: log what is not on its way when its server leaves, and a late loop

Requests were reported to reach servers that had long said that they leave, and to be sent on for callers that had left. The logs could not tell a request whose connection opens late from a router that learns late: request_end lacked the age of the list of servers at the send, nothing said that a request was still unsent when its server left, and nothing that the loop was behind.

Adds backends_age_ms to request_end, and the lines unsent_at_leaving_server and loop_late.

--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -53,6 +53,10 @@
     return queued_.size() + sending_.size();
   }
 
+  // Returns the number of bytes that were not passed to the system yet. Bytes
+  // written in one round are passed on together.
+  std::size_t queued_bytes() const { return queued_.size(); }
+
   // Returns whether the peer closed the connection in an orderly way. False
   // while it is open, and after a reset or a timeout.
   bool closed_cleanly() const { return closed_cleanly_; }
--- a/include/amaranthcove/net/upstream_client.h
+++ b/include/amaranthcove/net/upstream_client.h
@@ -91,6 +91,11 @@
   // ended calls are ignored.
   virtual void Cancel(UpstreamCallId call) = 0;
 
+  // Returns whether nothing of the request has been passed to the system yet,
+  // for example because the connection is still being opened. False for unknown
+  // and ended calls.
+  virtual bool IsUnsent(UpstreamCallId call) const = 0;
+
   // Closes the idle connections to `server`, for example when it has left.
   virtual void CloseIdle(const Address& server) = 0;
 
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -66,6 +66,10 @@
   const Address& server() const { return server_; }
   UpstreamCallId call() const { return call_; }
   bool opened() const { return opened_; }
+  bool has_unsent_request() const {
+    // Queued bytes are passed on all at once, and the request is queued last.
+    return tcp_ != nullptr && tcp_->queued_bytes() >= request_bytes_;
+  }
   Time idle_since() const { return idle_since_; }
   void set_idle_since(Time now) { idle_since_ = now; }
   Duration max_idle(Duration fallback) const {
@@ -111,6 +115,7 @@
   bool opened_ = false;
   bool is_head_method_ = false;
   UpstreamCallId call_ = 0;
+  std::size_t request_bytes_ = 0;
   UpstreamClient::Callbacks callbacks_;
   Time idle_since_;
   std::optional<Duration> server_max_idle_;
@@ -153,6 +158,11 @@
     RemoveCallAndConnection(connection, call);
   }
 
+  bool IsUnsent(UpstreamCallId call) const override {
+    const auto found = calls_.find(call);
+    return found != calls_.end() && found->second->has_unsent_request();
+  }
+
   void CloseIdle(const Address& server) override {
     const auto found = idle_.find(server);
     if (found == idle_.end()) {
@@ -314,6 +324,7 @@
   ResetParser();
   std::string bytes = internal::EncodeRequestHead(server_, request);
   bytes += request.body;
+  request_bytes_ = bytes.size();
   tcp_->Write(bytes);
 }
 
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -74,6 +74,11 @@
   // Returns the time since the last confirmation.
   Duration ConfigAge(Time now) const { return now - config_confirmed_; }
 
+  // Records that the list of backend servers was current at `now`.
+  void ConfirmBackends(Time now) { backends_confirmed_ = now; }
+  // Returns the time since the last confirmation.
+  Duration BackendsAge(Time now) const { return now - backends_confirmed_; }
+
   BackendDirectory& directory() { return directory_; }
   const BackendDirectory& directory() const { return directory_; }
 
@@ -193,6 +198,7 @@
   AgentLinks& links_;
   std::optional<RouteTable> table_;
   Time config_confirmed_;
+  Time backends_confirmed_;
   BackendDirectory directory_;
   std::map<AdapterName, std::int64_t> versions_;
   std::map<std::string, BackendHealth, std::less<>> health_;
--- a/src/router/fleet_updates.cc
+++ b/src/router/fleet_updates.cc
@@ -89,7 +89,10 @@
                      {[this](auto items) { OnListing(items); },
                       [this](auto items) { OnChanges(items); },
                       [this] { OnStoreRegained(); },
-                      [this](Time now) { fleet_.ConfirmConfig(now); }}),
+                      [this](Time now) {
+                        fleet_.ConfirmConfig(now);
+                        fleet_.ConfirmBackends(now);
+                      }}),
       operator_feed_(loop,
                      *store_client_,
                      log,
--- a/src/router/fleet_updates.h
+++ b/src/router/fleet_updates.h
@@ -67,9 +67,6 @@
     return all_keys_feed_.failed_calls() + operator_feed_.failed_calls();
   }
 
-  // Returns the time since the store last confirmed the backend servers.
-  Duration BackendsAge(Time now) const { return all_keys_feed_.Age(now); }
-
  private:
   void OnListing(const std::vector<platform::StoreItem>& items);
   void OnChanges(const std::vector<platform::StoreItem>& items);
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -312,7 +312,14 @@
 }
 
 void RelayCall::OnServerChanged(std::string_view server, Time now) {
-  if (state_ != State::kWaiting || placement_.server.id != server) {
+  if (placement_.server.id != server) {
+    return;
+  }
+  if (state_ == State::kSending) {
+    LogUnsent(now);
+    return;
+  }
+  if (state_ != State::kWaiting) {
     return;
   }
   if (!environment_.fleet.IsServing(placement_.server)) {
@@ -328,9 +335,22 @@
   }
 }
 
+void RelayCall::LogUnsent(Time now) {
+  if (environment_.fleet.IsServing(placement_.server) ||
+      !environment_.upstream.IsUnsent(call_)) {
+    return;
+  }
+  environment_.log.Write(
+      LogLevel::kInfo, "unsent_at_leaving_server",
+      {{"request", info_.attempt_id},
+       {"server", placement_.server.id},
+       {"after_ms", std::to_string(ToMilliseconds(now - sent_))}});
+}
+
 void RelayCall::Send(std::optional<std::int64_t> version, Time now) {
   state_ = State::kSending;
   sent_ = now;
+  backends_age_ = environment_.fleet.BackendsAge(now);
   const std::string& id = placement_.server.id;
   tried_.insert(id);
   ++progress_.may_have_run;
@@ -708,6 +728,7 @@
        {"slowness_pct",
         std::to_string(static_cast<int>(placement_.slowness * 100))},
        {"view_age_ms", std::to_string(placement_.view_age_ms)},
+       {"backends_age_ms", std::to_string(ToMilliseconds(backends_age_))},
        {"expected_ms",
         std::to_string(static_cast<int>(placement_.expected_delay_ms))},
        {"outcome", std::string(RelayOutcomeName(outcome))},
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -119,6 +119,8 @@
   void SendErrorAnswer(RelayOutcome outcome, int status, Time now);
   void Done(RelayOutcome outcome, int status, Time now);
   void LogSendEnd(SendEnd end, Time now);
+  // Logs a request that is not on its way yet although its server leaves.
+  void LogUnsent(Time now);
 
   Environment& environment_;
   const HttpRequest request_;
@@ -142,6 +144,8 @@
   Time started_;
   Time deadline_;
   Time sent_;
+  // Age of the list of backend servers at the last send.
+  Duration backends_age_ = Duration::zero();
   Time wait_started_;
   Duration waited_ = Duration::zero();
   // Time from the send to the first event of a stream.
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -29,6 +29,7 @@
     return calls.size();
   }
   void Cancel(UpstreamCallId /*call*/) override {}
+  bool IsUnsent(UpstreamCallId /*call*/) const override { return false; }
   void CloseIdle(const Address& /*server*/) override {}
   Counters counters() const override { return {}; }
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -35,6 +35,10 @@
 // stop are checked.
 constexpr Duration kTickInterval = milliseconds(50);
 
+// A tick that is later than this shows that the router is behind: its beliefs
+// and the callers that have left are older than it assumes.
+constexpr Duration kMaxTickDelay = milliseconds(250);
+
 // The router serves for this time after a stop begins: the platform sends
 // connections to other routers after two not-ready answers, one second apart.
 constexpr Duration kServeTimeAfterStop = milliseconds(2600);
@@ -122,6 +126,8 @@
   void NotifyCalls(std::string_view server);
   void SendDemandsSoon();
   void Tick();
+  // Logs a tick that comes so late that the router has fallen behind.
+  void LogLateTick(Time now);
   void CheckStopped();
 
   EventLoop& loop_;
@@ -151,6 +157,7 @@
   std::unique_ptr<HttpServer> readiness_server_;
 
   TimerId tick_timer_ = 0;
+  Time next_tick_;
   TimerId demand_timer_ = 0;
   TimerId cleanup_timer_ = 0;
   TimerId stop_timer_ = 0;
@@ -363,15 +370,26 @@
 void RouterImpl::Tick() {
   const Time now = loop_.Now();
   log_.SetNow(now);
+  LogLateTick(now);
   links_.Tick(now);
   updates_.Tick(now);
   RefuseExpiredHeld(now);
-  tick_timer_ = loop_.RunAfter(kTickInterval, [this] { Tick(); });
+  next_tick_ = now + kTickInterval;
+  tick_timer_ = loop_.RunAt(next_tick_, [this] { Tick(); });
   if (leaving_) {
     CheckStopped();
   }
 }
 
+void RouterImpl::LogLateTick(Time now) {
+  if (next_tick_ == Time() || now - next_tick_ <= kMaxTickDelay) {
+    return;
+  }
+  log_.Write(LogLevel::kWarn, "loop_late",
+             {{"late_ms", std::to_string(ToMilliseconds(now - next_tick_))},
+              {"requests", std::to_string(calls_.size())}});
+}
+
 void RouterImpl::Leave(std::function<void()> on_stopped) {
   if (leaving_) {
     return;
@@ -465,7 +483,7 @@
       {"ready", ready()},
       {"config_version", fleet_.config_version()},
       {"config_age_s", ToSeconds(fleet_.ConfigAge(now))},
-      {"backends_age_s", ToSeconds(updates_.BackendsAge(now))},
+      {"backends_age_s", ToSeconds(fleet_.BackendsAge(now))},
       {"servers", servers},
       {"router",
        {{"counters",
