--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -30,23 +30,22 @@
   std::vector<std::unique_ptr<TcpConnection>> accepted_;
   std::vector<std::string> received_;
   std::vector<bool> closed_;
+  bool accept_and_read_ = true;
   std::unique_ptr<TcpListener> listener_;
   std::unique_ptr<UpstreamClient> client_;
 
   void setup() override {
-    auto listener = TcpListener::Listen(
-        loop_, {"127.0.0.1", 0},
-        [this](std::unique_ptr<TcpConnection> connection) {
-          const std::size_t index = accepted_.size();
-          accepted_.push_back(std::move(connection));
-          received_.emplace_back();
-          closed_.push_back(false);
-          accepted_[index]->Open({nullptr,
-                                  [this, index](std::string_view bytes) {
-                                    received_[index] += bytes;
-                                  },
-                                  [this, index] { closed_[index] = true; }});
-        });
+    auto listener =
+        TcpListener::Listen(loop_, {"127.0.0.1", 0},
+                            [this](std::unique_ptr<TcpConnection> connection) {
+                              const std::size_t index = accepted_.size();
+                              accepted_.push_back(std::move(connection));
+                              received_.emplace_back();
+                              closed_.push_back(false);
+                              if (accept_and_read_) {
+                                Read(index);
+                              }
+                            });
     listener_ = std::move(*listener);
     client_ = UpstreamClient::Create(loop_, {});
   }
@@ -57,6 +56,14 @@
     listener_.reset();
   }
 
+  // Starts reading from an accepted connection.
+  void Read(std::size_t index) {
+    accepted_[index]->Open(
+        {nullptr,
+         [this, index](std::string_view bytes) { received_[index] += bytes; },
+         [this, index] { closed_[index] = true; }});
+  }
+
   template <typename Condition>
   bool RunUntil(Condition condition) {
     const Time limit = SteadyNow() + kTestTimeout;
@@ -195,6 +202,35 @@
   CHECK(!record.end.has_value());
 }
 
+// Guards against a server that runs a cancelled call, because the request still
+// waited to be read when the connection was closed.
+TEST(UpstreamClient, CancelDiscardsWhatTheServerHasNotRead) {
+  accept_and_read_ = false;
+  CallRecord record;
+  const UpstreamCallId call = Start(record);
+  CHECK(RunUntil([&] { return accepted_.size() == 1; }));
+  CHECK(RunUntil([&] { return !client_->IsUnsent(call); }));
+  client_->Cancel(call);
+  for (int round = 0; round < 5; ++round) {
+    loop_.RunOnce(std::chrono::milliseconds(10));
+  }
+  Read(0);
+  CHECK(RunUntil([&] { return closed_[0]; }));
+  CHECK("" == received_[0]);
+}
+
+// Guards against withdrawing a request that is on its way, and against sending
+// one that counts as unsent.
+TEST(UpstreamClient, RequestIsUnsentUntilItsConnectionOpens) {
+  CallRecord record;
+  const UpstreamCallId call = Start(record);
+  CHECK(client_->IsUnsent(call));
+  CHECK(HasArrived(0, "body-a1"));
+  CHECK(!client_->IsUnsent(call));
+  client_->Cancel(call);
+  CHECK(!client_->IsUnsent(call));
+}
+
 // Guards against bytes that are not HTTP being passed on or crashing the
 // parser.
 TEST(UpstreamClient, MalformedAnswerBreaksTheCall) {
