router: withdraw unsent requests when their server leaves

A server is chosen before the connection to it opens. If the server's queue of new connections is full, or the opening packet is lost, it opens up to a second later. When the router learned meanwhile that the server leaves, it closed idle connections and placed waiting requests again, but a request that waited for its connection was still written: up to the pause of the feed and a second later, which is beyond the limit.

A request of which nothing was passed to the system has not run and cannot run once its connection is closed, so it is withdrawn and placed again, also if it may not be repeated. Its end is not counted against the health of a server of the same id that may have started since.

--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -315,14 +315,14 @@
   if (placement_.server.id != server) {
     return;
   }
-  if (state_ == State::kSending) {
-    LogUnsent(now);
-    return;
+  const bool serving = environment_.fleet.IsServing(placement_.server);
+  if (state_ == State::kSending && !serving) {
+    WithdrawUnsent(now);
   }
   if (state_ != State::kWaiting) {
     return;
   }
-  if (!environment_.fleet.IsServing(placement_.server)) {
+  if (!serving) {
     StopWaiting();
     Place(now);
     return;
@@ -335,16 +335,17 @@
   }
 }
 
-void RelayCall::LogUnsent(Time now) {
-  if (environment_.fleet.IsServing(placement_.server) ||
-      !environment_.upstream.IsUnsent(call_)) {
+void RelayCall::WithdrawUnsent(Time now) {
+  if (!environment_.upstream.IsUnsent(call_)) {
     return;
   }
   environment_.log.Write(
-      LogLevel::kInfo, "unsent_at_leaving_server",
+      LogLevel::kInfo, "send_withdrawn",
       {{"request", info_.attempt_id},
        {"server", placement_.server.id},
        {"after_ms", std::to_string(ToMilliseconds(now - sent_))}});
+  environment_.upstream.Cancel(std::exchange(call_, 0));
+  FinishSend(SendEnd::kNotSent, now);
 }
 
 void RelayCall::Send(std::optional<std::int64_t> version, Time now) {
@@ -518,6 +519,9 @@
 }
 
 void RelayCall::RecordHealth(SendEnd end, Time now) {
+  if (!environment_.fleet.IsServing(placement_.server)) {
+    return;  // The next start of the server may have the same id.
+  }
   BackendResult result = BackendResult::kServed;
   switch (end) {
     case SendEnd::kNotSent:
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -119,8 +119,9 @@
   void SendErrorAnswer(RelayOutcome outcome, int status, Time now);
   void Done(RelayOutcome outcome, int status, Time now);
   void LogSendEnd(SendEnd end, Time now);
-  // Logs a request that is not on its way yet although its server leaves.
-  void LogUnsent(Time now);
+  // Takes back a request whose server leaves, and places it again, if nothing
+  // of it has been sent yet.
+  void WithdrawUnsent(Time now);
 
   Environment& environment_;
   const HttpRequest request_;
