router: do not send on requests of callers that have left

A router that is behind reads a request together with the end of its caller's connection. The request was handled at once, and its caller's departure was noticed up to 100 ms later, after the request had been sent on. Likewise for a request that waited for its adapter: the status that ends the wait may be read before the check of the callers is due. The further a router is behind, the more of what it reads are requests that their callers have given up.

Each send asks the system whether the caller is still connected, in the same way as the periodic check. It costs one system call for a send, and no send can skip it.

--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -46,6 +46,11 @@
   // Returns the number of bytes written but not yet accepted by the socket.
   virtual std::size_t buffered_bytes() const = 0;
 
+  // Returns whether the caller has disconnected, by asking the system.
+  // `OnCallerGone` reports that later, and after earlier requests of the same
+  // round were handled.
+  virtual bool IsCallerGone() const = 0;
+
   // Calls `callback` once if the caller disconnects before the answer has
   // ended, even if no byte of the answer has been sent yet.
   virtual void OnCallerGone(std::function<void()> callback) = 0;
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_exchange.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <utility>
@@ -49,6 +50,7 @@
   std::size_t buffered_bytes() const override {
     return exchange_->buffered_bytes();
   }
+  bool IsCallerGone() const override { return exchange_->IsCallerGone(); }
   void OnCallerGone(std::function<void()> callback) override {
     exchange_->OnCallerGone(std::move(callback));
   }
@@ -59,6 +61,23 @@
 
 }  // namespace
 
+std::vector<bool> HaveDisconnected(std::span<const int> sockets) {
+  std::vector<pollfd> polled;
+  polled.reserve(sockets.size());
+  for (const int socket : sockets) {
+    // POLLRDHUP is reported even if pipelined bytes are unread, while MSG_PEEK
+    // would return only those bytes.
+    polled.push_back({socket, POLLRDHUP, 0});
+  }
+  poll(polled.data(), polled.size(), 0);
+  std::vector<bool> disconnected;
+  disconnected.reserve(polled.size());
+  for (const pollfd& entry : polled) {
+    disconnected.push_back(entry.revents != 0);
+  }
+  return disconnected;
+}
+
 std::string ToString(h2o_iovec_t text) {
   return text.base == nullptr ? std::string()
                               : std::string(text.base, text.len);
@@ -137,6 +156,14 @@
   BreakConnection();
 }
 
+bool Exchange::IsCallerGone() const {
+  if (request_ == nullptr) {
+    return true;
+  }
+  const int fd = socket_fd();
+  return HaveDisconnected({&fd, 1})[0];
+}
+
 void Exchange::OnCallerGone(std::function<void()> callback) {
   on_caller_disconnected_ = std::move(callback);
 }
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "amaranthcove/net/event_loop.h"
 #include "amaranthcove/net/http.h"
@@ -18,6 +20,10 @@
 // Copies `text` into a string; empty if `text` is null.
 std::string ToString(h2o_iovec_t text);
 
+// Returns for each of `sockets` whether its peer has closed the connection or
+// has shut down its sending side; the two cannot be distinguished. Thread-safe.
+std::vector<bool> HaveDisconnected(std::span<const int> sockets);
+
 class Exchange;
 
 // Allocated in the memory pool of h2o's request. Its destruction detaches the
@@ -62,6 +68,7 @@
   void Write(std::string_view data);
   void End();
   void Abort();
+  bool IsCallerGone() const;
   void OnCallerGone(std::function<void()> callback);
   void DropCallback() { on_caller_disconnected_ = nullptr; }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -347,23 +346,20 @@
     }
   }
 
-  // Detects disconnected callers. A caller that has only shut down its sending
-  // side is treated as disconnected, because the two cannot be distinguished.
+  // Detects disconnected callers.
   void CheckCallers() {
     caller_check_timer_ = 0;
     std::vector<Exchange*> open;
-    std::vector<pollfd> sockets;
+    std::vector<int> sockets;
     for (Exchange* exchange : open_exchanges_) {
       if (!exchange->has_ended()) {
         open.push_back(exchange);
-        // POLLRDHUP is reported even if pipelined bytes are unread, while
-        // MSG_PEEK would return only those bytes.
-        sockets.push_back({exchange->socket_fd(), POLLRDHUP, 0});
+        sockets.push_back(exchange->socket_fd());
       }
     }
-    poll(sockets.data(), sockets.size(), 0);
+    const std::vector<bool> disconnected = internal::HaveDisconnected(sockets);
     for (std::size_t i = 0; i < open.size(); ++i) {
-      if (sockets[i].revents != 0 && open_exchanges_.contains(open[i])) {
+      if (disconnected[i] && open_exchanges_.contains(open[i])) {
         open[i]->HandleCallerDisconnect();
       }
     }
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -349,6 +349,10 @@
 }
 
 void RelayCall::Send(std::optional<std::int64_t> version, Time now) {
+  if (responder_->IsCallerGone()) {
+    OnCallerGone();
+    return;
+  }
   state_ = State::kSending;
   sent_ = now;
   backends_age_ = environment_.fleet.BackendsAge(now);
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -49,6 +49,7 @@
   void End() override {}
   void Abort() override {}
   std::size_t buffered_bytes() const override { return 0; }
+  bool IsCallerGone() const override { return false; }
   void OnCallerGone(std::function<void()> callback) override {
     if (on_caller_gone_ != nullptr) {
       *on_caller_gone_ = std::move(callback);
