net: reset the connections of cancelled upstream calls

Servers got requests of callers that had left (GONE), also after the router had cancelled them: the connection was closed in the orderly way, so the system went on delivering what the server had not received yet, for example bytes that were lost and are sent again, or a request that waited for a slow reader.

A reset makes the system drop its send buffer. Connections that end for other reasons are closed as before.

--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -45,6 +45,10 @@
   // Sets the callbacks of an accepted connection and starts reading.
   void Open(Callbacks callbacks);
 
+  // Makes the destructor reset the connection instead of closing it in the
+  // orderly way: bytes that have not arrived at the peer yet are discarded.
+  void ResetOnClose();
+
   // Queues `bytes` for sending. Does nothing after the connection has closed.
   void Write(std::string_view bytes);
 
--- a/include/amaranthcove/net/upstream_client.h
+++ b/include/amaranthcove/net/upstream_client.h
@@ -87,8 +87,9 @@
                        std::size_t max_body_bytes,
                        std::function<void(UpstreamEnd, HttpResponse)> done);
 
-  // Cancels a call and closes its connection; no callback follows. Unknown and
-  // ended calls are ignored.
+  // Cancels a call and resets its connection, so that a request that is still
+  // on its way is discarded; no callback follows. Unknown and ended calls
+  // are ignored.
   virtual void Cancel(UpstreamCallId call) = 0;
 
   // Returns whether nothing of the request has been passed to the system yet,
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -122,6 +122,15 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
+void TcpConnection::ResetOnClose() {
+  if (socket_ == nullptr) {
+    return;
+  }
+  const linger discard = {1, 0};
+  setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &discard,
+             sizeof(discard));
+}
+
 void TcpConnection::Open(Callbacks callbacks) {
   callbacks_ = std::make_shared<const Callbacks>(std::move(callbacks));
   connected_ = true;
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -63,6 +63,15 @@
   // Closes the connection. No callback of the connection follows.
   void Close() { tcp_.reset(); }
 
+  // Closes the connection such that the server does not get what is still on
+  // its way.
+  void Reset() {
+    if (tcp_ != nullptr) {
+      tcp_->ResetOnClose();
+    }
+    Close();
+  }
+
   const Address& server() const { return server_; }
   UpstreamCallId call() const { return call_; }
   bool opened() const { return opened_; }
@@ -155,6 +164,7 @@
     }
     Connection& connection = *found->second;
     connection.TakeCallbacks();
+    connection.Reset();
     RemoveCallAndConnection(connection, call);
   }
 
