router: log the shared parts of the prompts of sends that failed

One part of a prompt may crash each engine that begins to write an answer on it. The logs could not show which part the requests at crashed engines have in common, because they did not name the parts.

--- a/include/amaranthcove/relay/request_info.h
+++ b/include/amaranthcove/relay/request_info.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "amaranthcove/base/time.h"
 
@@ -19,8 +20,9 @@
   std::string adapter;  // Empty for the base model itself.
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
-  // The part of the prompt that many sessions have in common; empty if none.
-  std::string shared_prefix;
+  // Ids of the parts of the prompt that other requests may share, in order. The
+  // rest of the prompt belongs to this request or its session.
+  std::vector<std::string> shared_parts;
   // Id of the last event that the caller received of a stream that it resumes.
   std::string last_event_id;
 };
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -1,6 +1,7 @@
 #include "src/router/relay_call.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "amaranthcove/base/hash.h"
@@ -69,6 +70,15 @@
   return "unknown";
 }
 
+std::string JoinParts(std::span<const std::string> parts) {
+  std::string joined;
+  for (const std::string& part : parts) {
+    joined += joined.empty() ? "" : ",";
+    joined += part;
+  }
+  return joined;
+}
+
 // Formats `duration` as seconds with three decimals.
 std::string FormatSeconds(Duration duration) {
   const std::string digits = std::to_string(ToMilliseconds(duration) + 1000000);
@@ -598,7 +608,8 @@
        {"end", std::string(SendEndName(end))},
        {"status", std::to_string(has_head_ ? head_.status : 0)},
        {"after_ms", std::to_string(ToMilliseconds(now - sent_))},
-       {"begun", progress_.answer_begun ? "1" : "0"}});
+       {"begun", progress_.answer_begun ? "1" : "0"},
+       {"parts", JoinParts(info_.shared_parts)}});
 }
 
 void RelayCall::RestartSilenceTimer(std::optional<Duration> limit) {
