suspects: find the parts of prompts that crash engines

Nothing puts the crashes of engines together: each router sees some of the sends that broke, one at a time. FindCrashCauses derives from crashes, and from the parts that engines have begun to answer since, the fewest parts that explain them; CrashTable keeps the crashes that a router knows.

Not used yet. The tests replay the patterns of load: one part in each crash, sound requests beside it, engines that crash together for another reason, and random histories.

--- /dev/null
+++ b/include/amaranthcove/suspects/crash_cause.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTHCOVE_SUSPECTS_CRASH_CAUSE_H_
+#define AMARANTHCOVE_SUSPECTS_CRASH_CAUSE_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// Identifies a part of a prompt in all processes.
+using PartId = std::uint64_t;
+
+// Returns the id for a part that callers name `name`. Thread-safe.
+PartId HashPart(std::string_view name);
+
+// A request that an engine had not begun to answer when its connection broke.
+struct LostRequest {
+  std::uint64_t request = 0;  // Hash of the id of the caller's attempt.
+  std::vector<PartId> parts;  // Of its prompt, in order.
+};
+
+// A crash of an engine, with the requests that may have caused it.
+struct EngineCrash {
+  Time at;
+  std::vector<LostRequest> requests;
+};
+
+// When engines began to answer requests with each part. Holds at least the last
+// `kMinKeptParts` parts.
+//
+// Thread safety: none.
+class BegunParts {
+ public:
+  static constexpr std::size_t kMinKeptParts = 8192;
+
+  void Record(std::span<const PartId> parts, Time now);
+  // Returns the last time for `part`, or nullopt if none is known.
+  std::optional<Time> LastBegun(PartId part) const;
+
+ private:
+  std::unordered_map<PartId, Time> newer_;
+  std::unordered_map<PartId, Time> older_;
+};
+
+// Parts of prompts that crash engines. Several parts are listed if they
+// occurred only together, so that it is unknown which of them is the cause.
+struct CrashCause {
+  std::vector<PartId> parts;
+  int crashes = 0;
+  Time until;  // Requests with all parts are not sent to engines until then.
+};
+
+// Returns the fewest causes that explain `crashes` as of `now`.
+//
+// An engine that crashes takes all its requests with it. A part cannot be the
+// cause of a crash if an engine has begun to answer a request with it since.
+// The parts left in most crashes are the cause of these, which then count for
+// no other part. A cause needs several crashes, not all at the same moment,
+// because engines also crash together for other reasons. Parts that engines
+// have answered before need more of them, and are tried again sooner.
+// Thread-safe.
+std::vector<CrashCause> FindCrashCauses(std::span<const EngineCrash> crashes,
+                                        const BegunParts& begun,
+                                        Time now);
+
+// Returns whether a request with `parts` holds all parts of `cause`.
+// Thread-safe.
+bool HoldsCause(std::span<const PartId> parts, const CrashCause& cause);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_SUSPECTS_CRASH_CAUSE_H_
--- /dev/null
+++ b/src/suspects/crash_table.cc
@@ -0,0 +1,89 @@
+#include "amaranthcove/suspects/crash_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthcove {
+
+namespace {
+
+bool HoldsPart(const EngineCrash& crash, PartId part) {
+  return std::any_of(crash.requests.begin(), crash.requests.end(),
+                     [part](const LostRequest& request) {
+                       return std::find(request.parts.begin(),
+                                        request.parts.end(),
+                                        part) != request.parts.end();
+                     });
+}
+
+}  // namespace
+
+bool CrashTable::Put(const CrashKey& key, EngineCrash crash, Time now) {
+  const auto found = crashes_.find(key);
+  if (found != crashes_.end()) {
+    // Reports state the age of a crash, so later ones give a later time the
+    // longer they were on their way.
+    crash.at = std::min(crash.at, found->second.at);
+  }
+  crashes_[key] = std::move(crash);
+  Expire(now);
+  return UpdateCauses(now);
+}
+
+std::vector<ClearedPart> CrashTable::RecordBegun(std::span<const PartId> parts,
+                                                 Time now) {
+  std::vector<ClearedPart> cleared;
+  for (const PartId part : parts) {
+    const std::optional<Time> last_begun = begun_.LastBegun(part);
+    for (const auto& [key, crash] : crashes_) {
+      if ((!last_begun || *last_begun <= crash.at) && HoldsPart(crash, part)) {
+        cleared.push_back({key.agent, part});
+      }
+    }
+  }
+  begun_.Record(parts, now);
+  if (!cleared.empty()) {
+    UpdateCauses(now);
+  }
+  return cleared;
+}
+
+const CrashCause* CrashTable::FindCause(std::span<const PartId> parts,
+                                        Time now) {
+  for (const CrashCause& cause : causes_) {
+    if (now < cause.until && HoldsCause(parts, cause)) {
+      return &cause;
+    }
+  }
+  return nullptr;
+}
+
+void CrashTable::Expire(Time now) {
+  std::erase_if(crashes_, [now](const auto& item) {
+    return now - item.second.at >= kLifetime;
+  });
+  while (crashes_.size() > kMaxCrashes) {
+    crashes_.erase(std::min_element(crashes_.begin(), crashes_.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second.at < b.second.at;
+                                    }));
+  }
+}
+
+bool CrashTable::UpdateCauses(Time now) {
+  std::vector<EngineCrash> crashes;
+  crashes.reserve(crashes_.size());
+  for (const auto& [key, crash] : crashes_) {
+    crashes.push_back(crash);
+  }
+  std::vector<CrashCause> causes = FindCrashCauses(crashes, begun_, now);
+  const bool changed =
+      !std::equal(causes.begin(), causes.end(), causes_.begin(), causes_.end(),
+                  [](const CrashCause& a, const CrashCause& b) {
+                    return a.parts == b.parts;
+                  });
+  causes_ = std::move(causes);
+  return changed;
+}
+
+}  // namespace amaranthcove
