--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -72,6 +72,9 @@
   // demand is not newer than the stored one of the same incarnation.
   bool Put(const Address& router, RouterDemand demand, Time now);
 
+  // Returns whether there is a demand of this incarnation of `router`.
+  bool Knows(const Address& router, std::int64_t incarnation) const;
+
   // Removes the demands whose lifetime has passed, and limits the number of
   // stored last uses.
   void Expire(Time now);
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -16,6 +16,7 @@
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/suspects/crash_table.h"
 
 namespace amaranthcove {
 
@@ -106,6 +107,8 @@
     std::optional<std::string> engine;
     // Prompts that may be sent now.
     std::vector<std::int64_t> admitted;
+    // Crashes that the agent reports, with their times on the local clock.
+    std::vector<std::pair<CrashKey, EngineCrash>> crashes;
   };
 
   // Processes a datagram from `sender`. Drops malformed datagrams, those of
@@ -174,6 +177,14 @@
   // wait for its place. Otherwise the agent learns it with the next demand.
   void ReportEnd(std::string_view engine, Time now);
 
+  // Tells the agent of `engine` at once that the engine had not begun to answer
+  // a request when its connection broke.
+  void ReportLost(std::string_view engine, LostRequest request, Time now);
+
+  // Tells an agent at once that an engine has begun to answer a request with a
+  // part that the agent has reported with a crash.
+  void ReportBegun(const ClearedPart& cleared, Time now);
+
   // Removes `adapter` from the snapshot of `engine`. To be called when the
   // engine refuses a request for an adapter that its snapshot contains.
   void MarkAbsent(std::string_view engine, const AdapterName& adapter);
@@ -200,6 +211,16 @@
     std::map<std::int64_t, AskedPrompt> asked;  // By id.
   };
   using Uses = std::map<AdapterName, Use>;
+  // What an agent is told in each demand until `expires`, because a datagram
+  // may be lost.
+  struct LostReport {
+    LostRequest request;
+    Time expires;
+  };
+  struct BegunReport {
+    PartId part = 0;
+    Time expires;
+  };
   struct Link {
     AgentEndpoint endpoint;
     std::optional<EngineSnapshot> snapshot;
@@ -208,6 +229,8 @@
     Time next_send;
     PromptWindow window;
     bool has_late_pauses = false;
+    std::vector<LostReport> lost;
+    std::vector<BegunReport> begun;
   };
 
   Link* FindLink(std::string_view engine);
@@ -215,6 +238,11 @@
   Use& GetOrAddUse(std::string_view engine, const AdapterName& adapter);
   // Makes the demand for `engine` due no later than `at`.
   void ScheduleSend(std::string_view engine, Time at);
+  // Adds the reports on crashes to `demand` and drops those that have expired.
+  // Returns whether there are any.
+  static bool AddReportsTo(agent_wire::AdapterDemand& demand,
+                           Link& link,
+                           Time now);
   void AddPromptsTo(agent_wire::AdapterDemand& demand,
                     const std::string& engine,
                     Time now) const;
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "amaranthcove/adapter_agent/adapter_plan.h"
+#include "amaranthcove/adapter_agent/crash_recorder.h"
 #include "amaranthcove/adapter_agent/demand_table.h"
 #include "amaranthcove/adapter_agent/event_interval_estimator.h"
 #include "amaranthcove/agent_link/datagram.h"
@@ -34,6 +35,12 @@
 // a few milliseconds.
 constexpr Duration kCallTimeout = milliseconds(700);
 
+// A crash is reported after this delay, in which several routers tell what they
+// have lost, and repeated because datagrams may be lost.
+constexpr Duration kCrashReportDelay = milliseconds(10);
+constexpr Duration kCrashRepeatInterval = milliseconds(250);
+constexpr Duration kCrashRepeatTime = std::chrono::seconds(5);
+
 // Size limit of a response. A report lists each adapter and each run, with
 // about 100 bytes each.
 constexpr std::size_t kMaxResponseBytes = 1 << 20;
@@ -99,6 +106,19 @@
   return result;
 }
 
+agent_wire::EngineCrash ToWire(const RecordedCrash& recorded, Time now) {
+  agent_wire::EngineCrash wire;
+  wire.started_at_ms = recorded.engine_started_at_ms;
+  wire.age_ms = ToMilliseconds(now - recorded.crash.at);
+  for (const LostRequest& request : recorded.crash.requests) {
+    agent_wire::LostRequest item;
+    item.request = static_cast<std::int64_t>(request.request);
+    item.parts.assign(request.parts.begin(), request.parts.end());
+    wire.requests.push_back(std::move(item));
+  }
+  return wire;
+}
+
 RouterDemand FromWire(const agent_wire::AdapterDemand& wire) {
   RouterDemand demand;
   demand.incarnation = wire.incarnation;
@@ -161,6 +181,7 @@
     loop_.Cancel(status_timer_);
     loop_.Cancel(loads_timer_);
     loop_.Cancel(admission_timer_);
+    loop_.Cancel(crashes_timer_);
   }
 
   Status Start() override;
@@ -191,6 +212,13 @@
   // Admits waiting prompts and tells their routers.
   void SendAdmissions();
   void LogLimitChange();
+  // Records what a router tells of crashes.
+  void OnCrashReports(const agent_wire::AdapterDemand& demand);
+  // Records a crash of the engine that sent the last report.
+  void OnEngineCrash();
+  // Tells all routers the crashes soon, and repeats that for some time.
+  void SendCrashesSoon();
+  void SendCrashes(const std::vector<Address>& routers);
   agent_wire::EngineLoad MakeLoad(const RequestLoad& load);
 
   EventLoop& loop_;
@@ -200,6 +228,8 @@
   std::unique_ptr<UpstreamClient> client_;
   std::unique_ptr<UdpSocket> udp_;
   DemandTable demands_;
+  CrashRecorder crash_recorder_;
+  Time crashes_sent_until_;
   std::optional<EngineReport> report_;
   EventIntervalEstimator event_interval_estimator_;
   bool reachable_ = false;
@@ -221,6 +251,7 @@
   TimerId status_timer_ = 0;
   TimerId loads_timer_ = 0;
   TimerId admission_timer_ = 0;
+  TimerId crashes_timer_ = 0;
   Time loads_sent_;
   bool prompts_limited_ = false;
   std::uint64_t orders_ = 0;
@@ -254,12 +285,18 @@
                {{"sender", FormatAddress(sender)}});
     return;
   }
+  const bool is_known_router =
+      demands_.Knows(sender, datagram->demand.incarnation);
   const RequestLoad load_before = demands_.TotalLoad(loop_.Now());
   const bool is_new =
       demands_.Put(sender, FromWire(datagram->demand), loop_.Now());
   if (!is_new) {
     return;
   }
+  OnCrashReports(datagram->demand);
+  if (!is_known_router) {
+    SendCrashes({sender});
+  }
   const RequestLoad load = demands_.TotalLoad(loop_.Now());
   // A single prompt delays nobody.
   if (load_before.prompt_tokens > 0 &&
@@ -343,6 +380,7 @@
   ++failures_;
   if (failures_ == kFailuresUntilUnreachable && reachable_) {
     reachable_ = false;
+    OnEngineCrash();
     report_.reset();
     log_.Write(LogLevel::kWarn, "engine_lost",
                {{"engine", FormatAddress(settings_.engine)}});
@@ -361,6 +399,9 @@
                 {"models", std::to_string(report.models.size())},
                 {"adapters", std::to_string(report.resident.size())}});
   }
+  if (report_ && report_->started_at_ms != report.started_at_ms) {
+    OnEngineCrash();
+  }
   const bool changed = !report_ || report_->resident != report.resident ||
                        report_->models != report.models;
   event_interval_estimator_.Observe(report, loop_.Now());
@@ -566,6 +607,62 @@
               {"batch_size", std::to_string(limits.batch_size)}});
 }
 
+void AdapterAgentImpl::OnCrashReports(const agent_wire::AdapterDemand& demand) {
+  const Time now = loop_.Now();
+  bool changed = false;
+  for (const agent_wire::LostRequest& item : demand.lost) {
+    LostRequest request;
+    request.request = static_cast<std::uint64_t>(item.request);
+    request.parts.assign(item.parts.begin(), item.parts.end());
+    changed = crash_recorder_.OnLost(std::move(request), now) || changed;
+  }
+  for (const std::int64_t part : demand.begun_parts) {
+    changed = crash_recorder_.OnBegun(static_cast<PartId>(part)) || changed;
+  }
+  if (changed) {
+    SendCrashesSoon();
+  }
+}
+
+void AdapterAgentImpl::OnEngineCrash() {
+  if (report_ && crash_recorder_.OnCrash(report_->started_at_ms, loop_.Now())) {
+    SendCrashesSoon();
+  }
+}
+
+void AdapterAgentImpl::SendCrashesSoon() {
+  const Time now = loop_.Now();
+  crashes_sent_until_ = now + kCrashRepeatTime;
+  loop_.Cancel(crashes_timer_);
+  crashes_timer_ = loop_.RunAt(now + kCrashReportDelay, [this] {
+    crashes_timer_ = 0;
+    SendCrashes(demands_.Routers());
+  });
+}
+
+void AdapterAgentImpl::SendCrashes(const std::vector<Address>& routers) {
+  const Time now = loop_.Now();
+  agent_wire::AgentDatagram datagram;
+  agent_wire::CrashReport report;
+  for (const RecordedCrash& recorded : crash_recorder_.Crashes(now)) {
+    report.crashes.push_back(ToWire(recorded, now));
+  }
+  if (report.crashes.empty()) {
+    return;
+  }
+  datagram.__set_crash_report(report);
+  const std::string bytes = EncodeDatagram(datagram);
+  for (const Address& router : routers) {
+    udp_->Send(router, bytes);
+  }
+  if (crashes_timer_ == 0 && now < crashes_sent_until_) {
+    crashes_timer_ = loop_.RunAt(now + kCrashRepeatInterval, [this] {
+      crashes_timer_ = 0;
+      SendCrashes(demands_.Routers());
+    });
+  }
+}
+
 void AdapterAgentImpl::SendAdmissions() {
   const auto admitted = demands_.AdmitPrompts(loop_.Now());
   if (demands_.has_waiting_prompts() && admission_timer_ == 0) {
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -58,6 +58,12 @@
   return true;
 }
 
+bool DemandTable::Knows(const Address& router, std::int64_t incarnation) const {
+  const auto entry = entries_.find(router);
+  return entry != entries_.end() &&
+         entry->second.demand.incarnation == incarnation;
+}
+
 void DemandTable::Expire(Time now) {
   std::erase_if(entries_, [now](const auto& item) {
     return now - item.second.received >= kDemandLifetime;
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -26,6 +26,13 @@
   3: i32 rank            // 0 is first.
 }
 
+// A request whose connection to the engine broke before the engine began to
+// answer it.
+struct LostRequest {
+  1: i64 request         // Hash of the id of the caller's attempt.
+  2: list<i64> parts     // Hashes of the ids of the parts of its prompt.
+}
+
 // Sent by a router to an agent.
 struct AdapterDemand {
   1: string router
@@ -47,6 +54,9 @@
                              // the router has sent to the engine.
   13: i32 gap_ms
   14: bool has_late_pauses   // Whether prompts have lately made streams late.
+  15: list<LostRequest> lost // Of about the last second.
+  16: list<i64> begun_parts  // Parts that the agent listed with a crash, and
+                             // with which an engine began an answer since.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
@@ -89,8 +99,23 @@
   7: list<i64> admitted  // Waiting prompts of the receiver that it may send.
 }
 
+// A crash of the agent's engine.
+struct EngineCrash {
+  1: i64 started_at_ms   // Start of the engine that crashed.
+  2: i64 age_ms          // Time since the crash.
+  3: list<LostRequest> requests  // Without the parts that have begun since.
+}
+
+// The crashes of the agent's engine that may have been caused by a request.
+// Sent by an agent to all routers some times after each change, and to a router
+// that is new to the agent.
+struct CrashReport {
+  1: list<EngineCrash> crashes
+}
+
 struct AgentDatagram {
   1: optional AdapterDemand demand
   2: optional EngineStatus status
   3: optional EngineLoad load
+  4: optional CrashReport crash_report
 }
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -292,4 +292,47 @@
   CHECK(!links_.HasHeld("e1", kSilk));
 }
 
+// Guards against an agent that misses which requests a crash broke because one
+// datagram was lost, and against reports that are repeated for ever.
+TEST(AgentLinks, RepeatsReportsOnCrashesForSomeTime) {
+  links_.ReportLost("e1", {5, {10, 11}}, kStart);
+  links_.ReportBegun({kAgent, 12}, kStart);
+  links_.Tick(kStart);
+  links_.Tick(kStart + milliseconds(100));
+  CHECK_EQUAL(2, static_cast<int>(sent_.size()));
+  for (const agent_wire::AdapterDemand& demand : sent_) {
+    CHECK_EQUAL(5, static_cast<int>(demand.lost[0].request));
+    CHECK(demand.lost[0].parts == std::vector<std::int64_t>({10, 11}));
+    CHECK(demand.begun_parts == std::vector<std::int64_t>{12});
+  }
+  links_.Tick(kStart + milliseconds(600));
+  CHECK(sent_.back().lost.empty());
+  CHECK(sent_.back().begun_parts.empty());
+}
+
+// Guards against a crash that counts as later than it was, so that parts that
+// began since do not clear it.
+TEST(AgentLinks, CrashReportsKeepTheTimeOfTheCrash) {
+  agent_wire::LostRequest request;
+  request.request = 5;
+  request.parts = {10, -1};
+  agent_wire::EngineCrash crash;
+  crash.started_at_ms = 1000;
+  crash.age_ms = 300;
+  crash.requests = {request};
+  agent_wire::AgentDatagram datagram;
+  datagram.__isset.crash_report = true;
+  datagram.crash_report.crashes = {crash};
+  const std::string bytes = EncodeDatagram(datagram);
+  CHECK(links_.Receive({"10.0.0.8", 7000}, bytes, kStart).crashes.empty());
+  const auto update = links_.Receive(kAgent, bytes, kStart);
+  CHECK_EQUAL(1, static_cast<int>(update.crashes.size()));
+  const auto& [key, received] = update.crashes[0];
+  CHECK(key.agent == kAgent);
+  CHECK_EQUAL(1000, static_cast<int>(key.engine_started_at_ms));
+  CHECK(received.at == kStart - milliseconds(300));
+  CHECK(received.requests[0].parts ==
+        std::vector<PartId>({10, static_cast<PartId>(-1)}));
+}
+
 }  // namespace amaranthcove
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -26,6 +26,11 @@
 constexpr Duration kMaxReadDemandDelay = milliseconds(30);
 constexpr Duration kRepeatIntervalWhileIdle = milliseconds(500);
 
+// Reports on crashes are repeated for this time.
+constexpr Duration kReportLifetime = milliseconds(500);
+// Bounds the reports in a datagram.
+constexpr std::size_t kMaxReports = 32;
+
 // Number of adapters per engine that are remembered as held. How many copies an
 // engine keeps is not known; few adapters are asked for again after so many
 // others.
@@ -119,6 +124,27 @@
   return lowest;
 }
 
+EngineCrash ToCrash(const agent_wire::EngineCrash& wire, Time now) {
+  EngineCrash crash;
+  crash.at = now - milliseconds(std::clamp<std::int64_t>(
+                       wire.age_ms, 0, ToMilliseconds(CrashTable::kLifetime)));
+  for (const agent_wire::LostRequest& item : wire.requests) {
+    LostRequest request;
+    request.request = static_cast<std::uint64_t>(item.request);
+    request.parts.assign(item.parts.begin(), item.parts.end());
+    crash.requests.push_back(std::move(request));
+  }
+  return crash;
+}
+
+// Adds `report` for `kReportLifetime`, unless there are too many.
+template <typename Report>
+void AddReport(std::vector<Report>& reports, Report report) {
+  if (reports.size() < kMaxReports) {
+    reports.push_back(std::move(report));
+  }
+}
+
 template <typename Uses>
 void EraseEnded(Uses& uses) {
   std::erase_if(uses, [](const auto& item) {
@@ -171,6 +197,13 @@
     if (link.endpoint.agent != sender) {
       continue;
     }
+    if (datagram->__isset.crash_report && update.crashes.empty()) {
+      for (const agent_wire::EngineCrash& crash :
+           datagram->crash_report.crashes) {
+        update.crashes.emplace_back(CrashKey{sender, crash.started_at_ms},
+                                    ToCrash(crash, now));
+      }
+    }
     if (datagram->__isset.status) {
       const agent_wire::EngineStatus& status = datagram->status;
       if (IsOfOtherStart(status, link.endpoint)) {
@@ -381,6 +414,44 @@
   }
 }
 
+void AgentLinks::ReportLost(std::string_view engine,
+                            LostRequest request,
+                            Time now) {
+  if (Link* link = FindLink(engine)) {
+    AddReport(link->lost, {std::move(request), now + kReportLifetime});
+    link->next_send = std::min(link->next_send, now);
+  }
+}
+
+void AgentLinks::ReportBegun(const ClearedPart& cleared, Time now) {
+  for (auto& [engine, link] : links_) {
+    if (link.endpoint.agent == cleared.agent) {
+      AddReport(link.begun, {cleared.part, now + kReportLifetime});
+      link.next_send = std::min(link.next_send, now);
+    }
+  }
+}
+
+bool AgentLinks::AddReportsTo(agent_wire::AdapterDemand& demand,
+                              Link& link,
+                              Time now) {
+  const auto has_expired = [now](const auto& report) {
+    return now >= report.expires;
+  };
+  std::erase_if(link.lost, has_expired);
+  std::erase_if(link.begun, has_expired);
+  for (const LostReport& report : link.lost) {
+    agent_wire::LostRequest item;
+    item.request = static_cast<std::int64_t>(report.request.request);
+    item.parts.assign(report.request.parts.begin(), report.request.parts.end());
+    demand.lost.push_back(std::move(item));
+  }
+  for (const BegunReport& report : link.begun) {
+    demand.begun_parts.push_back(static_cast<std::int64_t>(report.part));
+  }
+  return !link.lost.empty() || !link.begun.empty();
+}
+
 void AgentLinks::MarkAbsent(std::string_view engine,
                             const AdapterName& adapter) {
   Link* link = FindLink(engine);
@@ -408,7 +479,8 @@
   demand.has_late_pauses = link.has_late_pauses;
   AddPromptsTo(demand, engine, now);
   Uses& uses = uses_[engine];
-  bool waiting = !demand.prompts.empty();
+  const bool has_reports = AddReportsTo(demand, link, now);
+  bool waiting = has_reports || !demand.prompts.empty();
   for (const auto& [adapter, use] : uses) {
     agent_wire::AdapterUse item;
     item.model = adapter.first;
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -450,6 +450,138 @@
 }
 
 
+LostRequest::~LostRequest() noexcept {
+}
+
+
+void LostRequest::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void LostRequest::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LostRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->parts.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
+            {
+              xfer += iprot->readI64(this->parts[_i10]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LostRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostRequest");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter11;
+    for (_iter11 = this->parts.begin(); _iter11 != this->parts.end(); ++_iter11)
+    {
+      xfer += oprot->writeI64((*_iter11));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostRequest &a, LostRequest &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+LostRequest::LostRequest(const LostRequest& other12) {
+  request = other12.request;
+  parts = other12.parts;
+  __isset = other12.__isset;
+}
+LostRequest& LostRequest::operator=(const LostRequest& other13) {
+  request = other13.request;
+  parts = other13.parts;
+  __isset = other13.__isset;
+  return *this;
+}
+void LostRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LostRequest(";
+  out << "request=" << to_string(request);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
 AdapterDemand::~AdapterDemand() noexcept {
 }
 
@@ -509,6 +641,14 @@
 void AdapterDemand::__set_has_late_pauses(const bool val) {
   this->has_late_pauses = val;
 }
+
+void AdapterDemand::__set_lost(const std::vector<LostRequest> & val) {
+  this->lost = val;
+}
+
+void AdapterDemand::__set_begun_parts(const std::vector<int64_t> & val) {
+  this->begun_parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -557,14 +697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->uses.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->uses.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->uses[_i10].read(iprot);
+              xfer += this->uses[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -593,14 +733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->models.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->models.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += this->models[_i15].read(iprot);
+              xfer += this->models[_i23].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -629,14 +769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->prompts.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->prompts.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->prompts[_i20].read(iprot);
+              xfer += this->prompts[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -685,6 +825,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lost.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->lost.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
+            {
+              xfer += this->lost[_i33].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->begun_parts.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->begun_parts.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI64(this->begun_parts[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.begun_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -713,10 +893,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<AdapterUse> ::const_iterator _iter21;
-    for (_iter21 = this->uses.begin(); _iter21 != this->uses.end(); ++_iter21)
+    std::vector<AdapterUse> ::const_iterator _iter39;
+    for (_iter39 = this->uses.begin(); _iter39 != this->uses.end(); ++_iter39)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -733,10 +913,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<BaseModel> ::const_iterator _iter22;
-    for (_iter22 = this->models.begin(); _iter22 != this->models.end(); ++_iter22)
+    std::vector<BaseModel> ::const_iterator _iter40;
+    for (_iter40 = this->models.begin(); _iter40 != this->models.end(); ++_iter40)
     {
-      xfer += (*_iter22).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -753,10 +933,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<WaitingPrompt> ::const_iterator _iter23;
-    for (_iter23 = this->prompts.begin(); _iter23 != this->prompts.end(); ++_iter23)
+    std::vector<WaitingPrompt> ::const_iterator _iter41;
+    for (_iter41 = this->prompts.begin(); _iter41 != this->prompts.end(); ++_iter41)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -782,6 +962,30 @@
   xfer += oprot->writeBool(this->has_late_pauses);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
+    std::vector<LostRequest> ::const_iterator _iter42;
+    for (_iter42 = this->lost.begin(); _iter42 != this->lost.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun_parts", ::apache::thrift::protocol::T_LIST, 16);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->begun_parts.size()));
+    std::vector<int64_t> ::const_iterator _iter43;
+    for (_iter43 = this->begun_parts.begin(); _iter43 != this->begun_parts.end(); ++_iter43)
+    {
+      xfer += oprot->writeI64((*_iter43));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -803,42 +1007,48 @@
   swap(a.sent_tokens, b.sent_tokens);
   swap(a.gap_ms, b.gap_ms);
   swap(a.has_late_pauses, b.has_late_pauses);
+  swap(a.lost, b.lost);
+  swap(a.begun_parts, b.begun_parts);
   swap(a.__isset, b.__isset);
 }
 
-AdapterDemand::AdapterDemand(const AdapterDemand& other24) {
-  router = other24.router;
-  sequence = other24.sequence;
-  uses = other24.uses;
-  adapter_places = other24.adapter_places;
-  weights_mb = other24.weights_mb;
-  models = other24.models;
-  incarnation = other24.incarnation;
-  prompt_tokens = other24.prompt_tokens;
-  prompts = other24.prompts;
-  prompt_window = other24.prompt_window;
-  batch_size = other24.batch_size;
-  sent_tokens = other24.sent_tokens;
-  gap_ms = other24.gap_ms;
-  has_late_pauses = other24.has_late_pauses;
-  __isset = other24.__isset;
-}
-AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other25) {
-  router = other25.router;
-  sequence = other25.sequence;
-  uses = other25.uses;
-  adapter_places = other25.adapter_places;
-  weights_mb = other25.weights_mb;
-  models = other25.models;
-  incarnation = other25.incarnation;
-  prompt_tokens = other25.prompt_tokens;
-  prompts = other25.prompts;
-  prompt_window = other25.prompt_window;
-  batch_size = other25.batch_size;
-  sent_tokens = other25.sent_tokens;
-  gap_ms = other25.gap_ms;
-  has_late_pauses = other25.has_late_pauses;
-  __isset = other25.__isset;
+AdapterDemand::AdapterDemand(const AdapterDemand& other44) {
+  router = other44.router;
+  sequence = other44.sequence;
+  uses = other44.uses;
+  adapter_places = other44.adapter_places;
+  weights_mb = other44.weights_mb;
+  models = other44.models;
+  incarnation = other44.incarnation;
+  prompt_tokens = other44.prompt_tokens;
+  prompts = other44.prompts;
+  prompt_window = other44.prompt_window;
+  batch_size = other44.batch_size;
+  sent_tokens = other44.sent_tokens;
+  gap_ms = other44.gap_ms;
+  has_late_pauses = other44.has_late_pauses;
+  lost = other44.lost;
+  begun_parts = other44.begun_parts;
+  __isset = other44.__isset;
+}
+AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other45) {
+  router = other45.router;
+  sequence = other45.sequence;
+  uses = other45.uses;
+  adapter_places = other45.adapter_places;
+  weights_mb = other45.weights_mb;
+  models = other45.models;
+  incarnation = other45.incarnation;
+  prompt_tokens = other45.prompt_tokens;
+  prompts = other45.prompts;
+  prompt_window = other45.prompt_window;
+  batch_size = other45.batch_size;
+  sent_tokens = other45.sent_tokens;
+  gap_ms = other45.gap_ms;
+  has_late_pauses = other45.has_late_pauses;
+  lost = other45.lost;
+  begun_parts = other45.begun_parts;
+  __isset = other45.__isset;
   return *this;
 }
 void AdapterDemand::printTo(std::ostream& out) const {
@@ -858,6 +1068,8 @@
   out << ", " << "sent_tokens=" << to_string(sent_tokens);
   out << ", " << "gap_ms=" << to_string(gap_ms);
   out << ", " << "has_late_pauses=" << to_string(has_late_pauses);
+  out << ", " << "lost=" << to_string(lost);
+  out << ", " << "begun_parts=" << to_string(begun_parts);
   out << ")";
 }
 
@@ -971,17 +1183,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ResidentAdapter::ResidentAdapter(const ResidentAdapter& other26) {
-  adapter = other26.adapter;
-  version = other26.version;
-  model = other26.model;
-  __isset = other26.__isset;
+ResidentAdapter::ResidentAdapter(const ResidentAdapter& other46) {
+  adapter = other46.adapter;
+  version = other46.version;
+  model = other46.model;
+  __isset = other46.__isset;
 }
-ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other27) {
-  adapter = other27.adapter;
-  version = other27.version;
-  model = other27.model;
-  __isset = other27.__isset;
+ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other47) {
+  adapter = other47.adapter;
+  version = other47.version;
+  model = other47.model;
+  __isset = other47.__isset;
   return *this;
 }
 void ResidentAdapter::printTo(std::ostream& out) const {
@@ -1089,14 +1301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->models.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->models.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readString(this->models[_i32]);
+              xfer += iprot->readString(this->models[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1109,14 +1321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resident.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->resident.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->resident.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->resident[_i37].read(iprot);
+              xfer += this->resident[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1129,14 +1341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loading.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->loading.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->loading.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->loading[_i42].read(iprot);
+              xfer += this->loading[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1241,10 +1453,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter43;
-    for (_iter43 = this->models.begin(); _iter43 != this->models.end(); ++_iter43)
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->models.begin(); _iter63 != this->models.end(); ++_iter63)
     {
-      xfer += oprot->writeString((*_iter43));
+      xfer += oprot->writeString((*_iter63));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1253,10 +1465,10 @@
   xfer += oprot->writeFieldBegin("resident", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resident.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter44;
-    for (_iter44 = this->resident.begin(); _iter44 != this->resident.end(); ++_iter44)
+    std::vector<ResidentAdapter> ::const_iterator _iter64;
+    for (_iter64 = this->resident.begin(); _iter64 != this->resident.end(); ++_iter64)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1265,10 +1477,10 @@
   xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loading.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter45;
-    for (_iter45 = this->loading.begin(); _iter45 != this->loading.end(); ++_iter45)
+    std::vector<ResidentAdapter> ::const_iterator _iter65;
+    for (_iter65 = this->loading.begin(); _iter65 != this->loading.end(); ++_iter65)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1333,37 +1545,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other46) {
-  sequence = other46.sequence;
-  models = other46.models;
-  resident = other46.resident;
-  loading = other46.loading;
-  running = other46.running;
-  queued = other46.queued;
-  free_places = other46.free_places;
-  routers = other46.routers;
-  incarnation = other46.incarnation;
-  reachable = other46.reachable;
-  started_at_ms = other46.started_at_ms;
-  load_wait_ms = other46.load_wait_ms;
-  event_interval_ms = other46.event_interval_ms;
-  __isset = other46.__isset;
-}
-EngineStatus& EngineStatus::operator=(const EngineStatus& other47) {
-  sequence = other47.sequence;
-  models = other47.models;
-  resident = other47.resident;
-  loading = other47.loading;
-  running = other47.running;
-  queued = other47.queued;
-  free_places = other47.free_places;
-  routers = other47.routers;
-  incarnation = other47.incarnation;
-  reachable = other47.reachable;
-  started_at_ms = other47.started_at_ms;
-  load_wait_ms = other47.load_wait_ms;
-  event_interval_ms = other47.event_interval_ms;
-  __isset = other47.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other66) {
+  sequence = other66.sequence;
+  models = other66.models;
+  resident = other66.resident;
+  loading = other66.loading;
+  running = other66.running;
+  queued = other66.queued;
+  free_places = other66.free_places;
+  routers = other66.routers;
+  incarnation = other66.incarnation;
+  reachable = other66.reachable;
+  started_at_ms = other66.started_at_ms;
+  load_wait_ms = other66.load_wait_ms;
+  event_interval_ms = other66.event_interval_ms;
+  __isset = other66.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other67) {
+  sequence = other67.sequence;
+  models = other67.models;
+  resident = other67.resident;
+  loading = other67.loading;
+  running = other67.running;
+  queued = other67.queued;
+  free_places = other67.free_places;
+  routers = other67.routers;
+  incarnation = other67.incarnation;
+  reachable = other67.reachable;
+  started_at_ms = other67.started_at_ms;
+  load_wait_ms = other67.load_wait_ms;
+  event_interval_ms = other67.event_interval_ms;
+  __isset = other67.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -1497,14 +1709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admitted.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->admitted.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->admitted.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += iprot->readI64(this->admitted[_i52]);
+              xfer += iprot->readI64(this->admitted[_i72]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1557,10 +1769,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter53;
-    for (_iter53 = this->admitted.begin(); _iter53 != this->admitted.end(); ++_iter53)
+    std::vector<int64_t> ::const_iterator _iter73;
+    for (_iter73 = this->admitted.begin(); _iter73 != this->admitted.end(); ++_iter73)
     {
-      xfer += oprot->writeI64((*_iter53));
+      xfer += oprot->writeI64((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1583,25 +1795,25 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other54) {
-  sequence = other54.sequence;
-  incarnation = other54.incarnation;
-  requests = other54.requests;
-  prompt_tokens = other54.prompt_tokens;
-  unread_tokens = other54.unread_tokens;
-  limits_prompts = other54.limits_prompts;
-  admitted = other54.admitted;
-  __isset = other54.__isset;
-}
-EngineLoad& EngineLoad::operator=(const EngineLoad& other55) {
-  sequence = other55.sequence;
-  incarnation = other55.incarnation;
-  requests = other55.requests;
-  prompt_tokens = other55.prompt_tokens;
-  unread_tokens = other55.unread_tokens;
-  limits_prompts = other55.limits_prompts;
-  admitted = other55.admitted;
-  __isset = other55.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other74) {
+  sequence = other74.sequence;
+  incarnation = other74.incarnation;
+  requests = other74.requests;
+  prompt_tokens = other74.prompt_tokens;
+  unread_tokens = other74.unread_tokens;
+  limits_prompts = other74.limits_prompts;
+  admitted = other74.admitted;
+  __isset = other74.__isset;
+}
+EngineLoad& EngineLoad::operator=(const EngineLoad& other75) {
+  sequence = other75.sequence;
+  incarnation = other75.incarnation;
+  requests = other75.requests;
+  prompt_tokens = other75.prompt_tokens;
+  unread_tokens = other75.unread_tokens;
+  limits_prompts = other75.limits_prompts;
+  admitted = other75.admitted;
+  __isset = other75.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -1618,6 +1830,270 @@
 }
 
 
+EngineCrash::~EngineCrash() noexcept {
+}
+
+
+void EngineCrash::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
+
+void EngineCrash::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void EngineCrash::__set_requests(const std::vector<LostRequest> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->requests.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->requests[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineCrash");
+
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<LostRequest> ::const_iterator _iter81;
+    for (_iter81 = this->requests.begin(); _iter81 != this->requests.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineCrash &a, EngineCrash &b) {
+  using ::std::swap;
+  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.age_ms, b.age_ms);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+EngineCrash::EngineCrash(const EngineCrash& other82) {
+  started_at_ms = other82.started_at_ms;
+  age_ms = other82.age_ms;
+  requests = other82.requests;
+  __isset = other82.__isset;
+}
+EngineCrash& EngineCrash::operator=(const EngineCrash& other83) {
+  started_at_ms = other83.started_at_ms;
+  age_ms = other83.age_ms;
+  requests = other83.requests;
+  __isset = other83.__isset;
+  return *this;
+}
+void EngineCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineCrash(";
+  out << "started_at_ms=" << to_string(started_at_ms);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_crashes(const std::vector<EngineCrash> & val) {
+  this->crashes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->crashes.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->crashes[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<EngineCrash> ::const_iterator _iter89;
+    for (_iter89 = this->crashes.begin(); _iter89 != this->crashes.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other90) {
+  crashes = other90.crashes;
+  __isset = other90.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other91) {
+  crashes = other91.crashes;
+  __isset = other91.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "crashes=" << to_string(crashes);
+  out << ")";
+}
+
+
 AgentDatagram::~AgentDatagram() noexcept {
 }
 
@@ -1636,6 +2112,11 @@
   this->load = val;
 __isset.load = true;
 }
+
+void AgentDatagram::__set_crash_report(const CrashReport& val) {
+  this->crash_report = val;
+__isset.crash_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentDatagram& obj)
 {
   obj.printTo(out);
@@ -1688,6 +2169,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_report.read(iprot);
+          this->__isset.crash_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1720,6 +2209,11 @@
     xfer += this->load.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.crash_report) {
+    xfer += oprot->writeFieldBegin("crash_report", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->crash_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1730,20 +2224,23 @@
   swap(a.demand, b.demand);
   swap(a.status, b.status);
   swap(a.load, b.load);
+  swap(a.crash_report, b.crash_report);
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other56) {
-  demand = other56.demand;
-  status = other56.status;
-  load = other56.load;
-  __isset = other56.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other92) {
+  demand = other92.demand;
+  status = other92.status;
+  load = other92.load;
+  crash_report = other92.crash_report;
+  __isset = other92.__isset;
 }
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other57) {
-  demand = other57.demand;
-  status = other57.status;
-  load = other57.load;
-  __isset = other57.__isset;
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other93) {
+  demand = other93.demand;
+  status = other93.status;
+  load = other93.load;
+  crash_report = other93.crash_report;
+  __isset = other93.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
@@ -1752,6 +2249,7 @@
   out << "demand="; (__isset.demand ? (out << to_string(demand)) : (out << "<null>"));
   out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -27,6 +27,8 @@
 
 class WaitingPrompt;
 
+class LostRequest;
+
 class AdapterDemand;
 
 class ResidentAdapter;
@@ -35,6 +37,10 @@
 
 class EngineLoad;
 
+class EngineCrash;
+
+class CrashReport;
+
 class AgentDatagram;
 
 typedef struct _AdapterUse__isset {
@@ -222,8 +228,57 @@
 
 std::ostream& operator<<(std::ostream& out, const WaitingPrompt& obj);
 
+typedef struct _LostRequest__isset {
+  _LostRequest__isset() : request(false), parts(false) {}
+  bool request :1;
+  bool parts :1;
+} _LostRequest__isset;
+
+class LostRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostRequest(const LostRequest&);
+  LostRequest& operator=(const LostRequest&);
+  LostRequest() noexcept
+              : request(0) {
+  }
+
+  virtual ~LostRequest() noexcept;
+  int64_t request;
+  std::vector<int64_t>  parts;
+
+  _LostRequest__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const LostRequest & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const LostRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LostRequest &a, LostRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj);
+
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -238,6 +293,8 @@
   bool sent_tokens :1;
   bool gap_ms :1;
   bool has_late_pauses :1;
+  bool lost :1;
+  bool begun_parts :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -274,6 +331,8 @@
   int64_t sent_tokens;
   int32_t gap_ms;
   bool has_late_pauses;
+  std::vector<LostRequest>  lost;
+  std::vector<int64_t>  begun_parts;
 
   _AdapterDemand__isset __isset;
 
@@ -305,6 +364,10 @@
 
   void __set_has_late_pauses(const bool val);
 
+  void __set_lost(const std::vector<LostRequest> & val);
+
+  void __set_begun_parts(const std::vector<int64_t> & val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -335,6 +398,10 @@
       return false;
     if (!(has_late_pauses == rhs.has_late_pauses))
       return false;
+    if (!(lost == rhs.lost))
+      return false;
+    if (!(begun_parts == rhs.begun_parts))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
@@ -618,11 +685,110 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
 
+typedef struct _EngineCrash__isset {
+  _EngineCrash__isset() : started_at_ms(false), age_ms(false), requests(false) {}
+  bool started_at_ms :1;
+  bool age_ms :1;
+  bool requests :1;
+} _EngineCrash__isset;
+
+class EngineCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineCrash(const EngineCrash&);
+  EngineCrash& operator=(const EngineCrash&);
+  EngineCrash() noexcept
+              : started_at_ms(0),
+                age_ms(0) {
+  }
+
+  virtual ~EngineCrash() noexcept;
+  int64_t started_at_ms;
+  int64_t age_ms;
+  std::vector<LostRequest>  requests;
+
+  _EngineCrash__isset __isset;
+
+  void __set_started_at_ms(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_requests(const std::vector<LostRequest> & val);
+
+  bool operator == (const EngineCrash & rhs) const
+  {
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineCrash &a, EngineCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineCrash& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : crashes(false) {}
+  bool crashes :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport& operator=(const CrashReport&);
+  CrashReport() noexcept {
+  }
+
+  virtual ~CrashReport() noexcept;
+  std::vector<EngineCrash>  crashes;
+
+  _CrashReport__isset __isset;
+
+  void __set_crashes(const std::vector<EngineCrash> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
 typedef struct _AgentDatagram__isset {
-  _AgentDatagram__isset() : demand(false), status(false), load(false) {}
+  _AgentDatagram__isset() : demand(false), status(false), load(false), crash_report(false) {}
   bool demand :1;
   bool status :1;
   bool load :1;
+  bool crash_report :1;
 } _AgentDatagram__isset;
 
 class AgentDatagram : public virtual ::apache::thrift::TBase {
@@ -637,6 +803,7 @@
   AdapterDemand demand;
   EngineStatus status;
   EngineLoad load;
+  CrashReport crash_report;
 
   _AgentDatagram__isset __isset;
 
@@ -646,6 +813,8 @@
 
   void __set_load(const EngineLoad& val);
 
+  void __set_crash_report(const CrashReport& val);
+
   bool operator == (const AgentDatagram & rhs) const
   {
     if (__isset.demand != rhs.__isset.demand)
@@ -660,6 +829,10 @@
       return false;
     else if (__isset.load && !(load == rhs.load))
       return false;
+    if (__isset.crash_report != rhs.__isset.crash_report)
+      return false;
+    else if (__isset.crash_report && !(crash_report == rhs.crash_report))
+      return false;
     return true;
   }
   bool operator != (const AgentDatagram &rhs) const {
