router: hold back parts of prompts that crash engines

One part of a prompt crashed engine after engine for as long as requests with it came: each was sent to a second engine after the first had crashed, each caller sent it again, and callers of sound requests were refused for lack of engines.

Cause: no router looked for what the requests at crashed engines have in common, and none told others.

Routers now tell agents which requests they lost before an event came, derive the causes from what agents report, and refuse requests that hold one as not run, when they come and when they are about to be sent.

--- a/include/amaranthcove/relay/request_info.h
+++ b/include/amaranthcove/relay/request_info.h
@@ -20,9 +20,9 @@
   std::string adapter;  // Empty for the base model itself.
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
-  // Ids of the parts of the prompt that other requests may share, in order. The
-  // rest of the prompt belongs to this request or its session.
-  std::vector<std::string> shared_parts;
+  // Ids of the parts of the prompt, in order. Other requests may share all but
+  // the last, which belongs to this request or its session.
+  std::vector<std::string> prompt_parts;
   // Id of the last event that the caller received of a stream that it resumes.
   std::string last_event_id;
 };
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -207,7 +207,7 @@
   const std::vector<std::string_view> names(addresses.begin(), addresses.end());
   std::vector<std::size_t> ranks(names.size());
   const std::string prefix =
-      info.shared_parts.empty() ? std::string() : info.shared_parts.front();
+      info.prompt_parts.size() < 2 ? std::string() : info.prompt_parts.front();
   RankByAffinity(info.adapter.empty() ? prefix : info.adapter, names, ranks);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     candidates[i].affinity_rank = ranks[i];
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -119,6 +119,10 @@
   progress_.kind = route_.kind;
   progress_.resumable = route_.resumable;
   progress_.max_attempts = route_.max_attempts;
+  parts_.reserve(info_.prompt_parts.size());
+  for (const std::string& part : info_.prompt_parts) {
+    parts_.push_back(HashPart(part));
+  }
 }
 
 RelayCall::~RelayCall() {
@@ -153,6 +157,9 @@
 
 void RelayCall::Place(Time now) {
   progress_.time_left = deadline_ - now;
+  if (EndIfCrashCause(now)) {
+    return;
+  }
   Fleet& fleet = environment_.fleet;
   const std::optional<Placement> placement =
       is_generation_
@@ -363,6 +370,9 @@
     OnCallerGone();
     return;
   }
+  if (EndIfCrashCause(now)) {
+    return;  // The cause was found while the request waited.
+  }
   state_ = State::kSending;
   sent_ = now;
   backends_age_ = environment_.fleet.BackendsAge(now);
@@ -373,6 +383,7 @@
   unread_at_send_ =
       is_generation_ ? environment_.fleet.UnreadTokens(id, now) : std::nullopt;
   has_head_ = false;
+  has_begun_ = false;
   streaming_ = false;
   head_ = {};
   environment_.fleet.BeginSend(id, now);
@@ -445,6 +456,9 @@
   }
   RestartSilenceTimer(PauseLimit(progress_));
   const Time now = environment_.loop.Now();
+  if (!std::exchange(has_begun_, true)) {
+    RecordBegun(now);
+  }
   if (progress_.answer_begun) {
     longest_pause_ = std::max(longest_pause_, now - last_event_);
     environment_.fleet.RecordPause(service_, now - last_event_,
@@ -581,6 +595,9 @@
 
 void RelayCall::ApplySendEnd(SendEnd end, bool within_budget, Time now) {
   state_ = State::kNew;
+  if (end == SendEnd::kBroken) {
+    ReportLost(now);
+  }
   EndActivity();
   RecordHealth(end, now);
   LogSendEnd(end, now);
@@ -597,6 +614,41 @@
   TakeStep(NextStep(progress_, end, within_budget), now);
 }
 
+bool RelayCall::EndIfCrashCause(Time now) {
+  if (!is_generation_) {
+    return false;
+  }
+  const CrashCause* cause = environment_.crashes.FindCause(parts_, now);
+  if (cause == nullptr) {
+    return false;
+  }
+  environment_.log.Write(
+      LogLevel::kInfo, "crash_cause_held_back",
+      {{"request", info_.attempt_id},
+       {"parts", JoinParts(info_.prompt_parts)},
+       {"crashes", std::to_string(cause->crashes)},
+       {"for_ms", std::to_string(ToMilliseconds(cause->until - now))}});
+  expected_delay_ = cause->until - now;
+  TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
+  return true;
+}
+
+void RelayCall::ReportLost(Time now) {
+  if (is_generation_ && !has_begun_ && !parts_.empty()) {
+    environment_.fleet.links().ReportLost(
+        placement_.server.id, {Hash64(info_.attempt_id), parts_}, now);
+    environment_.demand_changed();
+  }
+}
+
+void RelayCall::RecordBegun(Time now) {
+  for (const ClearedPart& cleared :
+       environment_.crashes.RecordBegun(parts_, now)) {
+    environment_.fleet.links().ReportBegun(cleared, now);
+    environment_.demand_changed();
+  }
+}
+
 void RelayCall::LogSendEnd(SendEnd end, Time now) {
   if (end == SendEnd::kAnswered) {
     return;
@@ -609,7 +661,7 @@
        {"status", std::to_string(has_head_ ? head_.status : 0)},
        {"after_ms", std::to_string(ToMilliseconds(now - sent_))},
        {"begun", progress_.answer_begun ? "1" : "0"},
-       {"parts", JoinParts(info_.shared_parts)}});
+       {"parts", JoinParts(info_.prompt_parts)}});
 }
 
 void RelayCall::RestartSilenceTimer(std::optional<Duration> limit) {
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "amaranthcove/log/event_log.h"
 #include "amaranthcove/net/event_loop.h"
@@ -18,6 +19,7 @@
 #include "amaranthcove/relay/relay_policy.h"
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/routing/route_table.h"
+#include "amaranthcove/suspects/crash_table.h"
 #include "src/router/fleet.h"
 
 namespace amaranthcove {
@@ -53,6 +55,7 @@
     UpstreamClient& upstream;
     Fleet& fleet;
     EventLog& log;
+    CrashTable& crashes;
     // Schedules sending the changed demands to the agents.
     std::function<void()> demand_changed;
   };
@@ -109,6 +112,13 @@
   void ApplySendEnd(SendEnd end, bool within_budget, Time now);
   void EndActivity();
   void RecordHealth(SendEnd end, Time now);
+  // Ends a request that would crash the engine it is sent to. Returns whether
+  // it has ended.
+  bool EndIfCrashCause(Time now);
+  // Tells the engine's agent of a request that broke before it had begun.
+  void ReportLost(Time now);
+  // Records that the engine has begun to answer.
+  void RecordBegun(Time now);
   void OnSilence();
   bool IsServerBusy(Time now) const;
   void RestartSilenceTimer(std::optional<Duration> limit);
@@ -127,6 +137,7 @@
   const HttpRequest request_;
   const RequestInfo info_;
   const Route route_;
+  std::vector<PartId> parts_;  // Of the prompt.
   std::unique_ptr<HttpResponder> responder_;
   std::function<void(const RelayResult&)> on_done_;
 
@@ -167,6 +178,7 @@
   HttpResponse head_;
   ResponseInfo answer_;
   bool has_head_ = false;
+  bool has_begun_ = false;  // An event of the current send has arrived.
   bool streaming_ = false;
   EventSplitter splitter_;
 
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -3,6 +3,7 @@
 #include "src/router/relay_call.h"
 
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -92,6 +93,7 @@
 RequestInfo MakePromptInfo() {
   RequestInfo info = MakeRequestInfo();
   info.prompt_tokens = 900;
+  info.prompt_parts = {"first", "deadly"};
   return info;
 }
 
@@ -123,7 +125,9 @@
                       demands_.push_back(DecodeDatagram(bytes)->demand);
                     }};
   Fleet fleet_{{"dc", 7000, {0.2, 112, std::chrono::seconds(10)}}, links_};
-  RelayCall::Environment environment_{loop_, upstream_, fleet_, log_, [] {}};
+  CrashTable crashes_;
+  RelayCall::Environment environment_{loop_, upstream_, fleet_,
+                                      log_,  crashes_,  [] {}};
 
   void setup() override {
     fleet_.directory().Put(MakeEngine());
@@ -153,6 +157,19 @@
     links_.Receive({"10.0.0.1", 7000}, EncodeDatagram(datagram), loop_.Now());
   }
 
+  // Makes `parts` together the cause of three crashes.
+  void AddCrashes(const std::vector<std::string>& parts, Time now) {
+    for (int i = 0; i < 3; ++i) {
+      EngineCrash crash;
+      crash.at = now - std::chrono::seconds(3 - i);
+      crash.requests = {{static_cast<std::uint64_t>(i), {}}};
+      for (const std::string& part : parts) {
+        crash.requests[0].parts.push_back(HashPart(part));
+      }
+      crashes_.Put({{"10.0.0.1", 7000}, i}, crash, now);
+    }
+  }
+
   // Delivers a status in which the engine holds the adapter.
   void ReportResident(Time now) {
     links_.Receive({"10.0.0.1", 7000}, EncodeTestStatus(MakeTestStatus(0)),
@@ -254,4 +271,53 @@
   CHECK_EQUAL(1, static_cast<int>(upstream_.calls.size()));
 }
 
+// Guards against sending a request on although it would crash its engine, also
+// if that became known while it waited, and against telling its caller that it
+// may have run.
+TEST(RelayCall, RequestThatHoldsACrashCauseIsRefused) {
+  const Time now = loop_.Now();
+  ReportResident(now);
+  ReportLoad(1, 30'000, {});
+  std::vector<RelayOutcome> outcomes;
+  const auto on_done = [&outcomes](const RelayResult& result) {
+    outcomes.push_back(result.outcome);
+  };
+  RelayCall waiting(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
+                    std::make_unique<FakeResponder>());
+  waiting.Start(now, on_done);
+  demands_.clear();
+  links_.Tick(now);
+  const std::int64_t prompt = demands_[0].prompts[0].id;
+  AddCrashes({"first", "deadly"}, now);
+  waiting.OnAdmitted(prompt, now);
+  RelayCall later(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
+                  std::make_unique<FakeResponder>());
+  later.Start(now, on_done);
+  CHECK(upstream_.calls.empty());
+  CHECK_EQUAL(2, static_cast<int>(outcomes.size()));
+  CHECK(outcomes[0] == RelayOutcome::kRefused);
+  CHECK(outcomes[1] == RelayOutcome::kRefused);
+}
+
+// Guards against an agent that is not told which requests its engine's crash
+// broke, and against suspecting those that the engine had begun to answer.
+TEST(RelayCall, RequestsLostBeforeTheyBeganAreReported) {
+  const Time now = loop_.Now();
+  ReportResident(now);
+  ReportLoad(1, 0, {});
+  RelayCall begun(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
+                  std::make_unique<FakeResponder>());
+  begun.Start(now, [](const RelayResult&) {});
+  upstream_.calls[0].on_head({200, {}, ""});
+  upstream_.calls[0].on_data("id: 1\ndata: x\n\n");
+  upstream_.calls[0].on_end(UpstreamEnd::kBroken);
+  RelayCall lost(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
+                 std::make_unique<FakeResponder>());
+  lost.Start(now, [](const RelayResult&) {});
+  upstream_.calls[1].on_end(UpstreamEnd::kBroken);
+  links_.Tick(loop_.Now() + std::chrono::milliseconds(1));
+  CHECK_EQUAL(1, static_cast<int>(demands_.back().lost.size()));
+  CHECK_EQUAL(2, static_cast<int>(demands_.back().lost[0].parts.size()));
+}
+
 }  // namespace amaranthcove
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -70,8 +70,8 @@
                links_),
         upstream_(UpstreamClient::Create(loop, {})),
         request_metrics_(metrics),
-        environment_{loop_, *upstream_, fleet_, log_,
-                     [this] { SendDemandsSoon(); }},
+        environment_{loop_, *upstream_, fleet_,
+                     log_,  crashes_,   [this] { SendDemandsSoon(); }},
         updates_(loop,
                  fleet_,
                  *upstream_,
@@ -124,6 +124,7 @@
   // Returns the estimates of the services with engines.
   nlohmann::json DumpServices(Time now) const;
   void NotifyCalls(std::string_view server);
+  void LogCrashCauses();
   void SendDemandsSoon();
   void Tick();
   // Logs a tick that comes so late that the router has fallen behind.
@@ -136,6 +137,7 @@
   std::unique_ptr<UdpSocket> udp_;
   AgentLinks links_;
   Fleet fleet_;
+  CrashTable crashes_;
   std::unique_ptr<UpstreamClient> upstream_;
   RequestMetrics request_metrics_;
   RelayCall::Environment environment_;
@@ -346,11 +348,29 @@
       call->OnAdmitted(prompt, loop_.Now());
     }
   }
+  for (const auto& [key, crash] : update.crashes) {
+    if (crashes_.Put(key, crash, loop_.Now())) {
+      LogCrashCauses();
+    }
+  }
   if (update.engine) {
     NotifyCalls(*update.engine);
   }
 }
 
+void RouterImpl::LogCrashCauses() {
+  std::string parts;
+  for (const CrashCause& cause : crashes_.causes()) {
+    for (const PartId part : cause.parts) {
+      parts += (parts.empty() ? "" : ",") + std::to_string(part);
+    }
+  }
+  log_.Write(LogLevel::kWarn, "crash_causes",
+             {{"crashes", std::to_string(crashes_.size())},
+              {"causes", std::to_string(crashes_.causes().size())},
+              {"part_hashes", parts}});
+}
+
 void RouterImpl::NotifyCalls(std::string_view server) {
   // `OnCallDone` defers the erasing of calls, so the map does not change here.
   for (const auto& [id, call] : calls_) {
