event_loop: run timers as a callback of h2o

h2o frees closed sockets when it looks at sockets whose state has changed, before it runs pending callbacks, and relies on that list being empty between two rounds. Our timers ran between two rounds: a timer that wrote to a socket made it pending when the write completed at once, and a later timer of the same round could close it. The next round freed the socket and then ran it. After a pause many timers are due in one round, so both happen.

The timers run within h2o's own timer callback, after which it handles what they made pending. The second call of its loop, which stood in for that, is gone.

--- a/include/amaranthcove/net/event_loop.h
+++ b/include/amaranthcove/net/event_loop.h
@@ -71,11 +71,13 @@
 
  private:
   using TimerKey = std::pair<Time, TimerId>;
+  struct TimerHook;
 
   void RunDueTimers();
   static void OnSignalReadable(st_h2o_socket_t* socket, const char* error);
 
   st_h2o_evloop_t* loop_;
+  std::unique_ptr<TimerHook> timer_hook_;
   Time now_;
   bool stopped_ = false;
   TimerId next_timer_ = 1;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -29,11 +29,43 @@
 
 }  // namespace internal
 
-EventLoop::EventLoop() : loop_(h2o_evloop_create()), now_(SteadyNow()) {
+// Runs the due timers as a callback of h2o, which then handles the sockets that
+// they made pending. Otherwise h2o would free a socket that one timer has
+// written to and another has closed, and use it afterwards.
+struct EventLoop::TimerHook {
+  explicit TimerHook(EventLoop& event_loop) : loop(&event_loop) {
+    h2o_timeout_init(loop->loop_, &timeout, 0);
+    entry.cb = &TimerHook::OnDue;
+  }
+
+  ~TimerHook() { h2o_timeout_dispose(loop->loop_, &timeout); }
+
+  TimerHook(const TimerHook&) = delete;
+  TimerHook& operator=(const TimerHook&) = delete;
+
+  void Run() {
+    h2o_timeout_link(loop->loop_, &timeout, &entry);
+    h2o_timeout_run(loop->loop_, &timeout, h2o_now(loop->loop_));
+  }
+
+  static void OnDue(h2o_timeout_entry_t* entry) {
+    reinterpret_cast<TimerHook*>(entry)->loop->RunDueTimers();
+  }
+
+  h2o_timeout_entry_t entry = {};  // First, so that `OnDue` finds the hook.
+  h2o_timeout_t timeout = {};
+  EventLoop* loop;
+};
+
+EventLoop::EventLoop()
+    : loop_(h2o_evloop_create()),
+      timer_hook_(std::make_unique<TimerHook>(*this)),
+      now_(SteadyNow()) {
   signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
+  timer_hook_.reset();
   if (signal_socket_ != nullptr) {
     h2o_socket_close(signal_socket_);
   }
@@ -112,11 +144,7 @@
   if (timers_.empty() || timers_.begin()->first.first > now_) {
     return;
   }
-  RunDueTimers();
-  // h2o reports a write that completes immediately in its next round, but does
-  // not shorten the wait of that round. Without this call, a connection that
-  // was written to by a timer could not be written again until another event.
-  h2o_evloop_run(loop_, 0);
+  timer_hook_->Run();
 }
 
 void EventLoop::RunDueTimers() {
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -103,6 +103,28 @@
   CHECK_EQUAL(0U, client->buffered_bytes());
 }
 
+// Guards against a use after free in the loop: a write that completes at once
+// makes the connection pending there, and another timer of the round closes it.
+TEST(Tcp, MayBeClosedInTheRoundOfItsWrite) {
+  std::unique_ptr<TcpConnection> accepted;
+  auto listener = TcpListener::Listen(
+      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
+        accepted = std::move(connection);
+        accepted->Open({nullptr, [](std::string_view) {}, nullptr});
+      });
+  for (int i = 0; i < 100; ++i) {
+    accepted.reset();
+    bool connected = false;
+    auto client = TcpConnection::Connect(
+        loop_, (*listener)->local_address(),
+        {[&connected] { connected = true; }, [](std::string_view) {}, nullptr});
+    CHECK(RunUntil(loop_, [&] { return connected && accepted != nullptr; }));
+    client->Write("x");
+    loop_.RunAfter(Duration::zero(), [&client] { client.reset(); });
+    CHECK(RunUntil(loop_, [&client] { return client == nullptr; }));
+  }
+}
+
 // Guards against a connection failure that is not reported.
 TEST(Tcp, ReportsRefusedConnection) {
   Address unused;
