crash_log: name functions and the activity of the loop

The stack of a crash had module offsets only, and did not say whether the loop handled sockets or timers. Programs export their names to the stack, and the line has the activity: sockets, timers, or the sockets that timers used.

CrashLog.WritesSignalAndStack asks for both; it failed before.

--- a/cmake/Component.cmake
+++ b/cmake/Component.cmake
@@ -41,6 +41,7 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name}_test ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/support/test_main.cc)
   set_target_properties(${name}_test PROPERTIES
+    ENABLE_EXPORTS ON  # Names in the stacks of crashes.
     RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   target_link_libraries(${name}_test PRIVATE amaranthcove_options ${ARG_DEPS} CppUTest)
   add_test(NAME ${name}_test COMMAND ${name}_test)
--- a/include/amaranthcove/base/crash_log.h
+++ b/include/amaranthcove/base/crash_log.h
@@ -10,6 +10,10 @@
 // before other threads start; `descriptor` stays open.
 void InstallCrashLog(int descriptor);
 
+// States what the process does from now on, for the line that a crash writes.
+// Precondition: `activity` is a string literal. Thread-safe.
+void SetCrashActivity(const char* activity);
+
 }  // namespace amaranthcove
 
 #endif  // AMARANTHCOVE_BASE_CRASH_LOG_H_
--- a/src/base/crash_log.cc
+++ b/src/base/crash_log.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <string_view>
 
@@ -19,6 +20,8 @@
 constexpr std::size_t kSignalStackBytes = 64 << 10;
 
 volatile sig_atomic_t crash_descriptor = STDERR_FILENO;
+std::atomic<const char*> crash_activity = "start";
+static_assert(std::atomic<const char*>::is_always_lock_free);
 
 std::string_view SignalName(int number) {
   switch (number) {
@@ -46,6 +49,8 @@
 void OnCrash(int number) {
   WriteText("event=crash signal=");
   WriteText(SignalName(number));
+  WriteText(" activity=");
+  WriteText(crash_activity.load());
   WriteText(" stack follows\n");
   std::array<void*, kMaxStackFrames> frames{};
   const int count = backtrace(frames.data(), static_cast<int>(frames.size()));
@@ -56,6 +61,10 @@
 
 }  // namespace
 
+void SetCrashActivity(const char* activity) {
+  crash_activity.store(activity);
+}
+
 void InstallCrashLog(int descriptor) {
   crash_descriptor = descriptor;
   std::array<void*, 1> first{};
--- a/src/base/crash_log_test.cc
+++ b/src/base/crash_log_test.cc
@@ -21,6 +21,7 @@
   const pid_t child = fork();
   if (child == 0) {
     InstallCrashLog(pipe_ends[1]);
+    SetCrashActivity("timers");
     raise(number);
     _exit(0);
   }
@@ -43,13 +44,16 @@
 
 TEST_GROUP(CrashLog){};
 
-// Guards against a crash that leaves no stack trace, and against a handler that
-// lets the process continue.
+// Guards against a crash that leaves no readable stack trace, and against a
+// handler that lets the process continue.
 TEST(CrashLog, WritesSignalAndStack) {
   for (const int number : {SIGSEGV, SIGABRT}) {
     int status = 0;
     const std::string text = CrashChild(number, status);
     STRCMP_CONTAINS("event=crash signal=SIG", text.c_str());
+    STRCMP_CONTAINS(" activity=timers ", text.c_str());
+    // Names, not only offsets.
+    STRCMP_CONTAINS("RunAllTests", text.c_str());
     STRCMP_CONTAINS("base_test", text.c_str());
     CHECK(WIFSIGNALED(status));
     CHECK_EQUAL(number, WTERMSIG(status));
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "amaranthcove/base/crash_log.h"
 #include "src/net/h2o_headers.h"
 
 namespace amaranthcove {
@@ -49,7 +50,9 @@
   }
 
   static void OnDue(h2o_timeout_entry_t* entry) {
+    SetCrashActivity("timers");
     reinterpret_cast<TimerHook*>(entry)->loop->RunDueTimers();
+    SetCrashActivity("sockets_used_by_timers");
   }
 
   h2o_timeout_entry_t entry = {};  // First, so that `OnDue` finds the hook.
@@ -139,6 +142,7 @@
   }
   // Rounded up, so that the loop does not spin during the last millisecond.
   const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
+  SetCrashActivity("sockets");
   h2o_evloop_run(loop_, static_cast<std::int32_t>(wait_ms.count()));
   now_ = SteadyNow();
   if (timers_.empty() || timers_.begin()->first.first > now_) {
