--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -1,7 +1,6 @@
 #include "src/router/relay_call.h"
 
 #include <algorithm>
-#include <span>
 #include <utility>
 
 #include "amaranthcove/base/hash.h"
@@ -38,47 +37,6 @@
 // answer, the request is sent to the engine as it is.
 constexpr Duration kWaitForSilentAgent = milliseconds(150);
 
-std::string_view SendEndName(SendEnd end) {
-  switch (end) {
-    case SendEnd::kNotSent:
-      return "not_reachable";
-    case SendEnd::kNotRun:
-      return "not_run";
-    case SendEnd::kAnswered:
-      return "answered";
-    case SendEnd::kServerError:
-      return "server_error";
-    case SendEnd::kBroken:
-      return "broken";
-    case SendEnd::kSilent:
-      return "silent";
-  }
-  return "unknown";
-}
-
-std::string_view PlaceName(AdapterPlace place) {
-  switch (place) {
-    case AdapterPlace::kResident:
-      return "resident";
-    case AdapterPlace::kLoading:
-      return "loading";
-    case AdapterPlace::kAbsent:
-      return "absent";
-    case AdapterPlace::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
-std::string JoinParts(std::span<const std::string> parts) {
-  std::string joined;
-  for (const std::string& part : parts) {
-    joined += joined.empty() ? "" : ",";
-    joined += part;
-  }
-  return joined;
-}
-
 // Formats `duration` as seconds with three decimals.
 std::string FormatSeconds(Duration duration) {
   const std::string digits = std::to_string(ToMilliseconds(duration) + 1000000);
@@ -88,24 +46,6 @@
 
 }  // namespace
 
-std::string_view RelayOutcomeName(RelayOutcome outcome) {
-  switch (outcome) {
-    case RelayOutcome::kAnswered:
-      return "answered";
-    case RelayOutcome::kRefused:
-      return "refused";
-    case RelayOutcome::kFailed:
-      return "failed";
-    case RelayOutcome::kTimedOut:
-      return "timed_out";
-    case RelayOutcome::kBrokenOff:
-      return "broken_off";
-    case RelayOutcome::kCallerGone:
-      return "caller_gone";
-  }
-  return "unknown";
-}
-
 RelayCall::RelayCall(Environment& environment,
                      HttpRequest request,
                      RequestInfo info,
@@ -622,12 +562,7 @@
   if (cause == nullptr) {
     return false;
   }
-  environment_.log.Write(
-      LogLevel::kInfo, "crash_cause_held_back",
-      {{"request", info_.attempt_id},
-       {"parts", JoinParts(info_.prompt_parts)},
-       {"crashes", std::to_string(cause->crashes)},
-       {"for_ms", std::to_string(ToMilliseconds(cause->until - now))}});
+  LogHeldBack(*cause, now);
   expected_delay_ = cause->until - now;
   TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
   return true;
@@ -649,21 +584,6 @@
   }
 }
 
-void RelayCall::LogSendEnd(SendEnd end, Time now) {
-  if (end == SendEnd::kAnswered) {
-    return;
-  }
-  environment_.log.Write(
-      LogLevel::kInfo, "send_failed",
-      {{"request", info_.attempt_id},
-       {"server", placement_.server.id},
-       {"end", std::string(SendEndName(end))},
-       {"status", std::to_string(has_head_ ? head_.status : 0)},
-       {"after_ms", std::to_string(ToMilliseconds(now - sent_))},
-       {"begun", progress_.answer_begun ? "1" : "0"},
-       {"parts", JoinParts(info_.prompt_parts)}});
-}
-
 void RelayCall::RestartSilenceTimer(std::optional<Duration> limit) {
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
   if (limit) {
@@ -777,43 +697,7 @@
   state_ = State::kDone;
   environment_.loop.Cancel(std::exchange(deadline_timer_, 0));
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
-  environment_.log.Write(
-      LogLevel::kInfo, "request_end",
-      {{"request", info_.attempt_id},
-       {"route", route_.name},
-       {"config", std::to_string(config_version_)},
-       {"config_age_ms", std::to_string(ToMilliseconds(config_age_))},
-       {"service", service_},
-       {"server", placement_.server.id},
-       {"adapter", info_.adapter},
-       {"place", std::string(PlaceName(placement_.place))},
-       {"candidates", std::to_string(placement_.candidates)},
-       {"running", std::to_string(placement_.running)},
-       {"queued", std::to_string(placement_.queued)},
-       {"token_us", std::to_string(static_cast<int>(
-                        placement_.pace.prompt_token_ms * 1000))},
-       {"base_ms",
-        std::to_string(static_cast<int>(placement_.pace.first_event_ms))},
-       {"event_ms",
-        std::to_string(static_cast<int>(placement_.pace.event_interval_ms))},
-       {"slowness_pct",
-        std::to_string(static_cast<int>(placement_.slowness * 100))},
-       {"view_age_ms", std::to_string(placement_.view_age_ms)},
-       {"backends_age_ms", std::to_string(ToMilliseconds(backends_age_))},
-       {"expected_ms",
-        std::to_string(static_cast<int>(placement_.expected_delay_ms))},
-       {"outcome", std::string(RelayOutcomeName(outcome))},
-       {"status", std::to_string(status)},
-       {"may_have_run", std::to_string(progress_.may_have_run)},
-       {"not_run", std::to_string(progress_.not_run)},
-       {"waited_ms", std::to_string(ToMilliseconds(waited_))},
-       {"first_ms",
-        std::to_string(first_event_ ? ToMilliseconds(*first_event_) : -1)},
-       {"longest_pause_ms", std::to_string(ToMilliseconds(longest_pause_))},
-       {"unread_tokens", std::to_string(unread_at_send_.value_or(-1))},
-       {"prompt_tokens", std::to_string(info_.prompt_tokens)},
-       {"total_ms", std::to_string(ToMilliseconds(now - started_))},
-       {"limit_ms", std::to_string(ToMilliseconds(deadline_ - started_))}});
+  LogRequestEnd(outcome, status, now);
   RelayResult result;
   result.outcome = outcome;
   result.status = status;
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -129,6 +129,8 @@
   void SendErrorAnswer(RelayOutcome outcome, int status, Time now);
   void Done(RelayOutcome outcome, int status, Time now);
   void LogSendEnd(SendEnd end, Time now);
+  void LogHeldBack(const CrashCause& cause, Time now);
+  void LogRequestEnd(RelayOutcome outcome, int status, Time now);
   // Takes back a request whose server leaves, and places it again, if nothing
   // of it has been sent yet.
   void WithdrawUnsent(Time now);
