agent_link: one conversion of lost requests; net_test: one way to connect a pair

The conversions stood twice, in agent_links and adapter_agent, and so did the set-up of two connected sockets in net_test. No behaviour changes.

--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -14,6 +14,7 @@
 #include "amaranthcove/adapter_agent/demand_table.h"
 #include "amaranthcove/adapter_agent/event_interval_estimator.h"
 #include "amaranthcove/agent_link/datagram.h"
+#include "amaranthcove/agent_link/lost_request_codec.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/log/event_log.h"
 #include "amaranthcove/net/udp.h"
@@ -111,10 +112,7 @@
   wire.started_at_ms = recorded.engine_started_at_ms;
   wire.age_ms = ToMilliseconds(now - recorded.crash.at);
   for (const LostRequest& request : recorded.crash.requests) {
-    agent_wire::LostRequest item;
-    item.request = static_cast<std::int64_t>(request.request);
-    item.parts.assign(request.parts.begin(), request.parts.end());
-    wire.requests.push_back(std::move(item));
+    wire.requests.push_back(EncodeLostRequest(request));
   }
   return wire;
 }
@@ -611,10 +609,7 @@
   const Time now = loop_.Now();
   bool changed = false;
   for (const agent_wire::LostRequest& item : demand.lost) {
-    LostRequest request;
-    request.request = static_cast<std::uint64_t>(item.request);
-    request.parts.assign(item.parts.begin(), item.parts.end());
-    changed = crash_recorder_.OnLost(std::move(request), now) || changed;
+    changed = crash_recorder_.OnLost(DecodeLostRequest(item), now) || changed;
   }
   for (const std::int64_t part : demand.begun_parts) {
     changed = crash_recorder_.OnBegun(static_cast<PartId>(part)) || changed;
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -5,6 +5,7 @@
 #include <span>
 #include <utility>
 
+#include "amaranthcove/agent_link/lost_request_codec.h"
 #include "amaranthcove/base/hash.h"
 
 namespace amaranthcove {
@@ -129,10 +130,7 @@
   crash.at = now - milliseconds(std::clamp<std::int64_t>(
                        wire.age_ms, 0, ToMilliseconds(CrashTable::kLifetime)));
   for (const agent_wire::LostRequest& item : wire.requests) {
-    LostRequest request;
-    request.request = static_cast<std::uint64_t>(item.request);
-    request.parts.assign(item.parts.begin(), item.parts.end());
-    crash.requests.push_back(std::move(request));
+    crash.requests.push_back(DecodeLostRequest(item));
   }
   return crash;
 }
@@ -441,10 +439,7 @@
   std::erase_if(link.lost, has_expired);
   std::erase_if(link.begun, has_expired);
   for (const LostReport& report : link.lost) {
-    agent_wire::LostRequest item;
-    item.request = static_cast<std::int64_t>(report.request.request);
-    item.parts.assign(report.request.parts.begin(), report.request.parts.end());
-    demand.lost.push_back(std::move(item));
+    demand.lost.push_back(EncodeLostRequest(report.request));
   }
   for (const BegunReport& report : link.begun) {
     demand.begun_parts.push_back(static_cast<std::int64_t>(report.part));
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -56,6 +56,28 @@
 
 TEST_GROUP(Tcp) {
   EventLoop loop_;
+  std::unique_ptr<TcpConnection> accepted_;
+  std::unique_ptr<TcpListener> listener_;
+
+  // Connects to a listener that accepts into `accepted_` and ignores what it
+  // receives.
+  std::unique_ptr<TcpConnection> ConnectPair() {
+    if (listener_ == nullptr) {
+      listener_ = std::move(*TcpListener::Listen(
+          loop_, {"127.0.0.1", 0},
+          [this](std::unique_ptr<TcpConnection> connection) {
+            accepted_ = std::move(connection);
+            accepted_->Open({nullptr, [](std::string_view) {}, nullptr});
+          }));
+    }
+    accepted_.reset();
+    bool connected = false;
+    auto client = TcpConnection::Connect(
+        loop_, listener_->local_address(),
+        {[&connected] { connected = true; }, [](std::string_view) {}, nullptr});
+    CHECK(RunUntil(loop_, [&] { return connected && accepted_ != nullptr; }));
+    return client;
+  }
 };
 
 // Guards against lost or reordered bytes when much more is written than one
@@ -87,17 +109,7 @@
 // Guards against a connection that sends nothing more until another event
 // occurs, because the completion of a write was not processed.
 TEST(Tcp, CompletesASmallWriteInItsRound) {
-  std::unique_ptr<TcpConnection> accepted;
-  auto listener = TcpListener::Listen(
-      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
-        accepted = std::move(connection);
-        accepted->Open({nullptr, [](std::string_view) {}, nullptr});
-      });
-  bool connected = false;
-  auto client = TcpConnection::Connect(
-      loop_, (*listener)->local_address(),
-      {[&connected] { connected = true; }, [](std::string_view) {}, nullptr});
-  CHECK(RunUntil(loop_, [&] { return connected && accepted != nullptr; }));
+  const auto client = ConnectPair();
   client->Write("x");
   loop_.RunOnce(Duration::zero());
   CHECK_EQUAL(0U, client->buffered_bytes());
@@ -106,19 +118,8 @@
 // Guards against a use after free in the loop: a write that completes at once
 // makes the connection pending there, and another timer of the round closes it.
 TEST(Tcp, MayBeClosedInTheRoundOfItsWrite) {
-  std::unique_ptr<TcpConnection> accepted;
-  auto listener = TcpListener::Listen(
-      loop_, {"127.0.0.1", 0}, [&](std::unique_ptr<TcpConnection> connection) {
-        accepted = std::move(connection);
-        accepted->Open({nullptr, [](std::string_view) {}, nullptr});
-      });
   for (int i = 0; i < 100; ++i) {
-    accepted.reset();
-    bool connected = false;
-    auto client = TcpConnection::Connect(
-        loop_, (*listener)->local_address(),
-        {[&connected] { connected = true; }, [](std::string_view) {}, nullptr});
-    CHECK(RunUntil(loop_, [&] { return connected && accepted != nullptr; }));
+    auto client = ConnectPair();
     client->Write("x");
     loop_.RunAfter(Duration::zero(), [&client] { client.reset(); });
     CHECK(RunUntil(loop_, [&client] { return client == nullptr; }));
