router: a stream that ends inside an event is broken

Callers got streams as complete that their engine had cut off: an answer with neither a length nor chunks ends with its connection, and an orderly close inside an event, or before the first one, was taken for the end. The partial event was passed on as well.

RouterPath.StreamThatEndsInsideAnEventIsNotComplete and StreamThatEndsBeforeItsFirstEventIsNotComplete: before, the caller's answer was complete (status 200); now the first breaks off after the last whole event, and the second is answered 502.

Such an end counts as broken: a resumable stream goes on at another engine, others break off.

--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -449,7 +449,10 @@
     case UpstreamEnd::kComplete:
       break;
   }
-  if (streaming_) {
+  if (streaming_ && !EndsWithWholeEvent()) {
+    // Without a length, the close of the connection looks like the end.
+    FinishSend(SendEnd::kBroken, now);
+  } else if (streaming_) {
     CompleteStream(now);
   } else if (answer_.not_run) {
     FinishSend(SendEnd::kNotRun, now);
@@ -461,16 +464,16 @@
   }
 }
 
+bool RelayCall::EndsWithWholeEvent() const {
+  const std::string& rest = splitter_.partial_event();
+  return progress_.answer_begun &&
+         rest.find_first_not_of("\r\n") == std::string::npos;
+}
+
 void RelayCall::CompleteStream(Time now) {
   EndActivity();
   RecordHealth(SendEnd::kAnswered, now);
-  if (progress_.answer_begun) {
-    responder_->Write(splitter_.partial_event());
-  } else {
-    HttpResponse start = head_;
-    start.body = splitter_.partial_event();
-    responder_->Start(std::move(start));
-  }
+  responder_->Write(splitter_.partial_event());
   responder_->End();
   Done(RelayOutcome::kAnswered, kOk, now);
 }
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -124,6 +124,8 @@
   void RestartSilenceTimer(std::optional<Duration> limit);
   void OnDeadline();
   void OnCallerGone();
+  // Returns whether the stream has events and does not end inside one.
+  bool EndsWithWholeEvent() const;
   void CompleteStream(Time now);
   void TakeStep(RelayStep step, Time now);
   void SendErrorAnswer(RelayOutcome outcome, int status, Time now);
