--- a/include/amaranthcove/adapter_agent/crash_recorder.h
+++ b/include/amaranthcove/adapter_agent/crash_recorder.h
@@ -12,16 +12,10 @@
 
 namespace amaranthcove {
 
-// A crash of the agent's engine.
-struct RecordedCrash {
-  std::int64_t engine_started_at_ms = 0;
-  Time recorded;  // When the agent noticed the crash.
-  EngineCrash crash;
-};
-
 // Puts the requests that routers have lost at an engine together with the
 // crashes of the engine, which its agent notices. A lost request alone is no
-// sign of a crash: connections break for other reasons.
+// sign of a crash: connections break for other reasons. Keeps crashes of plain
+// servers too, which routers notice themselves and tell all others this way.
 //
 // Thread safety: none. Precondition: `now` does not decrease between calls.
 class CrashRecorder {
@@ -34,7 +28,7 @@
   static constexpr Duration kLifetime = std::chrono::minutes(10);
 
   // Bounds of what is kept and reported.
-  static constexpr std::size_t kMaxCrashes = 8;
+  static constexpr std::size_t kMaxCrashes = 8;    // Of each kind.
   static constexpr std::size_t kMaxRequests = 12;  // For each crash.
   static constexpr std::size_t kMaxParts = 16;     // For each request.
 
@@ -42,28 +36,38 @@
   // known ones have no effect. Returns whether a crash changed.
   bool OnLost(LostRequest request, Time now);
 
-  // Records a crash of the engine that was started at `engine_started_at_ms`.
-  // Returns whether requests are known that may have caused it.
-  bool OnCrash(std::int64_t engine_started_at_ms, Time now);
+  // Records the crash `id` of the engine. Returns whether requests are known
+  // that may have caused it.
+  bool OnCrash(std::uint64_t id, Time now);
 
-  // Records that an engine has begun to answer a request with `part`, so that
+  // Records a request that was lost in the crash `id` of a plain server.
+  // Returns whether a crash changed.
+  bool OnPlainCrash(std::uint64_t id, LostRequest request, Time now);
+
+  // Records that a server has begun to answer a request with `part`, so that
   // it is not the cause of the crashes so far. Returns whether a crash changed.
   bool OnBegun(PartId part);
 
   // Returns the crashes that may have been caused by a request.
-  std::vector<RecordedCrash> Crashes(Time now);
+  std::vector<ServerCrash> Crashes(Time now);
 
  private:
+  struct RecordedCrash {
+    Time recorded;  // When it was noticed.
+    ServerCrash crash;
+  };
   struct Lost {
     LostRequest request;
     Time at;
   };
 
   void Expire(Time now);
-  static bool Add(RecordedCrash& crash, const LostRequest& request);
+  static bool Add(RecordedCrash& crash, LostRequest request);
 
-  std::deque<Lost> lost_;              // In the order of time.
-  std::deque<RecordedCrash> crashes_;  // In the order of time.
+  // All in the order of time.
+  std::deque<Lost> lost_;
+  std::deque<RecordedCrash> crashes_;  // Of the engine.
+  std::deque<RecordedCrash> plain_crashes_;
 };
 
 }  // namespace amaranthcove
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -108,7 +108,7 @@
     // Prompts that may be sent now.
     std::vector<std::int64_t> admitted;
     // Crashes that the agent reports, with their times on the local clock.
-    std::vector<std::pair<CrashKey, EngineCrash>> crashes;
+    std::vector<ServerCrash> crashes;
   };
 
   // Processes a datagram from `sender`. Drops malformed datagrams, those of
@@ -181,7 +181,11 @@
   // a request when its connection broke.
   void ReportLost(std::string_view engine, LostRequest request, Time now);
 
-  // Tells an agent at once that an engine has begun to answer a request with a
+  // Tells one of the agents at once that a request was lost in the crash `id`
+  // of a plain server, which has no agent of its own. It tells all routers.
+  void ReportPlainCrash(std::uint64_t id, LostRequest request, Time now);
+
+  // Tells an agent at once that a server has begun to answer a request with a
   // part that the agent has reported with a crash.
   void ReportBegun(const ClearedPart& cleared, Time now);
 
@@ -217,6 +221,11 @@
     LostRequest request;
     Time expires;
   };
+  struct PlainCrashReport {
+    std::uint64_t id = 0;
+    LostRequest request;
+    Time expires;
+  };
   struct BegunReport {
     PartId part = 0;
     Time expires;
@@ -230,6 +239,7 @@
     PromptWindow window;
     bool has_late_pauses = false;
     std::vector<LostReport> lost;
+    std::vector<PlainCrashReport> plain_crashes;
     std::vector<BegunReport> begun;
   };
 
--- a/include/amaranthcove/suspects/crash_cause.h
+++ b/include/amaranthcove/suspects/crash_cause.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "amaranthcove/base/address.h"
 #include "amaranthcove/base/time.h"
 
 namespace amaranthcove {
@@ -18,19 +19,25 @@
 // Returns the id for a part that callers name `name`. Thread-safe.
 PartId HashPart(std::string_view name);
 
-// A request that an engine had not begun to answer when its connection broke.
+// Returns the id of the crash of a server that was started at `started_at_ms`,
+// the same in all processes. Thread-safe.
+std::uint64_t CrashId(const Address& server, std::int64_t started_at_ms);
+
+// A request that a server had not begun to answer when its connection broke. A
+// call of a plain service counts as one part.
 struct LostRequest {
   std::uint64_t request = 0;  // Hash of the id of the caller's attempt.
   std::vector<PartId> parts;  // Of its prompt, in order.
 };
 
-// A crash of an engine, with the requests that may have caused it.
-struct EngineCrash {
+// A crash of a server, with the requests that may have caused it.
+struct ServerCrash {
+  std::uint64_t id = 0;  // See `CrashId`.
   Time at;
   std::vector<LostRequest> requests;
 };
 
-// When engines began to answer requests with each part. Holds at least the last
+// When servers began to answer requests with each part. Holds at least the last
 // `kMinKeptParts` parts.
 //
 // Thread safety: none.
@@ -64,7 +71,7 @@
 // because engines also crash together for other reasons. Parts that engines
 // have answered before need more of them, and are tried again sooner.
 // Thread-safe.
-std::vector<CrashCause> FindCrashCauses(std::span<const EngineCrash> crashes,
+std::vector<CrashCause> FindCrashCauses(std::span<const ServerCrash> crashes,
                                         const BegunParts& begun,
                                         Time now);
 
--- a/include/amaranthcove/suspects/crash_table.h
+++ b/include/amaranthcove/suspects/crash_table.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <span>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "amaranthcove/base/address.h"
@@ -13,18 +13,6 @@
 
 namespace amaranthcove {
 
-// Identifies a crash: the agent that reported it, and the start of the engine
-// that crashed.
-struct CrashKey {
-  Address agent;
-  std::int64_t engine_started_at_ms = 0;
-
-  bool operator<(const CrashKey& other) const {
-    return std::tie(agent, engine_started_at_ms) <
-           std::tie(other.agent, other.engine_started_at_ms);
-  }
-};
-
 // A part that began although a crash was attributed to requests with it.
 struct ClearedPart {
   Address agent;  // Reported the crash.
@@ -42,9 +30,10 @@
   static constexpr Duration kLifetime = std::chrono::minutes(10);
   static constexpr std::size_t kMaxCrashes = 64;
 
-  // Adds a crash, or replaces what was known of it. Returns whether that
-  // changes the causes.
-  bool Put(const CrashKey& key, EngineCrash crash, Time now);
+  // Adds a crash that `agent` has reported, or replaces what it had reported
+  // before. Returns whether that changes the causes. For crashes that this
+  // process has noticed itself, `agent` is empty.
+  bool Put(const Address& agent, ServerCrash crash, Time now);
 
   // Records that an engine began to answer a request with `parts`. Returns the
   // parts that this clears, once for each crash.
@@ -59,10 +48,14 @@
 
  private:
   void Expire(Time now);
+  // Returns the crashes, with what several agents reported of one put together.
+  std::vector<ServerCrash> MergedCrashes() const;
   // Derives the causes again. Returns whether they have changed.
   bool UpdateCauses(Time now);
 
-  std::map<CrashKey, EngineCrash> crashes_;
+  using CrashKey = std::pair<Address, std::uint64_t>;  // Agent and id.
+
+  std::map<CrashKey, ServerCrash> crashes_;
   BegunParts begun_;
   std::vector<CrashCause> causes_;
 };
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -107,11 +107,11 @@
   return result;
 }
 
-agent_wire::EngineCrash ToWire(const RecordedCrash& recorded, Time now) {
-  agent_wire::EngineCrash wire;
-  wire.started_at_ms = recorded.engine_started_at_ms;
-  wire.age_ms = ToMilliseconds(now - recorded.crash.at);
-  for (const LostRequest& request : recorded.crash.requests) {
+agent_wire::ServerCrash ToWire(const ServerCrash& crash, Time now) {
+  agent_wire::ServerCrash wire;
+  wire.id = static_cast<std::int64_t>(crash.id);
+  wire.age_ms = ToMilliseconds(now - crash.at);
+  for (const LostRequest& request : crash.requests) {
     wire.requests.push_back(EncodeLostRequest(request));
   }
   return wire;
@@ -611,6 +611,12 @@
   for (const agent_wire::LostRequest& item : demand.lost) {
     changed = crash_recorder_.OnLost(DecodeLostRequest(item), now) || changed;
   }
+  for (const agent_wire::PlainServerCrash& item : demand.plain_crashes) {
+    changed =
+        crash_recorder_.OnPlainCrash(static_cast<std::uint64_t>(item.id),
+                                     DecodeLostRequest(item.request), now) ||
+        changed;
+  }
   for (const std::int64_t part : demand.begun_parts) {
     changed = crash_recorder_.OnBegun(static_cast<PartId>(part)) || changed;
   }
@@ -620,7 +626,9 @@
 }
 
 void AdapterAgentImpl::OnEngineCrash() {
-  if (report_ && crash_recorder_.OnCrash(report_->started_at_ms, loop_.Now())) {
+  if (report_ &&
+      crash_recorder_.OnCrash(CrashId(settings_.engine, report_->started_at_ms),
+                              loop_.Now())) {
     SendCrashesSoon();
   }
 }
@@ -639,8 +647,8 @@
   const Time now = loop_.Now();
   agent_wire::AgentDatagram datagram;
   agent_wire::CrashReport report;
-  for (const RecordedCrash& recorded : crash_recorder_.Crashes(now)) {
-    report.crashes.push_back(ToWire(recorded, now));
+  for (const ServerCrash& crash : crash_recorder_.Crashes(now)) {
+    report.crashes.push_back(ToWire(crash, now));
   }
   if (report.crashes.empty()) {
     return;
--- a/src/adapter_agent/crash_recorder.cc
+++ b/src/adapter_agent/crash_recorder.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/adapter_agent/crash_recorder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace amaranthcove {
@@ -24,9 +25,6 @@
   if (known) {
     return false;
   }
-  if (request.parts.size() > kMaxParts) {
-    request.parts.resize(kMaxParts);
-  }
   bool changed = false;
   if (!crashes_.empty() && now - crashes_.back().recorded < kMatchWindow) {
     changed = Add(crashes_.back(), request);
@@ -35,43 +33,60 @@
   return changed;
 }
 
-bool CrashRecorder::OnCrash(std::int64_t engine_started_at_ms, Time now) {
+bool CrashRecorder::OnCrash(std::uint64_t id, Time now) {
   Expire(now);
-  if (!crashes_.empty() &&
-      crashes_.back().engine_started_at_ms == engine_started_at_ms) {
+  if (!crashes_.empty() && crashes_.back().crash.id == id) {
     return false;
   }
-  RecordedCrash crash;
-  crash.engine_started_at_ms = engine_started_at_ms;
-  crash.recorded = now;
   // The engine's connections broke before the agent noticed.
-  crash.crash.at = lost_.empty() ? now : lost_.back().at;
+  const Time at = lost_.empty() ? now : lost_.back().at;
+  crashes_.push_back({now, {id, at, {}}});
   for (const Lost& lost : lost_) {
-    Add(crash, lost.request);
+    Add(crashes_.back(), lost.request);
   }
-  crashes_.push_back(std::move(crash));
   if (crashes_.size() > kMaxCrashes) {
     crashes_.pop_front();
   }
   return !crashes_.back().crash.requests.empty();
 }
 
+bool CrashRecorder::OnPlainCrash(std::uint64_t id,
+                                 LostRequest request,
+                                 Time now) {
+  Expire(now);
+  auto found = std::find_if(
+      plain_crashes_.begin(), plain_crashes_.end(),
+      [id](const RecordedCrash& crash) { return crash.crash.id == id; });
+  if (found == plain_crashes_.end()) {
+    plain_crashes_.push_back({now, {id, now, {}}});
+    if (plain_crashes_.size() > kMaxCrashes) {
+      plain_crashes_.pop_front();
+    }
+    found = std::prev(plain_crashes_.end());
+  }
+  return Add(*found, std::move(request));
+}
+
 bool CrashRecorder::OnBegun(PartId part) {
   bool changed = false;
-  for (RecordedCrash& crash : crashes_) {
-    for (LostRequest& request : crash.crash.requests) {
-      changed = std::erase(request.parts, part) > 0 || changed;
+  for (auto* crashes : {&crashes_, &plain_crashes_}) {
+    for (RecordedCrash& crash : *crashes) {
+      for (LostRequest& request : crash.crash.requests) {
+        changed = std::erase(request.parts, part) > 0 || changed;
+      }
     }
   }
   return changed;
 }
 
-std::vector<RecordedCrash> CrashRecorder::Crashes(Time now) {
+std::vector<ServerCrash> CrashRecorder::Crashes(Time now) {
   Expire(now);
-  std::vector<RecordedCrash> result;
-  for (const RecordedCrash& crash : crashes_) {
-    if (!crash.crash.requests.empty()) {
-      result.push_back(crash);
+  std::vector<ServerCrash> result;
+  for (const auto* crashes : {&crashes_, &plain_crashes_}) {
+    for (const RecordedCrash& recorded : *crashes) {
+      if (!recorded.crash.requests.empty()) {
+        result.push_back(recorded.crash);
+      }
     }
   }
   return result;
@@ -81,17 +96,22 @@
   while (!lost_.empty() && now - lost_.front().at >= kMatchWindow) {
     lost_.pop_front();
   }
-  while (!crashes_.empty() && now - crashes_.front().recorded >= kLifetime) {
-    crashes_.pop_front();
+  for (auto* crashes : {&crashes_, &plain_crashes_}) {
+    while (!crashes->empty() && now - crashes->front().recorded >= kLifetime) {
+      crashes->pop_front();
+    }
   }
 }
 
-bool CrashRecorder::Add(RecordedCrash& crash, const LostRequest& request) {
+bool CrashRecorder::Add(RecordedCrash& crash, LostRequest request) {
   std::vector<LostRequest>& requests = crash.crash.requests;
   if (requests.size() >= kMaxRequests || IsListed(requests, request.request)) {
     return false;
   }
-  requests.push_back(request);
+  if (request.parts.size() > kMaxParts) {
+    request.parts.resize(kMaxParts);
+  }
+  requests.push_back(std::move(request));
   return true;
 }
 
--- a/src/adapter_agent/crash_recorder_test.cc
+++ b/src/adapter_agent/crash_recorder_test.cc
@@ -18,7 +18,7 @@
 
   std::size_t RequestsOfFirstCrash(Time now) {
     const auto crashes = recorder_.Crashes(now);
-    return crashes.empty() ? 0 : crashes[0].crash.requests.size();
+    return crashes.empty() ? 0 : crashes[0].requests.size();
   }
 };
 
@@ -37,7 +37,7 @@
   CHECK(recorder_.OnCrash(1000, kStart + milliseconds(50)));
   CHECK(recorder_.OnLost({2, {10, 12}}, kStart + milliseconds(80)));
   CHECK_EQUAL(2, RequestsOfFirstCrash(kStart + seconds(1)));
-  CHECK(recorder_.Crashes(kStart + seconds(1))[0].crash.at == kStart);
+  CHECK(recorder_.Crashes(kStart + seconds(1))[0].at == kStart);
 }
 
 // Guards against counting a repeated report again.
@@ -57,7 +57,7 @@
   CHECK(recorder_.OnBegun(10));
   CHECK(!recorder_.OnBegun(10));
   const auto crashes = recorder_.Crashes(kStart);
-  CHECK(crashes[0].crash.requests[0].parts == std::vector<PartId>{11});
+  CHECK(crashes[0].requests[0].parts == std::vector<PartId>{11});
 }
 
 // Guards against reports that grow with the requests of a caller.
@@ -67,9 +67,19 @@
   }
   recorder_.OnCrash(1000, kStart);
   const auto crashes = recorder_.Crashes(kStart);
-  CHECK_EQUAL(CrashRecorder::kMaxRequests, crashes[0].crash.requests.size());
-  CHECK_EQUAL(CrashRecorder::kMaxParts,
-              crashes[0].crash.requests[0].parts.size());
+  CHECK_EQUAL(CrashRecorder::kMaxRequests, crashes[0].requests.size());
+  CHECK_EQUAL(CrashRecorder::kMaxParts, crashes[0].requests[0].parts.size());
+}
+
+// Guards against plain servers whose crashes are known only to the router that
+// noticed them, and against counting one crash for each of its requests.
+TEST(CrashRecorder, CrashesOfPlainServersAreReportedToo) {
+  CHECK(recorder_.OnPlainCrash(7, {1, {10}}, kStart));
+  CHECK(recorder_.OnPlainCrash(7, {2, {11}}, kStart));
+  CHECK(!recorder_.OnPlainCrash(7, {2, {11}}, kStart + milliseconds(100)));
+  CHECK_EQUAL(1, static_cast<int>(recorder_.Crashes(kStart).size()));
+  CHECK_EQUAL(2, RequestsOfFirstCrash(kStart));
+  CHECK(recorder_.OnBegun(10));
 }
 
 }  // namespace amaranthcove
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -33,6 +33,12 @@
   2: list<i64> parts     // Hashes of the ids of the parts of its prompt.
 }
 
+// A request that was lost in the crash of a plain server, which has no agent.
+struct PlainServerCrash {
+  1: i64 id              // Hash of the server and its start.
+  2: LostRequest request
+}
+
 // Sent by a router to an agent.
 struct AdapterDemand {
   1: string router
@@ -56,7 +62,8 @@
   14: bool has_late_pauses   // Whether prompts have lately made streams late.
   15: list<LostRequest> lost // Of about the last second.
   16: list<i64> begun_parts  // Parts that the agent listed with a crash, and
-                             // with which an engine began an answer since.
+                             // with which a server began an answer since.
+  17: list<PlainServerCrash> plain_crashes  // Of about the last second.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
@@ -99,18 +106,18 @@
   7: list<i64> admitted  // Waiting prompts of the receiver that it may send.
 }
 
-// A crash of the agent's engine.
-struct EngineCrash {
-  1: i64 started_at_ms   // Start of the engine that crashed.
+// A crash of a server.
+struct ServerCrash {
+  1: i64 id              // Hash of the server and its start.
   2: i64 age_ms          // Time since the crash.
   3: list<LostRequest> requests  // Without the parts that have begun since.
 }
 
-// The crashes of the agent's engine that may have been caused by a request.
-// Sent by an agent to all routers some times after each change, and to a router
+// The crashes that may have been caused by a request: those of the agent's
+// engine, and those of plain servers that routers have told the agent. Sent by an agent to all routers some times after each change, and to a router
 // that is new to the agent.
 struct CrashReport {
-  1: list<EngineCrash> crashes
+  1: list<ServerCrash> crashes
 }
 
 struct AgentDatagram {
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -316,8 +316,8 @@
   agent_wire::LostRequest request;
   request.request = 5;
   request.parts = {10, -1};
-  agent_wire::EngineCrash crash;
-  crash.started_at_ms = 1000;
+  agent_wire::ServerCrash crash;
+  crash.id = 1000;
   crash.age_ms = 300;
   crash.requests = {request};
   agent_wire::AgentDatagram datagram;
@@ -327,12 +327,27 @@
   CHECK(links_.Receive({"10.0.0.8", 7000}, bytes, kStart).crashes.empty());
   const auto update = links_.Receive(kAgent, bytes, kStart);
   CHECK_EQUAL(1, static_cast<int>(update.crashes.size()));
-  const auto& [key, received] = update.crashes[0];
-  CHECK(key.agent == kAgent);
-  CHECK_EQUAL(1000, static_cast<int>(key.engine_started_at_ms));
+  const ServerCrash& received = update.crashes[0];
+  CHECK_EQUAL(1000, static_cast<int>(received.id));
   CHECK(received.at == kStart - milliseconds(300));
   CHECK(received.requests[0].parts ==
         std::vector<PartId>({10, static_cast<PartId>(-1)}));
 }
 
+// Guards against the crash of a plain server that only one router knows of, and
+// against telling an agent that has ended.
+TEST(AgentLinks, OneLivingAgentIsToldOfCrashesOfPlainServers) {
+  links_.SetEndpoints(
+      {{"e1", kAgent, {}, 0}, {"e2", {"10.0.0.8", 7000}, {}, 0}});
+  links_.Receive(kAgent, EncodeStatus(1, 1, 1), kStart);
+  links_.Tick(kStart);
+  sent_.clear();
+  for (std::uint64_t id = 0; id < 8; ++id) {
+    links_.ReportPlainCrash(id, {5, {10}}, kStart);
+  }
+  links_.Tick(kStart);
+  CHECK_EQUAL(1, static_cast<int>(sent_.size()));
+  CHECK_EQUAL(8, static_cast<int>(sent_[0].plain_crashes.size()));
+}
+
 }  // namespace amaranthcove
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -125,8 +125,9 @@
   return lowest;
 }
 
-EngineCrash ToCrash(const agent_wire::EngineCrash& wire, Time now) {
-  EngineCrash crash;
+ServerCrash ToCrash(const agent_wire::ServerCrash& wire, Time now) {
+  ServerCrash crash;
+  crash.id = static_cast<std::uint64_t>(wire.id);
   crash.at = now - milliseconds(std::clamp<std::int64_t>(
                        wire.age_ms, 0, ToMilliseconds(CrashTable::kLifetime)));
   for (const agent_wire::LostRequest& item : wire.requests) {
@@ -196,10 +197,9 @@
       continue;
     }
     if (datagram->__isset.crash_report && update.crashes.empty()) {
-      for (const agent_wire::EngineCrash& crash :
+      for (const agent_wire::ServerCrash& crash :
            datagram->crash_report.crashes) {
-        update.crashes.emplace_back(CrashKey{sender, crash.started_at_ms},
-                                    ToCrash(crash, now));
+        update.crashes.push_back(ToCrash(crash, now));
       }
     }
     if (datagram->__isset.status) {
@@ -421,6 +421,28 @@
   }
 }
 
+void AgentLinks::ReportPlainCrash(std::uint64_t id,
+                                  LostRequest request,
+                                  Time now) {
+  // Routers that know the same agents choose the same one, so that it puts the
+  // requests of the crash together.
+  Link* chosen = nullptr;
+  std::uint64_t chosen_rank = 0;
+  for (auto& [engine, link] : links_) {
+    const std::uint64_t rank = Hash64(FormatAddress(link.endpoint.agent), id);
+    if (Snapshot(engine, now) != nullptr &&
+        (chosen == nullptr || rank > chosen_rank)) {
+      chosen = &link;
+      chosen_rank = rank;
+    }
+  }
+  if (chosen != nullptr) {
+    AddReport(chosen->plain_crashes,
+              {id, std::move(request), now + kReportLifetime});
+    chosen->next_send = std::min(chosen->next_send, now);
+  }
+}
+
 void AgentLinks::ReportBegun(const ClearedPart& cleared, Time now) {
   for (auto& [engine, link] : links_) {
     if (link.endpoint.agent == cleared.agent) {
@@ -438,13 +460,21 @@
   };
   std::erase_if(link.lost, has_expired);
   std::erase_if(link.begun, has_expired);
+  std::erase_if(link.plain_crashes, has_expired);
   for (const LostReport& report : link.lost) {
     demand.lost.push_back(EncodeLostRequest(report.request));
   }
+  for (const PlainCrashReport& report : link.plain_crashes) {
+    agent_wire::PlainServerCrash item;
+    item.id = static_cast<std::int64_t>(report.id);
+    item.request = EncodeLostRequest(report.request);
+    demand.plain_crashes.push_back(std::move(item));
+  }
   for (const BegunReport& report : link.begun) {
     demand.begun_parts.push_back(static_cast<std::int64_t>(report.part));
   }
-  return !link.lost.empty() || !link.begun.empty();
+  return !link.lost.empty() || !link.begun.empty() ||
+         !link.plain_crashes.empty();
 }
 
 void AgentLinks::MarkAbsent(std::string_view engine,
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -582,6 +582,118 @@
 }
 
 
+PlainServerCrash::~PlainServerCrash() noexcept {
+}
+
+
+void PlainServerCrash::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void PlainServerCrash::__set_request(const LostRequest& val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlainServerCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlainServerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlainServerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlainServerCrash");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlainServerCrash &a, PlainServerCrash &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.request, b.request);
+  swap(a.__isset, b.__isset);
+}
+
+PlainServerCrash::PlainServerCrash(const PlainServerCrash& other14) {
+  id = other14.id;
+  request = other14.request;
+  __isset = other14.__isset;
+}
+PlainServerCrash& PlainServerCrash::operator=(const PlainServerCrash& other15) {
+  id = other15.id;
+  request = other15.request;
+  __isset = other15.__isset;
+  return *this;
+}
+void PlainServerCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlainServerCrash(";
+  out << "id=" << to_string(id);
+  out << ", " << "request=" << to_string(request);
+  out << ")";
+}
+
+
 AdapterDemand::~AdapterDemand() noexcept {
 }
 
@@ -649,6 +761,10 @@
 void AdapterDemand::__set_begun_parts(const std::vector<int64_t> & val) {
   this->begun_parts = val;
 }
+
+void AdapterDemand::__set_plain_crashes(const std::vector<PlainServerCrash> & val) {
+  this->plain_crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -697,14 +813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->uses.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->uses.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->uses[_i18].read(iprot);
+              xfer += this->uses[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -733,14 +849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->models.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->models.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->models[_i23].read(iprot);
+              xfer += this->models[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -769,14 +885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->prompts.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->prompts.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->prompts[_i28].read(iprot);
+              xfer += this->prompts[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -829,14 +945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->lost.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->lost.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->lost[_i33].read(iprot);
+              xfer += this->lost[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -849,14 +965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->begun_parts.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->begun_parts.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->begun_parts.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += iprot->readI64(this->begun_parts[_i38]);
+              xfer += iprot->readI64(this->begun_parts[_i40]);
             }
             xfer += iprot->readListEnd();
           }
@@ -865,6 +981,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->plain_crashes.clear();
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->plain_crashes.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
+            {
+              xfer += this->plain_crashes[_i45].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.plain_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -893,10 +1029,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<AdapterUse> ::const_iterator _iter39;
-    for (_iter39 = this->uses.begin(); _iter39 != this->uses.end(); ++_iter39)
+    std::vector<AdapterUse> ::const_iterator _iter46;
+    for (_iter46 = this->uses.begin(); _iter46 != this->uses.end(); ++_iter46)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -913,10 +1049,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<BaseModel> ::const_iterator _iter40;
-    for (_iter40 = this->models.begin(); _iter40 != this->models.end(); ++_iter40)
+    std::vector<BaseModel> ::const_iterator _iter47;
+    for (_iter47 = this->models.begin(); _iter47 != this->models.end(); ++_iter47)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -933,10 +1069,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<WaitingPrompt> ::const_iterator _iter41;
-    for (_iter41 = this->prompts.begin(); _iter41 != this->prompts.end(); ++_iter41)
+    std::vector<WaitingPrompt> ::const_iterator _iter48;
+    for (_iter48 = this->prompts.begin(); _iter48 != this->prompts.end(); ++_iter48)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -965,10 +1101,10 @@
   xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
-    std::vector<LostRequest> ::const_iterator _iter42;
-    for (_iter42 = this->lost.begin(); _iter42 != this->lost.end(); ++_iter42)
+    std::vector<LostRequest> ::const_iterator _iter49;
+    for (_iter49 = this->lost.begin(); _iter49 != this->lost.end(); ++_iter49)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -977,10 +1113,22 @@
   xfer += oprot->writeFieldBegin("begun_parts", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->begun_parts.size()));
-    std::vector<int64_t> ::const_iterator _iter43;
-    for (_iter43 = this->begun_parts.begin(); _iter43 != this->begun_parts.end(); ++_iter43)
+    std::vector<int64_t> ::const_iterator _iter50;
+    for (_iter50 = this->begun_parts.begin(); _iter50 != this->begun_parts.end(); ++_iter50)
+    {
+      xfer += oprot->writeI64((*_iter50));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plain_crashes", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plain_crashes.size()));
+    std::vector<PlainServerCrash> ::const_iterator _iter51;
+    for (_iter51 = this->plain_crashes.begin(); _iter51 != this->plain_crashes.end(); ++_iter51)
     {
-      xfer += oprot->writeI64((*_iter43));
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1009,46 +1157,49 @@
   swap(a.has_late_pauses, b.has_late_pauses);
   swap(a.lost, b.lost);
   swap(a.begun_parts, b.begun_parts);
+  swap(a.plain_crashes, b.plain_crashes);
   swap(a.__isset, b.__isset);
 }
 
-AdapterDemand::AdapterDemand(const AdapterDemand& other44) {
-  router = other44.router;
-  sequence = other44.sequence;
-  uses = other44.uses;
-  adapter_places = other44.adapter_places;
-  weights_mb = other44.weights_mb;
-  models = other44.models;
-  incarnation = other44.incarnation;
-  prompt_tokens = other44.prompt_tokens;
-  prompts = other44.prompts;
-  prompt_window = other44.prompt_window;
-  batch_size = other44.batch_size;
-  sent_tokens = other44.sent_tokens;
-  gap_ms = other44.gap_ms;
-  has_late_pauses = other44.has_late_pauses;
-  lost = other44.lost;
-  begun_parts = other44.begun_parts;
-  __isset = other44.__isset;
-}
-AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other45) {
-  router = other45.router;
-  sequence = other45.sequence;
-  uses = other45.uses;
-  adapter_places = other45.adapter_places;
-  weights_mb = other45.weights_mb;
-  models = other45.models;
-  incarnation = other45.incarnation;
-  prompt_tokens = other45.prompt_tokens;
-  prompts = other45.prompts;
-  prompt_window = other45.prompt_window;
-  batch_size = other45.batch_size;
-  sent_tokens = other45.sent_tokens;
-  gap_ms = other45.gap_ms;
-  has_late_pauses = other45.has_late_pauses;
-  lost = other45.lost;
-  begun_parts = other45.begun_parts;
-  __isset = other45.__isset;
+AdapterDemand::AdapterDemand(const AdapterDemand& other52) {
+  router = other52.router;
+  sequence = other52.sequence;
+  uses = other52.uses;
+  adapter_places = other52.adapter_places;
+  weights_mb = other52.weights_mb;
+  models = other52.models;
+  incarnation = other52.incarnation;
+  prompt_tokens = other52.prompt_tokens;
+  prompts = other52.prompts;
+  prompt_window = other52.prompt_window;
+  batch_size = other52.batch_size;
+  sent_tokens = other52.sent_tokens;
+  gap_ms = other52.gap_ms;
+  has_late_pauses = other52.has_late_pauses;
+  lost = other52.lost;
+  begun_parts = other52.begun_parts;
+  plain_crashes = other52.plain_crashes;
+  __isset = other52.__isset;
+}
+AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other53) {
+  router = other53.router;
+  sequence = other53.sequence;
+  uses = other53.uses;
+  adapter_places = other53.adapter_places;
+  weights_mb = other53.weights_mb;
+  models = other53.models;
+  incarnation = other53.incarnation;
+  prompt_tokens = other53.prompt_tokens;
+  prompts = other53.prompts;
+  prompt_window = other53.prompt_window;
+  batch_size = other53.batch_size;
+  sent_tokens = other53.sent_tokens;
+  gap_ms = other53.gap_ms;
+  has_late_pauses = other53.has_late_pauses;
+  lost = other53.lost;
+  begun_parts = other53.begun_parts;
+  plain_crashes = other53.plain_crashes;
+  __isset = other53.__isset;
   return *this;
 }
 void AdapterDemand::printTo(std::ostream& out) const {
@@ -1070,6 +1221,7 @@
   out << ", " << "has_late_pauses=" << to_string(has_late_pauses);
   out << ", " << "lost=" << to_string(lost);
   out << ", " << "begun_parts=" << to_string(begun_parts);
+  out << ", " << "plain_crashes=" << to_string(plain_crashes);
   out << ")";
 }
 
@@ -1183,17 +1335,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ResidentAdapter::ResidentAdapter(const ResidentAdapter& other46) {
-  adapter = other46.adapter;
-  version = other46.version;
-  model = other46.model;
-  __isset = other46.__isset;
+ResidentAdapter::ResidentAdapter(const ResidentAdapter& other54) {
+  adapter = other54.adapter;
+  version = other54.version;
+  model = other54.model;
+  __isset = other54.__isset;
 }
-ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other47) {
-  adapter = other47.adapter;
-  version = other47.version;
-  model = other47.model;
-  __isset = other47.__isset;
+ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other55) {
+  adapter = other55.adapter;
+  version = other55.version;
+  model = other55.model;
+  __isset = other55.__isset;
   return *this;
 }
 void ResidentAdapter::printTo(std::ostream& out) const {
@@ -1301,14 +1453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->models.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->models.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += iprot->readString(this->models[_i52]);
+              xfer += iprot->readString(this->models[_i60]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1321,14 +1473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resident.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->resident.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->resident.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->resident[_i57].read(iprot);
+              xfer += this->resident[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,14 +1493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loading.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->loading.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->loading.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->loading[_i62].read(iprot);
+              xfer += this->loading[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1453,10 +1605,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter63;
-    for (_iter63 = this->models.begin(); _iter63 != this->models.end(); ++_iter63)
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->models.begin(); _iter71 != this->models.end(); ++_iter71)
     {
-      xfer += oprot->writeString((*_iter63));
+      xfer += oprot->writeString((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1465,10 +1617,10 @@
   xfer += oprot->writeFieldBegin("resident", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resident.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter64;
-    for (_iter64 = this->resident.begin(); _iter64 != this->resident.end(); ++_iter64)
+    std::vector<ResidentAdapter> ::const_iterator _iter72;
+    for (_iter72 = this->resident.begin(); _iter72 != this->resident.end(); ++_iter72)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1477,10 +1629,10 @@
   xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loading.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter65;
-    for (_iter65 = this->loading.begin(); _iter65 != this->loading.end(); ++_iter65)
+    std::vector<ResidentAdapter> ::const_iterator _iter73;
+    for (_iter73 = this->loading.begin(); _iter73 != this->loading.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1545,37 +1697,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other66) {
-  sequence = other66.sequence;
-  models = other66.models;
-  resident = other66.resident;
-  loading = other66.loading;
-  running = other66.running;
-  queued = other66.queued;
-  free_places = other66.free_places;
-  routers = other66.routers;
-  incarnation = other66.incarnation;
-  reachable = other66.reachable;
-  started_at_ms = other66.started_at_ms;
-  load_wait_ms = other66.load_wait_ms;
-  event_interval_ms = other66.event_interval_ms;
-  __isset = other66.__isset;
-}
-EngineStatus& EngineStatus::operator=(const EngineStatus& other67) {
-  sequence = other67.sequence;
-  models = other67.models;
-  resident = other67.resident;
-  loading = other67.loading;
-  running = other67.running;
-  queued = other67.queued;
-  free_places = other67.free_places;
-  routers = other67.routers;
-  incarnation = other67.incarnation;
-  reachable = other67.reachable;
-  started_at_ms = other67.started_at_ms;
-  load_wait_ms = other67.load_wait_ms;
-  event_interval_ms = other67.event_interval_ms;
-  __isset = other67.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other74) {
+  sequence = other74.sequence;
+  models = other74.models;
+  resident = other74.resident;
+  loading = other74.loading;
+  running = other74.running;
+  queued = other74.queued;
+  free_places = other74.free_places;
+  routers = other74.routers;
+  incarnation = other74.incarnation;
+  reachable = other74.reachable;
+  started_at_ms = other74.started_at_ms;
+  load_wait_ms = other74.load_wait_ms;
+  event_interval_ms = other74.event_interval_ms;
+  __isset = other74.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other75) {
+  sequence = other75.sequence;
+  models = other75.models;
+  resident = other75.resident;
+  loading = other75.loading;
+  running = other75.running;
+  queued = other75.queued;
+  free_places = other75.free_places;
+  routers = other75.routers;
+  incarnation = other75.incarnation;
+  reachable = other75.reachable;
+  started_at_ms = other75.started_at_ms;
+  load_wait_ms = other75.load_wait_ms;
+  event_interval_ms = other75.event_interval_ms;
+  __isset = other75.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -1709,14 +1861,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admitted.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->admitted.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->admitted.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readI64(this->admitted[_i72]);
+              xfer += iprot->readI64(this->admitted[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1769,10 +1921,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter73;
-    for (_iter73 = this->admitted.begin(); _iter73 != this->admitted.end(); ++_iter73)
+    std::vector<int64_t> ::const_iterator _iter81;
+    for (_iter81 = this->admitted.begin(); _iter81 != this->admitted.end(); ++_iter81)
     {
-      xfer += oprot->writeI64((*_iter73));
+      xfer += oprot->writeI64((*_iter81));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1795,25 +1947,25 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other74) {
-  sequence = other74.sequence;
-  incarnation = other74.incarnation;
-  requests = other74.requests;
-  prompt_tokens = other74.prompt_tokens;
-  unread_tokens = other74.unread_tokens;
-  limits_prompts = other74.limits_prompts;
-  admitted = other74.admitted;
-  __isset = other74.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other82) {
+  sequence = other82.sequence;
+  incarnation = other82.incarnation;
+  requests = other82.requests;
+  prompt_tokens = other82.prompt_tokens;
+  unread_tokens = other82.unread_tokens;
+  limits_prompts = other82.limits_prompts;
+  admitted = other82.admitted;
+  __isset = other82.__isset;
 }
-EngineLoad& EngineLoad::operator=(const EngineLoad& other75) {
-  sequence = other75.sequence;
-  incarnation = other75.incarnation;
-  requests = other75.requests;
-  prompt_tokens = other75.prompt_tokens;
-  unread_tokens = other75.unread_tokens;
-  limits_prompts = other75.limits_prompts;
-  admitted = other75.admitted;
-  __isset = other75.__isset;
+EngineLoad& EngineLoad::operator=(const EngineLoad& other83) {
+  sequence = other83.sequence;
+  incarnation = other83.incarnation;
+  requests = other83.requests;
+  prompt_tokens = other83.prompt_tokens;
+  unread_tokens = other83.unread_tokens;
+  limits_prompts = other83.limits_prompts;
+  admitted = other83.admitted;
+  __isset = other83.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -1830,29 +1982,29 @@
 }
 
 
-EngineCrash::~EngineCrash() noexcept {
+ServerCrash::~ServerCrash() noexcept {
 }
 
 
-void EngineCrash::__set_started_at_ms(const int64_t val) {
-  this->started_at_ms = val;
+void ServerCrash::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void EngineCrash::__set_age_ms(const int64_t val) {
+void ServerCrash::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
 
-void EngineCrash::__set_requests(const std::vector<LostRequest> & val) {
+void ServerCrash::__set_requests(const std::vector<LostRequest> & val) {
   this->requests = val;
 }
-std::ostream& operator<<(std::ostream& out, const EngineCrash& obj)
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EngineCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1875,8 +2027,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->started_at_ms);
-          this->__isset.started_at_ms = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1893,14 +2045,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->requests.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->requests.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->requests[_i80].read(iprot);
+              xfer += this->requests[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1921,13 +2073,13 @@
   return xfer;
 }
 
-uint32_t EngineCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EngineCrash");
+  xfer += oprot->writeStructBegin("ServerCrash");
 
-  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
@@ -1937,10 +2089,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LostRequest> ::const_iterator _iter81;
-    for (_iter81 = this->requests.begin(); _iter81 != this->requests.end(); ++_iter81)
+    std::vector<LostRequest> ::const_iterator _iter89;
+    for (_iter89 = this->requests.begin(); _iter89 != this->requests.end(); ++_iter89)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1951,31 +2103,31 @@
   return xfer;
 }
 
-void swap(EngineCrash &a, EngineCrash &b) {
+void swap(ServerCrash &a, ServerCrash &b) {
   using ::std::swap;
-  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.id, b.id);
   swap(a.age_ms, b.age_ms);
   swap(a.requests, b.requests);
   swap(a.__isset, b.__isset);
 }
 
-EngineCrash::EngineCrash(const EngineCrash& other82) {
-  started_at_ms = other82.started_at_ms;
-  age_ms = other82.age_ms;
-  requests = other82.requests;
-  __isset = other82.__isset;
+ServerCrash::ServerCrash(const ServerCrash& other90) {
+  id = other90.id;
+  age_ms = other90.age_ms;
+  requests = other90.requests;
+  __isset = other90.__isset;
 }
-EngineCrash& EngineCrash::operator=(const EngineCrash& other83) {
-  started_at_ms = other83.started_at_ms;
-  age_ms = other83.age_ms;
-  requests = other83.requests;
-  __isset = other83.__isset;
+ServerCrash& ServerCrash::operator=(const ServerCrash& other91) {
+  id = other91.id;
+  age_ms = other91.age_ms;
+  requests = other91.requests;
+  __isset = other91.__isset;
   return *this;
 }
-void EngineCrash::printTo(std::ostream& out) const {
+void ServerCrash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EngineCrash(";
-  out << "started_at_ms=" << to_string(started_at_ms);
+  out << "ServerCrash(";
+  out << "id=" << to_string(id);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "requests=" << to_string(requests);
   out << ")";
@@ -1986,7 +2138,7 @@
 }
 
 
-void CrashReport::__set_crashes(const std::vector<EngineCrash> & val) {
+void CrashReport::__set_crashes(const std::vector<ServerCrash> & val) {
   this->crashes = val;
 }
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
@@ -2021,14 +2173,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->crashes.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->crashes.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->crashes[_i88].read(iprot);
+              xfer += this->crashes[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2057,10 +2209,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<EngineCrash> ::const_iterator _iter89;
-    for (_iter89 = this->crashes.begin(); _iter89 != this->crashes.end(); ++_iter89)
+    std::vector<ServerCrash> ::const_iterator _iter97;
+    for (_iter97 = this->crashes.begin(); _iter97 != this->crashes.end(); ++_iter97)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2077,13 +2229,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other90) {
-  crashes = other90.crashes;
-  __isset = other90.__isset;
+CrashReport::CrashReport(const CrashReport& other98) {
+  crashes = other98.crashes;
+  __isset = other98.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other91) {
-  crashes = other91.crashes;
-  __isset = other91.__isset;
+CrashReport& CrashReport::operator=(const CrashReport& other99) {
+  crashes = other99.crashes;
+  __isset = other99.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -2228,19 +2380,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other92) {
-  demand = other92.demand;
-  status = other92.status;
-  load = other92.load;
-  crash_report = other92.crash_report;
-  __isset = other92.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other100) {
+  demand = other100.demand;
+  status = other100.status;
+  load = other100.load;
+  crash_report = other100.crash_report;
+  __isset = other100.__isset;
 }
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other93) {
-  demand = other93.demand;
-  status = other93.status;
-  load = other93.load;
-  crash_report = other93.crash_report;
-  __isset = other93.__isset;
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other101) {
+  demand = other101.demand;
+  status = other101.status;
+  load = other101.load;
+  crash_report = other101.crash_report;
+  __isset = other101.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -29,6 +29,8 @@
 
 class LostRequest;
 
+class PlainServerCrash;
+
 class AdapterDemand;
 
 class ResidentAdapter;
@@ -37,7 +39,7 @@
 
 class EngineLoad;
 
-class EngineCrash;
+class ServerCrash;
 
 class CrashReport;
 
@@ -277,8 +279,57 @@
 
 std::ostream& operator<<(std::ostream& out, const LostRequest& obj);
 
+typedef struct _PlainServerCrash__isset {
+  _PlainServerCrash__isset() : id(false), request(false) {}
+  bool id :1;
+  bool request :1;
+} _PlainServerCrash__isset;
+
+class PlainServerCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlainServerCrash(const PlainServerCrash&);
+  PlainServerCrash& operator=(const PlainServerCrash&);
+  PlainServerCrash() noexcept
+                   : id(0) {
+  }
+
+  virtual ~PlainServerCrash() noexcept;
+  int64_t id;
+  LostRequest request;
+
+  _PlainServerCrash__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_request(const LostRequest& val);
+
+  bool operator == (const PlainServerCrash & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const PlainServerCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlainServerCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlainServerCrash &a, PlainServerCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const PlainServerCrash& obj);
+
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false), plain_crashes(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -295,6 +346,7 @@
   bool has_late_pauses :1;
   bool lost :1;
   bool begun_parts :1;
+  bool plain_crashes :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -333,6 +385,7 @@
   bool has_late_pauses;
   std::vector<LostRequest>  lost;
   std::vector<int64_t>  begun_parts;
+  std::vector<PlainServerCrash>  plain_crashes;
 
   _AdapterDemand__isset __isset;
 
@@ -368,6 +421,8 @@
 
   void __set_begun_parts(const std::vector<int64_t> & val);
 
+  void __set_plain_crashes(const std::vector<PlainServerCrash> & val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -402,6 +457,8 @@
       return false;
     if (!(begun_parts == rhs.begun_parts))
       return false;
+    if (!(plain_crashes == rhs.plain_crashes))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
@@ -685,39 +742,39 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
 
-typedef struct _EngineCrash__isset {
-  _EngineCrash__isset() : started_at_ms(false), age_ms(false), requests(false) {}
-  bool started_at_ms :1;
+typedef struct _ServerCrash__isset {
+  _ServerCrash__isset() : id(false), age_ms(false), requests(false) {}
+  bool id :1;
   bool age_ms :1;
   bool requests :1;
-} _EngineCrash__isset;
+} _ServerCrash__isset;
 
-class EngineCrash : public virtual ::apache::thrift::TBase {
+class ServerCrash : public virtual ::apache::thrift::TBase {
  public:
 
-  EngineCrash(const EngineCrash&);
-  EngineCrash& operator=(const EngineCrash&);
-  EngineCrash() noexcept
-              : started_at_ms(0),
+  ServerCrash(const ServerCrash&);
+  ServerCrash& operator=(const ServerCrash&);
+  ServerCrash() noexcept
+              : id(0),
                 age_ms(0) {
   }
 
-  virtual ~EngineCrash() noexcept;
-  int64_t started_at_ms;
+  virtual ~ServerCrash() noexcept;
+  int64_t id;
   int64_t age_ms;
   std::vector<LostRequest>  requests;
 
-  _EngineCrash__isset __isset;
+  _ServerCrash__isset __isset;
 
-  void __set_started_at_ms(const int64_t val);
+  void __set_id(const int64_t val);
 
   void __set_age_ms(const int64_t val);
 
   void __set_requests(const std::vector<LostRequest> & val);
 
-  bool operator == (const EngineCrash & rhs) const
+  bool operator == (const ServerCrash & rhs) const
   {
-    if (!(started_at_ms == rhs.started_at_ms))
+    if (!(id == rhs.id))
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
@@ -725,11 +782,11 @@
       return false;
     return true;
   }
-  bool operator != (const EngineCrash &rhs) const {
+  bool operator != (const ServerCrash &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const EngineCrash & ) const;
+  bool operator < (const ServerCrash & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -737,9 +794,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(EngineCrash &a, EngineCrash &b);
+void swap(ServerCrash &a, ServerCrash &b);
 
-std::ostream& operator<<(std::ostream& out, const EngineCrash& obj);
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
 
 typedef struct _CrashReport__isset {
   _CrashReport__isset() : crashes(false) {}
@@ -755,11 +812,11 @@
   }
 
   virtual ~CrashReport() noexcept;
-  std::vector<EngineCrash>  crashes;
+  std::vector<ServerCrash>  crashes;
 
   _CrashReport__isset __isset;
 
-  void __set_crashes(const std::vector<EngineCrash> & val);
+  void __set_crashes(const std::vector<ServerCrash> & val);
 
   bool operator == (const CrashReport & rhs) const
   {
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -59,10 +59,6 @@
   progress_.kind = route_.kind;
   progress_.resumable = route_.resumable;
   progress_.max_attempts = route_.max_attempts;
-  parts_.reserve(info_.prompt_parts.size());
-  for (const std::string& part : info_.prompt_parts) {
-    parts_.push_back(HashPart(part));
-  }
 }
 
 RelayCall::~RelayCall() {
@@ -88,6 +84,7 @@
   const ServiceSpec* service = environment_.fleet.table().FindService(service_);
   is_generation_ =
       !info_.model.empty() && service != nullptr && service->engine.has_value();
+  parts_ = IdentifyParts();
   environment_.fleet.AddRequest(service_, now);
   responder_->OnCallerGone([this] { OnCallerGone(); });
   deadline_timer_ =
@@ -95,6 +92,21 @@
   Place(now);
 }
 
+std::vector<PartId> RelayCall::IdentifyParts() const {
+  std::vector<PartId> parts;
+  if (!is_generation_) {
+    const std::uint64_t target =
+        Hash64(info_.host + " " + request_.method + " " + request_.path);
+    parts.push_back(Hash64(request_.body, target));
+    return parts;
+  }
+  parts.reserve(info_.prompt_parts.size());
+  for (const std::string& part : info_.prompt_parts) {
+    parts.push_back(HashPart(part));
+  }
+  return parts;
+}
+
 void RelayCall::Place(Time now) {
   progress_.time_left = deadline_ - now;
   if (EndIfCrashCause(now)) {
@@ -456,7 +468,14 @@
     CompleteStream(now);
   } else if (answer_.not_run) {
     FinishSend(SendEnd::kNotRun, now);
-  } else if (head_.status >= kFirstServerError || progress_.answer_begun) {
+  } else {
+    RecordBegun(now);
+    FinishAnswer(now);
+  }
+}
+
+void RelayCall::FinishAnswer(Time now) {
+  if (head_.status >= kFirstServerError || progress_.answer_begun) {
     // An answer that is not a stream cannot continue a stream that has begun.
     FinishSend(SendEnd::kServerError, now);
   } else {
@@ -558,9 +577,6 @@
 }
 
 bool RelayCall::EndIfCrashCause(Time now) {
-  if (!is_generation_) {
-    return false;
-  }
   const CrashCause* cause = environment_.crashes.FindCause(parts_, now);
   if (cause == nullptr) {
     return false;
@@ -572,10 +588,16 @@
 }
 
 void RelayCall::ReportLost(Time now) {
-  if (is_generation_ && !has_begun_ && !parts_.empty()) {
-    environment_.fleet.links().ReportLost(
-        placement_.server.id, {Hash64(info_.attempt_id), parts_}, now);
+  if (has_begun_ || parts_.empty()) {
+    return;
+  }
+  LostRequest lost = {Hash64(info_.attempt_id), parts_};
+  if (is_generation_) {
+    environment_.fleet.links().ReportLost(placement_.server.id, std::move(lost),
+                                          now);
     environment_.demand_changed();
+  } else if (!has_head_) {
+    environment_.crash_checker.Check(placement_.server, std::move(lost));
   }
 }
 
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -20,6 +20,7 @@
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/routing/route_table.h"
 #include "amaranthcove/suspects/crash_table.h"
+#include "src/router/crash_checker.h"
 #include "src/router/fleet.h"
 
 namespace amaranthcove {
@@ -56,6 +57,7 @@
     Fleet& fleet;
     EventLog& log;
     CrashTable& crashes;
+    CrashChecker& crash_checker;
     // Schedules sending the changed demands to the agents.
     std::function<void()> demand_changed;
   };
@@ -83,6 +85,7 @@
  private:
   enum class State { kNew, kWaiting, kSending, kDone };
 
+  std::vector<PartId> IdentifyParts() const;
   void Place(Time now);
   // Adds the prompt to the work of the chosen engine, and removes it when the
   // engine has read it or will not read it.
@@ -112,12 +115,13 @@
   void ApplySendEnd(SendEnd end, bool within_budget, Time now);
   void EndActivity();
   void RecordHealth(SendEnd end, Time now);
-  // Ends a request that would crash the engine it is sent to. Returns whether
+  // Ends a request that would crash the server it is sent to. Returns whether
   // it has ended.
   bool EndIfCrashCause(Time now);
-  // Tells the engine's agent of a request that broke before it had begun.
+  // Reports a request whose connection broke before the server had begun to
+  // answer it.
   void ReportLost(Time now);
-  // Records that the engine has begun to answer.
+  // Records that the server has begun to answer.
   void RecordBegun(Time now);
   void OnSilence();
   bool IsServerBusy(Time now) const;
@@ -127,6 +131,8 @@
   // Returns whether the stream has events and does not end inside one.
   bool EndsWithWholeEvent() const;
   void CompleteStream(Time now);
+  // Ends a send whose complete answer is not a stream.
+  void FinishAnswer(Time now);
   void TakeStep(RelayStep step, Time now);
   void SendErrorAnswer(RelayOutcome outcome, int status, Time now);
   void Done(RelayOutcome outcome, int status, Time now);
@@ -141,7 +147,8 @@
   const HttpRequest request_;
   const RequestInfo info_;
   const Route route_;
-  std::vector<PartId> parts_;  // Of the prompt.
+  // Of the prompt of a generation. A plain call counts as one part.
+  std::vector<PartId> parts_;
   std::unique_ptr<HttpResponder> responder_;
   std::function<void(const RelayResult&)> on_done_;
 
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -126,8 +126,9 @@
                     }};
   Fleet fleet_{{"dc", 7000, {0.2, 112, std::chrono::seconds(10)}}, links_};
   CrashTable crashes_;
-  RelayCall::Environment environment_{loop_, upstream_, fleet_,
-                                      log_,  crashes_,  [] {}};
+  CrashChecker crash_checker_{loop_, [](std::uint64_t, const LostRequest&) {}};
+  RelayCall::Environment environment_{loop_,    upstream_,      fleet_, log_,
+                                      crashes_, crash_checker_, [] {}};
 
   void setup() override {
     fleet_.directory().Put(MakeEngine());
@@ -160,13 +161,14 @@
   // Makes `parts` together the cause of three crashes.
   void AddCrashes(const std::vector<std::string>& parts, Time now) {
     for (int i = 0; i < 3; ++i) {
-      EngineCrash crash;
+      ServerCrash crash;
+      crash.id = static_cast<std::uint64_t>(i);
       crash.at = now - std::chrono::seconds(3 - i);
       crash.requests = {{static_cast<std::uint64_t>(i), {}}};
       for (const std::string& part : parts) {
         crash.requests[0].parts.push_back(HashPart(part));
       }
-      crashes_.Put({{"10.0.0.1", 7000}, i}, crash, now);
+      crashes_.Put({"10.0.0.1", 7000}, crash, now);
     }
   }
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -70,8 +70,17 @@
                links_),
         upstream_(UpstreamClient::Create(loop, {})),
         request_metrics_(metrics),
-        environment_{loop_, *upstream_, fleet_,
-                     log_,  crashes_,   [this] { SendDemandsSoon(); }},
+        crash_checker_(loop,
+                       [this](std::uint64_t id, LostRequest request) {
+                         OnPlainCrash(id, std::move(request));
+                       }),
+        environment_{loop_,
+                     *upstream_,
+                     fleet_,
+                     log_,
+                     crashes_,
+                     crash_checker_,
+                     [this] { SendDemandsSoon(); }},
         updates_(loop,
                  fleet_,
                  *upstream_,
@@ -124,6 +133,9 @@
   // Returns the estimates of the services with engines.
   nlohmann::json DumpServices(Time now) const;
   void NotifyCalls(std::string_view server);
+  // Records a crash and logs the causes if they change.
+  void PutCrash(const Address& agent, ServerCrash crash);
+  void OnPlainCrash(std::uint64_t id, LostRequest request);
   void LogCrashCauses();
   void SendDemandsSoon();
   void Tick();
@@ -140,6 +152,7 @@
   CrashTable crashes_;
   std::unique_ptr<UpstreamClient> upstream_;
   RequestMetrics request_metrics_;
+  CrashChecker crash_checker_;
   RelayCall::Environment environment_;
   FleetUpdates updates_;
 
@@ -348,16 +361,30 @@
       call->OnAdmitted(prompt, loop_.Now());
     }
   }
-  for (const auto& [key, crash] : update.crashes) {
-    if (crashes_.Put(key, crash, loop_.Now())) {
-      LogCrashCauses();
-    }
+  for (const ServerCrash& crash : update.crashes) {
+    PutCrash(sender, crash);
   }
   if (update.engine) {
     NotifyCalls(*update.engine);
   }
 }
 
+void RouterImpl::PutCrash(const Address& agent, ServerCrash crash) {
+  if (crashes_.Put(agent, std::move(crash), loop_.Now())) {
+    LogCrashCauses();
+  }
+}
+
+void RouterImpl::OnPlainCrash(std::uint64_t id, LostRequest request) {
+  const Time now = loop_.Now();
+  log_.Write(LogLevel::kWarn, "plain_server_crash",
+             {{"crash", std::to_string(id)},
+              {"request_hash", std::to_string(request.request)}});
+  links_.ReportPlainCrash(id, request, now);
+  SendDemandsSoon();
+  PutCrash({}, {id, now, {std::move(request)}});
+}
+
 void RouterImpl::LogCrashCauses() {
   std::string parts;
   for (const CrashCause& cause : crashes_.causes()) {
--- a/src/suspects/crash_cause.cc
+++ b/src/suspects/crash_cause.cc
@@ -39,7 +39,7 @@
   std::set<std::uint64_t> requests;
 };
 
-std::vector<Candidate> FindCandidates(std::span<const EngineCrash> crashes,
+std::vector<Candidate> FindCandidates(std::span<const ServerCrash> crashes,
                                       const std::vector<bool>& is_explained,
                                       const BegunParts& begun) {
   std::map<PartId, Candidate> by_part;
@@ -106,7 +106,7 @@
 
 // Returns the cause that `candidate` is, or nullopt if there is not enough
 // evidence or its quarantine is over.
-std::optional<CrashCause> MakeCause(std::span<const EngineCrash> crashes,
+std::optional<CrashCause> MakeCause(std::span<const ServerCrash> crashes,
                                     const Candidate& candidate,
                                     Time now) {
   std::vector<Time> times;
@@ -132,6 +132,11 @@
   return Hash64(name);
 }
 
+std::uint64_t CrashId(const Address& server, std::int64_t started_at_ms) {
+  return Hash64(FormatAddress(server),
+                static_cast<std::uint64_t>(started_at_ms));
+}
+
 void BegunParts::Record(std::span<const PartId> parts, Time now) {
   for (const PartId part : parts) {
     newer_[part] = now;
@@ -151,7 +156,7 @@
   return std::nullopt;
 }
 
-std::vector<CrashCause> FindCrashCauses(std::span<const EngineCrash> crashes,
+std::vector<CrashCause> FindCrashCauses(std::span<const ServerCrash> crashes,
                                         const BegunParts& begun,
                                         Time now) {
   std::vector<CrashCause> causes;
--- a/src/suspects/crash_cause_test.cc
+++ b/src/suspects/crash_cause_test.cc
@@ -32,12 +32,13 @@
 }
 
 // Returns crashes `kStep` apart, each with one request.
-std::vector<EngineCrash> MakeCrashes(int count,
+std::vector<ServerCrash> MakeCrashes(int count,
                                      const std::vector<PartId>& parts) {
-  std::vector<EngineCrash> crashes;
+  std::vector<ServerCrash> crashes;
   crashes.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
-    crashes.push_back({kStart + i * kStep,
+    crashes.push_back({static_cast<std::uint64_t>(i),
+                       kStart + i * kStep,
                        {MakeRequest(static_cast<std::uint64_t>(i), parts)}});
   }
   return crashes;
@@ -56,7 +57,7 @@
   BegunParts begun_;
   const Time now_ = kStart + seconds(2);
 
-  std::vector<CrashCause> Find(const std::vector<EngineCrash>& crashes) const {
+  std::vector<CrashCause> Find(const std::vector<ServerCrash>& crashes) const {
     return FindCrashCauses(crashes, begun_, now_);
   }
 };
@@ -82,8 +83,8 @@
 // their own, such as a loss of power: the requests that they were about to
 // answer have much in common.
 TEST(CrashCause, EnginesThatCrashTogetherHoldBackNothing) {
-  std::vector<EngineCrash> crashes = MakeCrashes(12, {kFirst, kSubject});
-  for (EngineCrash& crash : crashes) {
+  std::vector<ServerCrash> crashes = MakeCrashes(12, {kFirst, kSubject});
+  for (ServerCrash& crash : crashes) {
     crash.at = kStart;
   }
   CHECK(Find(crashes).empty());
@@ -92,8 +93,8 @@
 // Guards against refusing sound requests because one of them shared engines
 // with requests that crashed them.
 TEST(CrashCause, SoundRequestsBesideTheCauseAreNotHeldBack) {
-  std::vector<EngineCrash> crashes = MakeCrashes(4, {kFirst, kDeadly});
-  for (EngineCrash& crash : crashes) {
+  std::vector<ServerCrash> crashes = MakeCrashes(4, {kFirst, kDeadly});
+  for (ServerCrash& crash : crashes) {
     crash.requests.push_back(MakeRequest(77, {kFirst, kOtherSubject}));
   }
   const auto causes = Find(crashes);
@@ -104,13 +105,13 @@
 // Guards against refusing the sound requests of a caller whose other requests
 // crash engines, and against sending the part on with other requests.
 TEST(CrashCause, PartsSeenOnlyTogetherAreToldApartByTheNextCrash) {
-  std::vector<EngineCrash> crashes = MakeCrashes(3, {kSubject, kDeadly});
+  std::vector<ServerCrash> crashes = MakeCrashes(3, {kSubject, kDeadly});
   auto causes = Find(crashes);
   CHECK(IsHeldBack(causes, {kSubject, kDeadly, kOwn}));
   CHECK(!IsHeldBack(causes, {kSubject, kOwn}));
   CHECK(!IsHeldBack(causes, {kOtherSubject, kDeadly, kOwn}));
   crashes.push_back(
-      {kStart + 5 * kStep, {MakeRequest(9, {kOtherSubject, kDeadly})}});
+      {9, kStart + 5 * kStep, {MakeRequest(9, {kOtherSubject, kDeadly})}});
   causes = Find(crashes);
   CHECK(IsHeldBack(causes, {kOtherSubject, kDeadly, kOwn}));
   CHECK(!IsHeldBack(causes, {kSubject, kOwn}));
@@ -139,9 +140,10 @@
 // Guards against a request that is sent to further engines although it has
 // crashed several: it comes again with the same prompt.
 TEST(CrashCause, RequestThatCrashesEnginesIsHeldBack) {
-  std::vector<EngineCrash> crashes;
+  std::vector<ServerCrash> crashes;
   for (std::uint64_t i = 0; i < 3; ++i) {
-    crashes.push_back({kStart + static_cast<int>(i) * kStep,
+    crashes.push_back({i,
+                       kStart + static_cast<int>(i) * kStep,
                        {{i, {kFirst, kSubject, kOwn}}}});
   }
   const std::vector<PartId> known = {kFirst, kSubject};
@@ -156,7 +158,7 @@
 TEST(CrashCause, OnlyThePartOfAllCrashesIsHeldBackInAnyHistory) {
   CHECK(rc::check([this] {
     const int count = *rc::gen::inRange(3, 12);
-    std::vector<EngineCrash> crashes =
+    std::vector<ServerCrash> crashes =
         MakeCrashes(count, {kFirst, kSubject, kDeadly});
     std::uint64_t number = 100;
     for (std::size_t i = 1; i < crashes.size(); ++i) {
@@ -190,8 +192,8 @@
 TEST_GROUP(CrashTable) {
   CrashTable table_;
 
-  void Put(int number, EngineCrash crash, Time now) {
-    table_.Put({{"10.0.0.1", 7000}, number}, std::move(crash), now);
+  void Put(ServerCrash crash, Time now, const char* agent = "10.0.0.1") {
+    table_.Put({agent, 7000}, std::move(crash), now);
   }
 };
 
@@ -200,7 +202,7 @@
 TEST(CrashTable, CauseOutlivesTheReports) {
   const auto crashes = MakeCrashes(3, {kFirst, kDeadly});
   for (int i = 0; i < 3; ++i) {
-    Put(i, crashes[static_cast<std::size_t>(i)], kStart + seconds(1));
+    Put(crashes[static_cast<std::size_t>(i)], kStart + seconds(1));
   }
   const std::vector<PartId> parts = {kFirst, kDeadly};
   CHECK(table_.FindCause(parts, kStart + minutes(9)) != nullptr);
@@ -212,7 +214,7 @@
 TEST(CrashTable, ReportsPartsThatBeganOnce) {
   const auto crashes = MakeCrashes(3, {kFirst});
   for (int i = 0; i < 3; ++i) {
-    Put(i, crashes[static_cast<std::size_t>(i)], kStart + seconds(1));
+    Put(crashes[static_cast<std::size_t>(i)], kStart + seconds(1));
   }
   const std::vector<PartId> parts = {kFirst};
   CHECK(table_.FindCause(parts, kStart + seconds(2)) != nullptr);
@@ -226,9 +228,21 @@
 TEST(CrashTable, KeepsTheLatestCrashes) {
   const auto crashes = MakeCrashes(100, {kFirst, kDeadly});
   for (int i = 0; i < 100; ++i) {
-    Put(i, crashes[static_cast<std::size_t>(i)], kStart + i * kStep);
+    Put(crashes[static_cast<std::size_t>(i)], kStart + i * kStep);
   }
   CHECK_EQUAL(CrashTable::kMaxCrashes, table_.size());
 }
 
+// Guards against counting a crash once for each agent that reports it.
+TEST(CrashTable, OneCrashReportedByTwoAgentsCountsOnce) {
+  const auto crashes = MakeCrashes(2, {kFirst, kDeadly});
+  for (const char* agent : {"10.0.0.1", "10.0.0.2"}) {
+    for (const ServerCrash& crash : crashes) {
+      Put(crash, kStart + seconds(1), agent);
+    }
+  }
+  const std::vector<PartId> parts = {kFirst, kDeadly};
+  CHECK(table_.FindCause(parts, kStart + seconds(2)) == nullptr);
+}
+
 }  // namespace amaranthcove
--- a/src/suspects/crash_table.cc
+++ b/src/suspects/crash_table.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-bool HoldsPart(const EngineCrash& crash, PartId part) {
+bool HoldsPart(const ServerCrash& crash, PartId part) {
   return std::any_of(crash.requests.begin(), crash.requests.end(),
                      [part](const LostRequest& request) {
                        return std::find(request.parts.begin(),
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-bool CrashTable::Put(const CrashKey& key, EngineCrash crash, Time now) {
+bool CrashTable::Put(const Address& agent, ServerCrash crash, Time now) {
+  const CrashKey key(agent, crash.id);
   const auto found = crashes_.find(key);
   if (found != crashes_.end()) {
     // Reports state the age of a crash, so later ones give a later time the
@@ -37,7 +38,7 @@
     const std::optional<Time> last_begun = begun_.LastBegun(part);
     for (const auto& [key, crash] : crashes_) {
       if ((!last_begun || *last_begun <= crash.at) && HoldsPart(crash, part)) {
-        cleared.push_back({key.agent, part});
+        cleared.push_back({key.first, part});
       }
     }
   }
@@ -70,12 +71,28 @@
   }
 }
 
-bool CrashTable::UpdateCauses(Time now) {
-  std::vector<EngineCrash> crashes;
-  crashes.reserve(crashes_.size());
+std::vector<ServerCrash> CrashTable::MergedCrashes() const {
+  std::map<std::uint64_t, ServerCrash> by_id;
   for (const auto& [key, crash] : crashes_) {
-    crashes.push_back(crash);
+    const auto [item, is_new] = by_id.try_emplace(crash.id, crash);
+    if (is_new) {
+      continue;
+    }
+    ServerCrash& merged = item->second;
+    merged.at = std::min(merged.at, crash.at);
+    merged.requests.insert(merged.requests.end(), crash.requests.begin(),
+                           crash.requests.end());
+  }
+  std::vector<ServerCrash> result;
+  result.reserve(by_id.size());
+  for (auto& [id, crash] : by_id) {
+    result.push_back(std::move(crash));
   }
+  return result;
+}
+
+bool CrashTable::UpdateCauses(Time now) {
+  const std::vector<ServerCrash> crashes = MergedCrashes();
   std::vector<CrashCause> causes = FindCrashCauses(crashes, begun_, now);
   const bool changed =
       !std::equal(causes.begin(), causes.end(), causes_.begin(), causes_.end(),
