http_server: drop requests whose callers have left before they are handled

The check at the router's sends covered routers only (GONE). Entries and admin servers handled such requests too, and noticed up to 100 ms later: the same cause in the layer below.

Http.RequestOfACallerThatHasLeftIsNotHandled: before, the handler was called; now it is not.

--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -56,7 +56,8 @@
   virtual void OnCallerGone(std::function<void()> callback) = 0;
 };
 
-// An HTTP/1.1 server on one address. Streamed answers are sent with chunked
+// An HTTP/1.1 server on one address. Requests whose callers have disconnected
+// before they are handled are dropped. Streamed answers are sent with chunked
 // encoding. Streamed answers for which h2o does not support chunked encoding (a
 // status other than 200 and 206, or an HTTP/1.0 caller) are collected and sent
 // with their length, so that callers can detect a truncation. Destroying the
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -244,6 +244,10 @@
           if (!exchange->is_attached()) {
             return;
           }
+          if (exchange->IsCallerGone()) {
+            exchange->HandleCallerDisconnect();
+            return;
+          }
           if (core->handler_ == nullptr) {
             exchange->Abort();
             return;
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -664,6 +664,19 @@
   CHECK(!closed || responders.size() == 1);
 }
 
+// Guards against work for a caller that has closed its connection before the
+// server, being behind, read its request.
+TEST(Http, RequestOfACallerThatHasLeftIsNotHandled) {
+  ListenAndCollect();
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  peer.Close();
+  for (int round = 0; round < 20; ++round) {
+    loop.RunOnce(std::chrono::milliseconds(10));
+  }
+  CHECK(responders.empty());
+}
+
 // Guards against idle connections that stay open during a shutdown, so that a
 // late request on them would be cut off when the process ends.
 TEST(Http, StopAcceptingClosesIdleConnections) {
