http_server: do not handle requests whose callers were found gone

A request whose caller had left was handled, and the caller's departure was never reported, so the server's work went on to its end (GONE). A request is handed over by a timer. If the check of all callers is due in the same round, it runs before, finds the departure, and ends the answer, while nobody listens to the departure yet. The handler was called all the same. The check comes every 100 ms while any request is open, and the busier a router is, the more requests it reads in a round in which it is due.

LoopPause found this under load.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -241,7 +241,7 @@
     core->loop_.RunAfter(
         Duration::zero(), [core, exchange = std::move(exchange),
                            copy = std::move(copy)]() mutable {
-          if (!exchange->is_attached()) {
+          if (!exchange->is_attached() || exchange->has_ended()) {
             return;
           }
           if (exchange->IsCallerGone()) {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -677,6 +677,29 @@
   CHECK(responders.empty());
 }
 
+// Guards against a request that is handled, and whose caller's departure is
+// never reported, because the departure was found between its arrival and its
+// handling.
+TEST(Http, RequestWhoseCallerIsFoundGoneIsNotHandled) {
+  ListenAndCollect();
+  // While a request is open, the server checks its callers.
+  RawPeer open(RawPeer::Connect(server->local_address()));
+  open.Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil(loop, [this] { return responders.size() == 1; });
+  RawPeer peer(RawPeer::Connect(server->local_address()));
+  for (int round = 0; round < 5; ++round) {
+    loop.RunOnce(Duration::zero());
+  }
+  peer.Write("GET / HTTP/1.1\r\n\r\n");
+  peer.Close();
+  // The check is due in the round in which the request is read.
+  usleep(200'000);
+  for (int round = 0; round < 20; ++round) {
+    loop.RunOnce(std::chrono::milliseconds(10));
+  }
+  CHECK_EQUAL(1, static_cast<int>(responders.size()));
+}
+
 // Guards against idle connections that stay open during a shutdown, so that a
 // late request on them would be cut off when the process ends.
 TEST(Http, StopAcceptingClosesIdleConnections) {
