suspects: keep all requests lost in a crash that a router noticed itself

A router that lost two calls in the crash of a plain server kept only the second as evidence until an agent told it the others: the call that crashes servers could go on meanwhile.

CrashTable.AllRequestsOfACrashOfItsOwnAreKept: with the replacing Put, no cause is found.

--- a/include/amaranthcove/suspects/crash_table.h
+++ b/include/amaranthcove/suspects/crash_table.h
@@ -31,10 +31,13 @@
   static constexpr std::size_t kMaxCrashes = 64;
 
   // Adds a crash that `agent` has reported, or replaces what it had reported
-  // before. Returns whether that changes the causes. For crashes that this
-  // process has noticed itself, `agent` is empty.
+  // before. Returns whether that changes the causes.
   bool Put(const Address& agent, ServerCrash crash, Time now);
 
+  // Adds a request that was lost in the crash `id`, which this process has
+  // noticed itself. Returns whether that changes the causes.
+  bool AddOwn(std::uint64_t id, LostRequest request, Time now);
+
   // Records that an engine began to answer a request with `parts`. Returns the
   // parts that this clears, once for each crash.
   std::vector<ClearedPart> RecordBegun(std::span<const PartId> parts, Time now);
@@ -53,7 +56,8 @@
   // Derives the causes again. Returns whether they have changed.
   bool UpdateCauses(Time now);
 
-  using CrashKey = std::pair<Address, std::uint64_t>;  // Agent and id.
+  // Agent and id. The agent is empty for crashes that this process has noticed.
+  using CrashKey = std::pair<Address, std::uint64_t>;
 
   std::map<CrashKey, ServerCrash> crashes_;
   BegunParts begun_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -133,8 +133,8 @@
   // Returns the estimates of the services with engines.
   nlohmann::json DumpServices(Time now) const;
   void NotifyCalls(std::string_view server);
-  // Records a crash and logs the causes if they change.
-  void PutCrash(const Address& agent, ServerCrash crash);
+  // Records a request that was lost in the crash of a plain server, and tells
+  // the other routers by way of an agent.
   void OnPlainCrash(std::uint64_t id, LostRequest request);
   void LogCrashCauses();
   void SendDemandsSoon();
@@ -362,19 +362,15 @@
     }
   }
   for (const ServerCrash& crash : update.crashes) {
-    PutCrash(sender, crash);
+    if (crashes_.Put(sender, crash, loop_.Now())) {
+      LogCrashCauses();
+    }
   }
   if (update.engine) {
     NotifyCalls(*update.engine);
   }
 }
 
-void RouterImpl::PutCrash(const Address& agent, ServerCrash crash) {
-  if (crashes_.Put(agent, std::move(crash), loop_.Now())) {
-    LogCrashCauses();
-  }
-}
-
 void RouterImpl::OnPlainCrash(std::uint64_t id, LostRequest request) {
   const Time now = loop_.Now();
   log_.Write(LogLevel::kWarn, "plain_server_crash",
@@ -382,7 +378,9 @@
               {"request_hash", std::to_string(request.request)}});
   links_.ReportPlainCrash(id, request, now);
   SendDemandsSoon();
-  PutCrash({}, {id, now, {std::move(request)}});
+  if (crashes_.AddOwn(id, std::move(request), now)) {
+    LogCrashCauses();
+  }
 }
 
 void RouterImpl::LogCrashCauses() {
--- a/src/suspects/crash_cause_test.cc
+++ b/src/suspects/crash_cause_test.cc
@@ -245,4 +245,16 @@
   CHECK(table_.FindCause(parts, kStart + seconds(2)) == nullptr);
 }
 
+// Guards against forgetting the request that crashed a plain server when
+// another one, lost in the same crash, is noticed after it.
+TEST(CrashTable, AllRequestsOfACrashOfItsOwnAreKept) {
+  for (std::uint64_t id = 0; id < 3; ++id) {
+    const Time at = kStart + static_cast<int>(id) * kStep;
+    table_.AddOwn(id, MakeRequest(id, {kDeadly}), at);
+    table_.AddOwn(id, MakeRequest(100 + id, {}), at);
+  }
+  const std::vector<PartId> parts = {kDeadly};
+  CHECK(table_.FindCause(parts, kStart + seconds(2)) != nullptr);
+}
+
 }  // namespace amaranthcove
--- a/src/suspects/crash_table.cc
+++ b/src/suspects/crash_table.cc
@@ -31,6 +31,19 @@
   return UpdateCauses(now);
 }
 
+bool CrashTable::AddOwn(std::uint64_t id, LostRequest request, Time now) {
+  ServerCrash crash;
+  const auto known = crashes_.find({Address(), id});
+  if (known != crashes_.end()) {
+    crash = known->second;
+  } else {
+    crash.id = id;
+    crash.at = now;
+  }
+  crash.requests.push_back(std::move(request));
+  return Put(Address(), std::move(crash), now);
+}
+
 std::vector<ClearedPart> CrashTable::RecordBegun(std::span<const PartId> parts,
                                                  Time now) {
   std::vector<ClearedPart> cleared;
