adapter_agent: report a crash after an outage of the same start

An engine that did not answer its agent for a while was recorded as crashed. If the same start crashed later, the crash was taken for known, and the requests lost in it were not reported. Also bounds the lost requests that are kept.

CrashRecorder.CrashAfterAnOutageOfTheSameStartIsReported: before, the second OnCrash returned false.

--- a/include/amaranthcove/adapter_agent/crash_recorder.h
+++ b/include/amaranthcove/adapter_agent/crash_recorder.h
@@ -28,6 +28,7 @@
   static constexpr Duration kLifetime = std::chrono::minutes(10);
 
   // Bounds of what is kept and reported.
+  static constexpr std::size_t kMaxLost = 256;
   static constexpr std::size_t kMaxCrashes = 8;    // Of each kind.
   static constexpr std::size_t kMaxRequests = 12;  // For each crash.
   static constexpr std::size_t kMaxParts = 16;     // For each request.
--- a/src/adapter_agent/crash_recorder.cc
+++ b/src/adapter_agent/crash_recorder.cc
@@ -30,24 +30,32 @@
     changed = Add(crashes_.back(), request);
   }
   lost_.push_back({std::move(request), now});
+  if (lost_.size() > kMaxLost) {
+    lost_.pop_front();
+  }
   return changed;
 }
 
 bool CrashRecorder::OnCrash(std::uint64_t id, Time now) {
   Expire(now);
-  if (!crashes_.empty() && crashes_.back().crash.id == id) {
-    return false;
-  }
-  // The engine's connections broke before the agent noticed.
-  const Time at = lost_.empty() ? now : lost_.back().at;
-  crashes_.push_back({now, {id, at, {}}});
-  for (const Lost& lost : lost_) {
-    Add(crashes_.back(), lost.request);
+  if (crashes_.empty() || crashes_.back().crash.id != id) {
+    crashes_.push_back({now, {id, now, {}}});
   }
   if (crashes_.size() > kMaxCrashes) {
     crashes_.pop_front();
   }
-  return !crashes_.back().crash.requests.empty();
+  // An engine that was only out of reach may crash later.
+  RecordedCrash& crash = crashes_.back();
+  crash.recorded = now;
+  bool changed = false;
+  for (const Lost& lost : lost_) {
+    if (Add(crash, lost.request)) {
+      // The engine's connections broke before the agent noticed.
+      crash.crash.at = lost.at;
+      changed = true;
+    }
+  }
+  return changed;
 }
 
 bool CrashRecorder::OnPlainCrash(std::uint64_t id,
--- a/src/adapter_agent/crash_recorder_test.cc
+++ b/src/adapter_agent/crash_recorder_test.cc
@@ -82,4 +82,13 @@
   CHECK(recorder_.OnBegun(10));
 }
 
+// Guards against missing the crash of an engine that was out of reach before,
+// without having crashed.
+TEST(CrashRecorder, CrashAfterAnOutageOfTheSameStartIsReported) {
+  CHECK(!recorder_.OnCrash(1000, kStart));
+  CHECK(!recorder_.OnLost({1, {10}}, kStart + seconds(10)));
+  CHECK(recorder_.OnCrash(1000, kStart + seconds(10) + milliseconds(50)));
+  CHECK_EQUAL(1, RequestsOfFirstCrash(kStart + seconds(11)));
+}
+
 }  // namespace amaranthcove
