adapter_agent, suspects: bound what a crash of many engines costs

After 14 engines had crashed at once, each part that began again changed the evidence, and its agent told all routers 10 ms later; each router derived the causes again for each report, also for repeated ones.

Agents wait 200 ms between two reports to all routers, and frequent changes do not postpone one. Reports that change nothing are not evaluated.

--- a/include/amaranthcove/suspects/crash_cause.h
+++ b/include/amaranthcove/suspects/crash_cause.h
@@ -28,6 +28,8 @@
 struct LostRequest {
   std::uint64_t request = 0;  // Hash of the id of the caller's attempt.
   std::vector<PartId> parts;  // Of its prompt, in order.
+
+  bool operator==(const LostRequest&) const = default;
 };
 
 // A crash of a server, with the requests that may have caused it.
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -39,6 +39,9 @@
 // A crash is reported after this delay, in which several routers tell what they
 // have lost, and repeated because datagrams may be lost.
 constexpr Duration kCrashReportDelay = milliseconds(10);
+// After a crash of many engines the evidence changes with each part that begins
+// again, and each report goes to all routers.
+constexpr Duration kMinCrashReportInterval = milliseconds(200);
 constexpr Duration kCrashRepeatInterval = milliseconds(250);
 constexpr Duration kCrashRepeatTime = std::chrono::seconds(5);
 
@@ -216,6 +219,8 @@
   void OnEngineCrash();
   // Tells all routers the crashes soon, and repeats that for some time.
   void SendCrashesSoon();
+  // Tells all routers the crashes at `when`, unless that is due earlier.
+  void SendCrashesAt(Time when);
   void SendCrashes(const std::vector<Address>& routers);
   agent_wire::EngineLoad MakeLoad(const RequestLoad& load);
 
@@ -227,6 +232,8 @@
   std::unique_ptr<UdpSocket> udp_;
   DemandTable demands_;
   CrashRecorder crash_recorder_;
+  Time crashes_sent_;  // To all routers.
+  Time crashes_due_;   // When `crashes_timer_` expires.
   Time crashes_sent_until_;
   std::optional<EngineReport> report_;
   EventIntervalEstimator event_interval_estimator_;
@@ -636,9 +643,20 @@
 void AdapterAgentImpl::SendCrashesSoon() {
   const Time now = loop_.Now();
   crashes_sent_until_ = now + kCrashRepeatTime;
+  SendCrashesAt(std::max(now + kCrashReportDelay,
+                         crashes_sent_ + kMinCrashReportInterval));
+}
+
+void AdapterAgentImpl::SendCrashesAt(Time when) {
+  // Frequent changes must not postpone a report.
+  if (crashes_timer_ != 0 && crashes_due_ <= when) {
+    return;
+  }
   loop_.Cancel(crashes_timer_);
-  crashes_timer_ = loop_.RunAt(now + kCrashReportDelay, [this] {
+  crashes_due_ = when;
+  crashes_timer_ = loop_.RunAt(when, [this] {
     crashes_timer_ = 0;
+    crashes_sent_ = loop_.Now();
     SendCrashes(demands_.Routers());
   });
 }
@@ -658,11 +676,8 @@
   for (const Address& router : routers) {
     udp_->Send(router, bytes);
   }
-  if (crashes_timer_ == 0 && now < crashes_sent_until_) {
-    crashes_timer_ = loop_.RunAt(now + kCrashRepeatInterval, [this] {
-      crashes_timer_ = 0;
-      SendCrashes(demands_.Routers());
-    });
+  if (now < crashes_sent_until_) {
+    SendCrashesAt(now + kCrashRepeatInterval);
   }
 }
 
--- a/src/suspects/crash_table.cc
+++ b/src/suspects/crash_table.cc
@@ -25,6 +25,11 @@
     // Reports state the age of a crash, so later ones give a later time the
     // longer they were on their way.
     crash.at = std::min(crash.at, found->second.at);
+    if (crash.requests == found->second.requests) {
+      // Agents repeat their reports, and deriving the causes takes a while.
+      found->second.at = crash.at;
+      return false;
+    }
   }
   crashes_[key] = std::move(crash);
   Expire(now);
