--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -36,6 +36,7 @@
         self.active = 0
         self.waiting = []
         self._beats = 0
+        self._connections = set()
 
     async def start(self):
         self._server = await http1.serve(self.address, self._serve)
@@ -61,6 +62,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, connection):
+        self._connections.add(connection)
         try:
             while True:
                 request = await connection.read_message()
@@ -72,6 +74,7 @@
         except http1.Disconnected:
             pass
         finally:
+            self._connections.discard(connection)
             connection.close()
 
     def answer(self, connection, request, status, headers=(), body=b""):
--- a/review/lib/models.py
+++ b/review/lib/models.py
@@ -73,7 +73,8 @@
 class Models:
     """The store, the engines with their agents, the routers and clients."""
 
-    def __init__(self, record, deployment, adapters):
+    def __init__(self, record, deployment, adapters, engine_class=ModelEngine):
+        self.engine_class = engine_class
         self.record = record
         self.deployment = deployment
         self.newest = {adapter: 1 for adapter in adapters}
@@ -89,7 +90,7 @@
         self.store.put("op/config", make_config(3, [route()], [service()]))
         for index in range(engines):
             zone = f"z{index + 1}"
-            engine = ModelEngine(
+            engine = self.engine_class(
                 self.store,
                 self.record,
                 f"i-{index + 1}",
