--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves out the disruption.
-export PYTHONDONTWRITEBYTECODE=1
-exec python3 "$(dirname "$0")/case.py"
+here=$(dirname "$0")
+exec "$here/../lib/run" "$here"
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -10,7 +10,8 @@
 from .deployment import CannotRun, Deployment
 from .record import Record
 
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+# `run` turns them into the exit codes of a case.
+HELD, BROKEN, CANNOT_RUN = 0, 10, 2
 
 
 def with_trouble():
@@ -45,7 +46,7 @@
 
 def run_case(file, play, limit_s=112):
     """Runs `play(record, deployment)`, which returns the breaks of the rule as
-    texts, and ends the process with the exit code of a case."""
+    texts, and ends the process with HELD, BROKEN or CANNOT_RUN."""
     record = Record(pathlib.Path(file).resolve().parent / "record.txt")
     deployment = Deployment(record)
     try:
