platform: let no text from outside end a process when it is encoded

Cause: nlohmann-json throws when it serialises text that is not UTF-8.

Change: a router refuses such a name of a generation with 400, as not run. An agent leaves it out of what it plans. All JSON is written by SerializeJson, which replaces malformed bytes. What handles a datagram, a request or an engine's answer is a boundary for exceptions: the message is logged ("message_dropped") and dropped.

--- a/include/amaranthcove/base/json.h
+++ b/include/amaranthcove/base/json.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHCOVE_BASE_JSON_H_
 #define AMARANTHCOVE_BASE_JSON_H_
 
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,10 @@
 // text malformed. For lists with items of several writers. Thread-safe.
 nlohmann::json ParseJsonList(std::string_view text);
 
+// Returns the text of `value`. Bytes in strings that are not UTF-8 are replaced
+// by U+FFFD, since nlohmann-json would throw an exception. Thread-safe.
+std::string SerializeJson(const nlohmann::json& value);
+
 }  // namespace amaranthcove
 
 #endif  // AMARANTHCOVE_BASE_JSON_H_
--- a/include/amaranthcove/relay/request_info.h
+++ b/include/amaranthcove/relay/request_info.h
@@ -18,6 +18,8 @@
   std::optional<Duration> caller_timeout;
   std::string model;    // Empty unless the request is a generation.
   std::string adapter;  // Empty for the base model itself.
+  // Whether `model` and `adapter` are UTF-8, as all configured names are.
+  bool has_valid_model = true;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
   // Ids of the parts of the prompt, in order. Other requests may share all but
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -16,7 +16,9 @@
 #include "amaranthcove/agent_link/datagram.h"
 #include "amaranthcove/agent_link/lost_request_codec.h"
 #include "amaranthcove/base/ids.h"
+#include "amaranthcove/base/utf8.h"
 #include "amaranthcove/log/event_log.h"
+#include "amaranthcove/log/guarded.h"
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
 #include "platform/engine_control.h"
@@ -137,6 +139,9 @@
     demand.models.push_back({model.name, model.weights_mb});
   }
   for (const agent_wire::AdapterUse& use : wire.uses) {
+    if (!IsUtf8(use.model) || !IsUtf8(use.adapter)) {
+      continue;  // No engine can be ordered to load such a name.
+    }
     WantedAdapter wanted;
     wanted.target = {use.model, use.adapter, use.version};
     wanted.waiting = use.waiting;
@@ -267,7 +272,8 @@
   auto udp =
       UdpSocket::Bind(loop_, settings_.agent_address,
                       [this](const Address& sender, std::string_view bytes) {
-                        OnDatagram(sender, bytes);
+                        RunGuarded(log_, "datagram",
+                                   [&] { OnDatagram(sender, bytes); });
                       });
   if (!udp) {
     return tl::unexpected(udp.error());
@@ -352,7 +358,9 @@
       [this, done = std::move(done)](const HttpResponse* result) {
         calling_ = false;
         loop_.Cancel(std::exchange(call_timeout_timer_, 0));
-        done(result);
+        if (!RunGuarded(log_, "engine_answer", [&] { done(result); })) {
+          PollAfter(kPollInterval);
+        }
       });
   const UpstreamCallId call = client_->Fetch(
       settings_.engine, request, kMaxResponseBytes,
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -120,4 +120,9 @@
   return ParseJson(WithoutOddValues(text));
 }
 
+std::string SerializeJson(const nlohmann::json& value) {
+  return value.dump(-1, ' ', /*ensure_ascii=*/false,
+                    nlohmann::json::error_handler_t::replace);
+}
+
 }  // namespace amaranthcove
--- a/src/engine_client/engine_client.cc
+++ b/src/engine_client/engine_client.cc
@@ -183,7 +183,7 @@
               {"POST",
                "/v1/adapters/load",
                {{"Content-Type", "application/json"}},
-               body.dump(),
+               SerializeJson(body),
                false},
               deadline,
               [alive = alive_, done = std::move(done)](
--- a/src/entry/api_error.cc
+++ b/src/entry/api_error.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <chrono>
 
-#include <nlohmann/json.hpp>
+#include "amaranthcove/base/json.h"
 
 namespace amaranthcove {
 
@@ -61,7 +61,7 @@
                                  {"message", error.message},
                                  {"outcome", OutcomeName(error.outcome)},
                                  {"request_id", request_id}}}};
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return SerializeJson(json);
 }
 
 HttpResponse ErrorResponse(const ApiError& error, std::string_view request_id) {
--- a/src/entry/call_plan.cc
+++ b/src/entry/call_plan.cc
@@ -172,7 +172,7 @@
   plan.content_type = "application/json";
   plan.streamed = stream != body.end() && stream->get<bool>();
   body["model"] = plan.model;
-  plan.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  plan.body = SerializeJson(body);
   plan.fingerprint = RequestFingerprint(plan.team, plan.model, plan.body);
   return plan;
 }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -264,7 +264,7 @@
   responder.Send(
       {200,
        {{"Content-Type", "application/json"}, {"X-Request-Id", request_id}},
-       body.dump()});
+       SerializeJson(body)});
 }
 
 void Entry::OnIssueOperation(const HttpRequest& request,
@@ -319,7 +319,7 @@
         responder->Send({200,
                          {{"Content-Type", "application/json"},
                           {"X-Request-Id", request_id}},
-                         answer.dump()});
+                         SerializeJson(answer)});
       });
 }
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -1,5 +1,6 @@
 #include "amaranthcove/router/router.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -7,6 +8,7 @@
 
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/log/event_log.h"
+#include "amaranthcove/log/guarded.h"
 #include "amaranthcove/net/http_server.h"
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
@@ -23,6 +25,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
@@ -123,6 +126,8 @@
              RequestInfo info,
              std::unique_ptr<HttpResponder> responder,
              Time now);
+  // Returns whether a service of `route` has engines.
+  bool HasEngines(const Route& route) const;
   void Refuse(const RequestInfo& info,
               int status,
               std::string_view reason,
@@ -186,7 +191,8 @@
   auto udp =
       UdpSocket::Bind(loop_, settings_.agent_address,
                       [this](const Address& sender, std::string_view bytes) {
-                        OnDatagram(sender, bytes);
+                        RunGuarded(log_, "datagram",
+                                   [&] { OnDatagram(sender, bytes); });
                       });
   if (!udp) {
     return tl::unexpected(udp.error());
@@ -197,7 +203,9 @@
   auto server = HttpServer::Listen(
       loop_, settings_.http_address, options,
       [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
-        OnRequest(std::move(request), std::move(responder));
+        RunGuarded(log_, "request", [&] {
+          OnRequest(std::move(request), std::move(responder));
+        });
       });
   if (!server) {
     return tl::unexpected(server.error());
@@ -305,6 +313,10 @@
     Refuse(info, kNotFound, "no_route", *responder);
     return;
   }
+  if (!info.has_valid_model && HasEngines(*route)) {
+    Refuse(info, kBadRequest, "model_not_utf8", *responder);
+    return;
+  }
   const std::uint64_t id = next_call_++;
   auto call = std::make_unique<RelayCall>(environment_, std::move(request),
                                           std::move(info), *route,
@@ -315,6 +327,15 @@
       now, [this, id](const RelayResult& result) { OnCallDone(id, result); });
 }
 
+bool RouterImpl::HasEngines(const Route& route) const {
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [this](const WeightedService& part) {
+                       const ServiceSpec* service =
+                           fleet_.table().FindService(part.service);
+                       return service != nullptr && service->engine.has_value();
+                     });
+}
+
 void RouterImpl::Refuse(const RequestInfo& info,
                         int status,
                         std::string_view reason,
--- a/src/suspects/fingerprint.cc
+++ b/src/suspects/fingerprint.cc
@@ -28,7 +28,7 @@
       parsed.erase(field);
     }
   }
-  return parsed.dump();
+  return SerializeJson(parsed);
 }
 
 }  // namespace
