router: state the version of the adapter to engines without an agent

Cause: without a status of the agent for 1.5 s, a router sent requests to its engine without Expected-Version, although it knows the newest declared version.

Change: such a request states the declared version; the engine refuses another one as not run, and the request goes elsewhere.

Measured: RouterPath.SilentAgentsEngineIsToldTheVersion passes; before, the request bears no version.

--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -119,6 +119,13 @@
   return version == versions_.end() ? 0 : version->second;
 }
 
+std::optional<std::int64_t> Fleet::RequiredVersion(
+    const RequestInfo& info) const {
+  const std::int64_t version =
+      info.adapter.empty() ? 0 : MinVersion(NameOf(info));
+  return version > 0 ? std::optional(version) : std::nullopt;
+}
+
 EngineCandidate Fleet::MakeCandidate(const BackendServer& server,
                                      const RequestInfo& info,
                                      const EnginePace& pace,
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -286,8 +286,9 @@
   if (environment_.fleet.links().Snapshot(engine, now) == nullptr &&
       environment_.fleet.IsServing(placement_.server)) {
     // Without its agent, the adapters of the engine are unknown. The engine
-    // refuses a request for an adapter that it does not hold.
-    Send(std::nullopt, now);
+    // refuses a request for an adapter, or a version of it, that it does not
+    // hold.
+    Send(environment_.fleet.RequiredVersion(info_), now);
     return;
   }
   if (HasWaitedTooLong(waited_) && progress_.may_have_run == 0) {
