--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -269,12 +269,11 @@
 };
 
 Status AdapterAgentImpl::Start() {
-  auto udp =
-      UdpSocket::Bind(loop_, settings_.agent_address,
-                      [this](const Address& sender, std::string_view bytes) {
-                        RunGuarded(log_, "datagram",
-                                   [&] { OnDatagram(sender, bytes); });
-                      });
+  auto udp = UdpSocket::Bind(
+      loop_, settings_.agent_address,
+      [this](const Address& sender, std::string_view bytes) {
+        RunGuarded(log_, "datagram", [&] { OnDatagram(sender, bytes); });
+      });
   if (!udp) {
     return tl::unexpected(udp.error());
   }
--- a/src/base/json_test.cc
+++ b/src/base/json_test.cc
@@ -39,7 +39,8 @@
     CHECK(written.is_object());
     CHECK(IsUtf8(written["name"].get<std::string>()));
   }
-  CHECK(SerializeJson({{"name", "caf\xC3\xA9"}}) == "{\"name\":\"caf\xC3\xA9\"}");
+  CHECK(SerializeJson({{"name", "caf\xC3\xA9"}}) ==
+        "{\"name\":\"caf\xC3\xA9\"}");
 }
 
 }  // namespace amaranthcove
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -94,9 +94,9 @@
   // declared.
   std::int64_t MinVersion(const AdapterName& adapter) const;
 
-  // Returns the version of the adapter of `info` that an engine without a recent
-  // status has to state, so that it does not serve an older one; nullopt if no
-  // version was declared. The engine refuses other versions as not run.
+  // Returns the version of the adapter of `info` that an engine without a
+  // recent status has to state, so that it does not serve an older one; nullopt
+  // if no version was declared. The engine refuses other versions as not run.
   std::optional<std::int64_t> RequiredVersion(const RequestInfo& info) const;
 
   // Chooses an engine for a generation, with servers in `tried` as a last
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -188,12 +188,11 @@
 };
 
 Status RouterImpl::Listen() {
-  auto udp =
-      UdpSocket::Bind(loop_, settings_.agent_address,
-                      [this](const Address& sender, std::string_view bytes) {
-                        RunGuarded(log_, "datagram",
-                                   [&] { OnDatagram(sender, bytes); });
-                      });
+  auto udp = UdpSocket::Bind(
+      loop_, settings_.agent_address,
+      [this](const Address& sender, std::string_view bytes) {
+        RunGuarded(log_, "datagram", [&] { OnDatagram(sender, bytes); });
+      });
   if (!udp) {
     return tl::unexpected(udp.error());
   }
