tenants: know callers by their keys and pass on the tenant's name

Change: callers of routes that are not public need a key where the configuration lists tenants. 401 otherwise; the key is dropped, the tenant's name is set, and a tenant's priority goes before its route's. A key is checked again before each send, so that one that was taken away stops for waiting requests, retries and resumed streams. Log lines name keys by a salted digest.

--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/tenants/tenant.h"
 
 namespace amaranthcove {
 
@@ -45,6 +46,7 @@
   std::vector<WeightedService> services;
   int max_attempts = 1;  // Maximum number of sends that may run the request.
   bool resumable = false;
+  bool is_public = false;  // Callers need no key.
 };
 
 // A base model that the engines of a service may hold.
@@ -81,6 +83,8 @@
   int unreadable_routes = 0;  // Number of routes that are not in `routes`.
   std::map<std::string, ServiceSpec, std::less<>> services;
   CallerLimits limits;
+  // Callers need a key if there are any.
+  std::vector<Tenant> tenants;
 };
 
 // The routes of one configuration, indexed by host. Movable but not copyable.
@@ -102,6 +106,15 @@
   // the table.
   const ServiceSpec* FindService(std::string_view name) const;
 
+  // Returns whether callers need a key of a tenant.
+  bool has_tenants() const { return !config_.tenants.empty(); }
+
+  // Returns the tenant that holds `key`, or null. The pointer is valid as long
+  // as the table.
+  const Tenant* FindTenant(std::string_view key) const {
+    return keys_.Find(key);
+  }
+
   const RoutingConfig& config() const { return config_; }
 
  private:
@@ -111,6 +124,7 @@
            std::map<std::string, const Route*, std::less<>>,
            std::less<>>
       by_host_;
+  TenantKeys keys_;
 };
 
 // Picks a service with a probability in proportion to its weight, and the first
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -14,6 +14,7 @@
 
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
+constexpr int kUnauthorizedStatus = 401;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -61,17 +62,29 @@
          FindHeader(head.headers, "transfer-encoding").empty();
 }
 
+// Returns `route` with the priority of `tenant`, if it has its own.
+Route WithTenantPriority(const Route& route, const Tenant* tenant) {
+  Route result = route;
+  if (tenant != nullptr && tenant->priority) {
+    result.priority = *tenant->priority;
+  }
+  return result;
+}
+
 }  // namespace
 
 RelayCall::RelayCall(Environment& environment,
                      HttpRequest request,
                      RequestInfo info,
                      const Route& route,
+                     const CallerIdentity& identity,
                      std::unique_ptr<HttpResponder> responder)
     : environment_(environment),
       request_(std::move(request)),
       info_(std::move(info)),
-      route_(route),
+      route_(WithTenantPriority(route, identity.tenant)),
+      tenant_(identity.tenant == nullptr ? "" : identity.tenant->name),
+      drops_caller_tenant_(identity.has_tenants),
       responder_(std::move(responder)) {
   progress_.kind = route_.kind;
   progress_.resumable = route_.resumable;
@@ -91,6 +104,7 @@
   on_done_ = std::move(on_done);
   started_ = now;
   config_version_ = environment_.fleet.config_version();
+  key_config_version_ = config_version_;
   config_age_ = environment_.fleet.ConfigAge(now);
   const Duration limit =
       std::min(route_.timeout, info_.caller_timeout.value_or(route_.timeout));
@@ -126,7 +140,7 @@
 
 void RelayCall::Place(Time now) {
   progress_.time_left = deadline_ - now;
-  if (EndIfCrashCause(now)) {
+  if (EndIfRevoked(now) || EndIfCrashCause(now)) {
     return;
   }
   Fleet& fleet = environment_.fleet;
@@ -340,8 +354,8 @@
     OnCallerGone();
     return;
   }
-  if (EndIfCrashCause(now)) {
-    return;  // The cause was found while the request waited.
+  if (EndIfRevoked(now) || EndIfCrashCause(now)) {
+    return;  // The key or the cause changed while the request waited.
   }
   state_ = State::kSending;
   sent_ = now;
@@ -361,6 +375,8 @@
   SendOptions options;
   options.expected_server = id;
   options.time_left = deadline_ - now;
+  options.drops_caller_tenant = drops_caller_tenant_;
+  options.tenant = tenant_;
   if (is_generation_) {
     options.priority = route_.priority;
     options.expected_version = version;
@@ -622,6 +638,32 @@
   return true;
 }
 
+bool RelayCall::EndIfRevoked(Time now) {
+  const std::int64_t version = environment_.fleet.config_version();
+  if (tenant_.empty() || version == key_config_version_) {
+    return false;
+  }
+  const RouteTable& table = environment_.fleet.table();
+  const CallerIdentity identity = IdentifyCaller(table, route_, info_);
+  if (identity.allowed &&
+      (identity.tenant == nullptr || identity.tenant->name == tenant_)) {
+    key_config_version_ = version;
+    return false;
+  }
+  environment_.log.Write(LogLevel::kInfo, "key_revoked",
+                         {{"request", info_.attempt_id},
+                          {"tenant", tenant_},
+                          {"config", std::to_string(version)}});
+  if (progress_.answer_begun) {
+    TakeStep(RelayStep::kBreakOff, now);
+  } else if (progress_.may_have_run > 0) {
+    TakeStep(RelayStep::kFail, now);
+  } else {
+    SendErrorAnswer(RelayOutcome::kUnauthorized, kUnauthorizedStatus, now);
+  }
+  return true;
+}
+
 void RelayCall::ReportLost(Time now) {
   LostRequest lost = {Hash64(info_.attempt_id), parts_};
   if (has_settled_) {
@@ -755,7 +797,8 @@
         {"Retry-After",
          FormatSeconds(RetryAfter(expected_delay_, deadline_ - now))});
   }
-  const bool not_run = outcome == RelayOutcome::kRefused;
+  const bool not_run = outcome == RelayOutcome::kRefused ||
+                       outcome == RelayOutcome::kUnauthorized;
   response.body = std::string(R"({"error":{"code":")") +
                   std::string(RelayOutcomeName(outcome)) + R"(","outcome":")" +
                   (not_run ? "not_run" : "unknown") + R"("}})";
@@ -773,6 +816,7 @@
   result.status = status;
   result.service = service_;
   result.duration = now - started_;
+  result.may_have_run = progress_.may_have_run > 0;
   on_done_(result);
 }
 
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -21,6 +21,7 @@
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/routing/route_table.h"
 #include "amaranthcove/suspects/crash_table.h"
+#include "amaranthcove/tenants/authentication.h"
 #include "src/router/crash_checker.h"
 #include "src/router/fleet.h"
 
@@ -28,12 +29,13 @@
 
 // How a request ended, for logs and counters.
 enum class RelayOutcome {
-  kAnswered,    // The caller got a complete answer of a backend server.
-  kRefused,     // 503: the request did not run.
-  kFailed,      // 502: the request may have run.
-  kTimedOut,    // 504: the request may have run.
-  kBrokenOff,   // The answer was cut off after it had begun.
-  kCallerGone,  // The caller disconnected or was too slow.
+  kAnswered,      // The caller got a complete answer of a backend server.
+  kRefused,       // 503: the request did not run.
+  kFailed,        // 502: the request may have run.
+  kTimedOut,      // 504: the request may have run.
+  kBrokenOff,     // The answer was cut off after it had begun.
+  kCallerGone,    // The caller disconnected or was too slow.
+  kUnauthorized,  // 401: the caller's key was taken away; it did not run.
 };
 // Returns the name of `outcome` in logs, metrics and error answers.
 std::string_view RelayOutcomeName(RelayOutcome outcome);
@@ -44,6 +46,7 @@
   int status = 0;
   std::string service;
   Duration duration = Duration::zero();
+  bool may_have_run = false;
 };
 
 // Relays one request of a caller: chooses a server, waits for the adapter,
@@ -68,6 +71,7 @@
             HttpRequest request,
             RequestInfo info,
             const Route& route,
+            const CallerIdentity& identity,
             std::unique_ptr<HttpResponder> responder);
   ~RelayCall();
   RelayCall(const RelayCall&) = delete;
@@ -120,6 +124,9 @@
   // Ends a request that would crash the server it is sent to. Returns whether
   // it has ended.
   bool EndIfCrashCause(Time now);
+  // Ends a request whose key the current configuration does not list. Returns
+  // whether it has ended.
+  bool EndIfRevoked(Time now);
   // Reports a request whose connection broke before its answer was complete:
   // its server may have crashed because of it.
   void ReportLost(Time now);
@@ -154,6 +161,11 @@
   const HttpRequest request_;
   const RequestInfo info_;
   const Route route_;
+  const std::string tenant_;  // Empty for callers without one.
+  // Whether the caller's own key and tenant are not passed on.
+  const bool drops_caller_tenant_;
+  // The latest configuration that lists the caller's key.
+  std::int64_t key_config_version_ = 0;
   // What may crash a server: the request as a whole, which may come again, and
   // then the parts of the prompt of a generation, which others may share.
   std::vector<PartId> parts_;
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -198,7 +198,7 @@
   const Time now = loop_.Now();
   ReportResident(now);
   RelayCall call(environment_, {}, MakeRequestInfo(), MakeRoute(),
-                 std::make_unique<FakeResponder>());
+                 CallerIdentity(), std::make_unique<FakeResponder>());
   int done = 0;
   call.Start(now, [&done](const RelayResult&) { ++done; });
   CHECK_EQUAL(1, static_cast<int>(upstream_.calls.size()));
@@ -221,7 +221,7 @@
   ReportResident(now);
   ReportLoad(1, 30'000, {});
   RelayCall call(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                 std::make_unique<FakeResponder>());
+                 CallerIdentity(), std::make_unique<FakeResponder>());
   call.Start(now, [](const RelayResult&) {});
   CHECK(upstream_.calls.empty());
   demands_.clear();
@@ -245,7 +245,7 @@
   ReportResident(now);
   ReportLoad(1, 0, {});
   RelayCall call(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                 std::make_unique<FakeResponder>());
+                 CallerIdentity(), std::make_unique<FakeResponder>());
   call.Start(now, [](const RelayResult&) {});
   CHECK_EQUAL(900, static_cast<int>(links_.unread_tokens("e1")));
   upstream_.calls[0].on_head({200, {}, ""});
@@ -261,7 +261,7 @@
   ReportLoad(1, 30'000, {});
   std::function<void()> leave;
   RelayCall call(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                 std::make_unique<FakeResponder>(&leave));
+                 CallerIdentity(), std::make_unique<FakeResponder>(&leave));
   call.Start(now, [](const RelayResult&) {});
   CHECK_EQUAL(900, static_cast<int>(links_.prompt_tokens("e1")));
   leave();
@@ -275,7 +275,7 @@
   ReportResident(now);
   ReportLoad(1, 30'000, {});
   RelayCall call(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                 std::make_unique<FakeResponder>());
+                 CallerIdentity(), std::make_unique<FakeResponder>());
   call.Start(loop_.Now() + milliseconds(1), [](const RelayResult&) {});
   CHECK(upstream_.calls.empty());
   const Time limit = SteadyNow() + std::chrono::seconds(2);
@@ -297,7 +297,7 @@
     outcomes.push_back(result.outcome);
   };
   RelayCall waiting(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                    std::make_unique<FakeResponder>());
+                    CallerIdentity(), std::make_unique<FakeResponder>());
   waiting.Start(now, on_done);
   demands_.clear();
   links_.Tick(now);
@@ -305,7 +305,7 @@
   AddCrashes({"first", "deadly"}, now);
   waiting.OnAdmitted(prompt, now);
   RelayCall later(environment_, {}, MakePromptInfo(), MakeStreamRoute(),
-                  std::make_unique<FakeResponder>());
+                  CallerIdentity(), std::make_unique<FakeResponder>());
   later.Start(now, on_done);
   CHECK(upstream_.calls.empty());
   CHECK_EQUAL(2, static_cast<int>(outcomes.size()));
@@ -324,7 +324,7 @@
     RequestInfo info = MakePromptInfo();
     info.attempt_id = std::move(attempt);
     auto call = std::make_unique<RelayCall>(environment_, HttpRequest(), info,
-                                            MakeStreamRoute(),
+                                            MakeStreamRoute(), CallerIdentity(),
                                             std::make_unique<FakeResponder>());
     call->Start(now, [](const RelayResult&) {});
     return call;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -26,6 +26,7 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
@@ -126,6 +127,7 @@
              RequestInfo info,
              std::unique_ptr<HttpResponder> responder,
              Time now);
+  void LogUnknownKey(const RequestInfo& info);
   // Returns whether a service of `route` has engines.
   bool HasEngines(const Route& route) const;
   void Refuse(const RequestInfo& info,
@@ -168,6 +170,8 @@
     Time arrived;
   };
 
+  // Of the digests of keys in the log.
+  const std::uint64_t key_salt_ = static_cast<std::uint64_t>(NewIncarnation());
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, HeldRequest> held_;
   std::map<std::uint64_t, std::unique_ptr<RelayCall>> calls_;
@@ -312,13 +316,19 @@
     Refuse(info, kNotFound, "no_route", *responder);
     return;
   }
+  const CallerIdentity identity = IdentifyCaller(fleet_.table(), *route, info);
+  if (!identity.allowed) {
+    LogUnknownKey(info);
+    Refuse(info, kUnauthorized, "unknown_key", *responder);
+    return;
+  }
   if (!info.has_valid_model && HasEngines(*route)) {
     Refuse(info, kBadRequest, "model_not_utf8", *responder);
     return;
   }
   const std::uint64_t id = next_call_++;
   auto call = std::make_unique<RelayCall>(environment_, std::move(request),
-                                          std::move(info), *route,
+                                          std::move(info), *route, identity,
                                           std::move(responder));
   RelayCall& started = *call;
   calls_.emplace(id, std::move(call));
@@ -326,6 +336,13 @@
       now, [this, id](const RelayResult& result) { OnCallDone(id, result); });
 }
 
+void RouterImpl::LogUnknownKey(const RequestInfo& info) {
+  log_.Write(LogLevel::kInfo, "unknown_key",
+             {{"request", info.attempt_id},
+              {"key_digest", KeyDigest(info.key, key_salt_)},
+              {"sent_twice", info.has_malformed_key ? "1" : "0"}});
+}
+
 bool RouterImpl::HasEngines(const Route& route) const {
   return std::any_of(route.services.begin(), route.services.end(),
                      [this](const WeightedService& part) {
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config)) {
+RouteTable::RouteTable(RoutingConfig config)
+    : config_(std::move(config)), keys_(config_.tenants) {
   for (const Route& route : config_.routes) {
     by_host_[NormalizeHost(route.host)][route.path_prefix] = &route;
   }
