--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -16,6 +16,7 @@
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/quota/quota_ledger.h"
 #include "amaranthcove/suspects/crash_table.h"
 
 namespace amaranthcove {
@@ -109,6 +110,8 @@
     std::vector<std::int64_t> admitted;
     // Crashes that the agent reports, with their times on the local clock.
     std::vector<ServerCrash> crashes;
+    // What the agent's ledger of quotas tells, if the sender is known.
+    std::optional<agent_wire::QuotaViews> quotas;
   };
 
   // Processes a datagram from `sender`. Drops malformed datagrams, those of
@@ -193,6 +196,19 @@
   // engine refuses a request for an adapter that its snapshot contains.
   void MarkAbsent(std::string_view engine, const AdapterName& adapter);
 
+  // Sets where the reports on quotas to an agent come from.
+  using QuotaReporter =
+      std::function<std::vector<QuotaReport>(const Address& agent, Time now)>;
+  void SetQuotaReporter(QuotaReporter reporter) {
+    quota_reporter_ = std::move(reporter);
+  }
+
+  // Makes the demands to `agent` due at once.
+  void ReportQuotas(const Address& agent, Time now);
+
+  // Returns the agents that have sent a recent status.
+  std::vector<Address> AnsweringAgents(Time now) const;
+
   // Sends the demands that are due at `now`.
   void Tick(Time now);
 
@@ -261,6 +277,7 @@
   const std::string router_;
   const Incarnation incarnation_;
   const Send send_;
+  QuotaReporter quota_reporter_;
   std::map<std::string, Link, std::less<>> links_;
   std::map<std::string, Uses, std::less<>> uses_;        // By engine.
   std::map<std::string, Prompts, std::less<>> prompts_;  // By engine.
--- a/include/amaranthcove/base/hash.h
+++ b/include/amaranthcove/base/hash.h
@@ -11,6 +11,10 @@
 // names. Thread-safe.
 std::uint64_t Hash64(std::string_view data, std::uint64_t seed = 0);
 
+// Returns a hash of `data` that is uniformly distributed from 0 to 1.
+// Thread-safe.
+double UnitHash(std::string_view data, std::uint64_t seed = 0);
+
 }  // namespace amaranthcove
 
 #endif  // AMARANTHCOVE_BASE_HASH_H_
--- a/include/amaranthcove/base/time.h
+++ b/include/amaranthcove/base/time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace amaranthcove {
 
@@ -30,6 +31,10 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Formats `duration` as seconds with three decimals. Precondition: `duration`
+// is not negative. Thread-safe.
+std::string FormatSeconds(Duration duration);
+
 }  // namespace amaranthcove
 
 #endif  // AMARANTHCOVE_BASE_TIME_H_
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -15,12 +15,14 @@
 #include "amaranthcove/adapter_agent/event_interval_estimator.h"
 #include "amaranthcove/agent_link/datagram.h"
 #include "amaranthcove/agent_link/lost_request_codec.h"
+#include "amaranthcove/agent_link/quota_codec.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/utf8.h"
 #include "amaranthcove/log/event_log.h"
 #include "amaranthcove/log/guarded.h"
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
+#include "amaranthcove/quota/quota_ledger.h"
 #include "platform/engine_control.h"
 
 namespace amaranthcove {
@@ -63,6 +65,10 @@
 // the engine's load. With more routers, each of them is told less often.
 constexpr int kMaxLoadDatagramsPerSecond = 200;
 
+// Interval at which routers are told of the quotas of tenants that are near
+// their limit. Otherwise the statuses carry the quotas.
+constexpr Duration kQuotaInterval = milliseconds(100);
+
 // An unload waits for the runs of its adapter. If the adapter is still resident
 // after this time, an adapter to unload is chosen again.
 constexpr Duration kUnloadRetryDelay = milliseconds(500);
@@ -188,6 +194,7 @@
     loop_.Cancel(loads_timer_);
     loop_.Cancel(admission_timer_);
     loop_.Cancel(crashes_timer_);
+    loop_.Cancel(quotas_timer_);
   }
 
   Status Start() override;
@@ -215,6 +222,11 @@
   // Tells the routers soon that the engine's load has grown.
   void SendLoadsSoon();
   void SendLoads();
+  // Tells the routers of the quotas often while a tenant is near its limit.
+  void SendQuotasWhileNearLimit();
+  void SendQuotas(const std::vector<Address>& routers);
+  // Returns what `router` has to know of quotas, if anything.
+  std::optional<agent_wire::QuotaViews> QuotasFor(const Address& router);
   // Admits waiting prompts and tells their routers.
   void SendAdmissions();
   void LogLimitChange();
@@ -236,6 +248,8 @@
   std::unique_ptr<UpstreamClient> client_;
   std::unique_ptr<UdpSocket> udp_;
   DemandTable demands_;
+  QuotaLedger quota_ledger_;
+  std::int64_t quota_sequence_ = 0;
   CrashRecorder crash_recorder_;
   Time crashes_sent_;  // To all routers.
   Time crashes_due_;   // When `crashes_timer_` expires.
@@ -262,6 +276,7 @@
   TimerId loads_timer_ = 0;
   TimerId admission_timer_ = 0;
   TimerId crashes_timer_ = 0;
+  TimerId quotas_timer_ = 0;
   Time loads_sent_;
   bool prompts_limited_ = false;
   std::uint64_t orders_ = 0;
@@ -304,9 +319,13 @@
     return;
   }
   OnCrashReports(datagram->demand);
+  quota_ledger_.Put(sender, datagram->demand.incarnation,
+                    DecodeQuotaReports(datagram->demand.quotas), loop_.Now());
   if (!is_known_router) {
     SendCrashes({sender});
+    SendQuotas({sender});
   }
+  SendQuotasWhileNearLimit();
   const RequestLoad load = demands_.TotalLoad(loop_.Now());
   // A single prompt delays nobody.
   if (load_before.prompt_tokens > 0 &&
@@ -340,6 +359,7 @@
 void AdapterAgentImpl::Poll() {
   log_.SetNow(loop_.Now());
   demands_.Expire(loop_.Now());
+  quota_ledger_.Expire(loop_.Now());
   if (calling_) {
     return;
   }
@@ -590,10 +610,49 @@
       continue;
     }
     datagram.__set_load(MakeLoad(others.load));
+    datagram.__isset.quotas = false;
+    if (const auto quotas = QuotasFor(others.router)) {
+      datagram.__set_quotas(*quotas);
+    }
     udp_->Send(others.router, EncodeDatagram(datagram));
   }
 }
 
+std::optional<agent_wire::QuotaViews> AdapterAgentImpl::QuotasFor(
+    const Address& router) {
+  const std::vector<LedgerView> views =
+      quota_ledger_.ViewsFor(router, loop_.Now());
+  if (views.empty()) {
+    return std::nullopt;
+  }
+  agent_wire::QuotaViews wire;
+  wire.incarnation = incarnation_;
+  wire.sequence = ++quota_sequence_;
+  wire.views = EncodeLedgerViews(views);
+  return wire;
+}
+
+void AdapterAgentImpl::SendQuotas(const std::vector<Address>& routers) {
+  for (const Address& router : routers) {
+    agent_wire::AgentDatagram datagram;
+    if (const auto quotas = QuotasFor(router)) {
+      datagram.__set_quotas(*quotas);
+      udp_->Send(router, EncodeDatagram(datagram));
+    }
+  }
+}
+
+void AdapterAgentImpl::SendQuotasWhileNearLimit() {
+  if (quotas_timer_ != 0 || !quota_ledger_.IsNearLimit(loop_.Now())) {
+    return;
+  }
+  quotas_timer_ = loop_.RunAfter(kQuotaInterval, [this] {
+    quotas_timer_ = 0;
+    SendQuotas(demands_.Routers());
+    SendQuotasWhileNearLimit();
+  });
+}
+
 agent_wire::EngineLoad AdapterAgentImpl::MakeLoad(const RequestLoad& load) {
   agent_wire::EngineLoad wire;
   wire.sequence = status_sequence_;
@@ -746,7 +805,8 @@
                             {{"orders", orders_},
                              {"reports", reports_},
                              {"dropped_log_lines", log_.dropped()},
-                             {"routers", demands_.Routers().size()}}}}}};
+                             {"routers", demands_.Routers().size()},
+                             {"quota_ledgers", quota_ledger_.size()}}}}}};
   if (report_) {
     dump["resident"] = report_->resident.size();
     dump["loading"] = report_->loading.size();
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "amaranthcove/agent_link/lost_request_codec.h"
+#include "amaranthcove/agent_link/quota_codec.h"
 #include "amaranthcove/base/hash.h"
 
 namespace amaranthcove {
@@ -196,6 +197,9 @@
     if (link.endpoint.agent != sender) {
       continue;
     }
+    if (datagram->__isset.quotas) {
+      update.quotas = datagram->quotas;
+    }
     if (datagram->__isset.crash_report && update.crashes.empty()) {
       for (const agent_wire::ServerCrash& crash :
            datagram->crash_report.crashes) {
@@ -485,6 +489,24 @@
   }
 }
 
+void AgentLinks::ReportQuotas(const Address& agent, Time now) {
+  for (auto& [engine, link] : links_) {
+    if (link.endpoint.agent == agent) {
+      link.next_send = std::min(link.next_send, now);
+    }
+  }
+}
+
+std::vector<Address> AgentLinks::AnsweringAgents(Time now) const {
+  std::vector<Address> agents;
+  for (const auto& [engine, link] : links_) {
+    if (link.snapshot && now - link.snapshot->received <= kSnapshotLifetime) {
+      agents.push_back(link.endpoint.agent);
+    }
+  }
+  return agents;
+}
+
 void AgentLinks::Tick(Time now) {
   for (auto& [engine, link] : links_) {
     if (now >= link.next_send) {
@@ -503,6 +525,10 @@
   demand.gap_ms = static_cast<std::int32_t>(ToMilliseconds(link.window.gap));
   demand.has_late_pauses = link.has_late_pauses;
   AddPromptsTo(demand, engine, now);
+  if (quota_reporter_) {
+    demand.quotas =
+        EncodeQuotaReports(quota_reporter_(link.endpoint.agent, now));
+  }
   Uses& uses = uses_[engine];
   const bool has_reports = AddReportsTo(demand, link, now);
   bool waiting = has_reports || !demand.prompts.empty();
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -694,6 +694,220 @@
 }
 
 
+QuotaReport::~QuotaReport() noexcept {
+}
+
+
+void QuotaReport::__set_tenant(const int64_t val) {
+  this->tenant = val;
+}
+
+void QuotaReport::__set_rate_per_s(const double val) {
+  this->rate_per_s = val;
+}
+
+void QuotaReport::__set_burst(const double val) {
+  this->burst = val;
+}
+
+void QuotaReport::__set_limits_version(const int64_t val) {
+  this->limits_version = val;
+}
+
+void QuotaReport::__set_used(const double val) {
+  this->used = val;
+}
+
+void QuotaReport::__set_asked(const double val) {
+  this->asked = val;
+}
+
+void QuotaReport::__set_level(const double val) {
+  this->level = val;
+__isset.level = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_per_s);
+          this->__isset.rate_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limits_version);
+          this->__isset.limits_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->used);
+          this->__isset.used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->asked);
+          this->__isset.asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReport");
+
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate_per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->rate_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits_version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->limits_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->asked);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.level) {
+    xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->level);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReport &a, QuotaReport &b) {
+  using ::std::swap;
+  swap(a.tenant, b.tenant);
+  swap(a.rate_per_s, b.rate_per_s);
+  swap(a.burst, b.burst);
+  swap(a.limits_version, b.limits_version);
+  swap(a.used, b.used);
+  swap(a.asked, b.asked);
+  swap(a.level, b.level);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaReport::QuotaReport(const QuotaReport& other16) noexcept {
+  tenant = other16.tenant;
+  rate_per_s = other16.rate_per_s;
+  burst = other16.burst;
+  limits_version = other16.limits_version;
+  used = other16.used;
+  asked = other16.asked;
+  level = other16.level;
+  __isset = other16.__isset;
+}
+QuotaReport& QuotaReport::operator=(const QuotaReport& other17) noexcept {
+  tenant = other17.tenant;
+  rate_per_s = other17.rate_per_s;
+  burst = other17.burst;
+  limits_version = other17.limits_version;
+  used = other17.used;
+  asked = other17.asked;
+  level = other17.level;
+  __isset = other17.__isset;
+  return *this;
+}
+void QuotaReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReport(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "rate_per_s=" << to_string(rate_per_s);
+  out << ", " << "burst=" << to_string(burst);
+  out << ", " << "limits_version=" << to_string(limits_version);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "asked=" << to_string(asked);
+  out << ", " << "level="; (__isset.level ? (out << to_string(level)) : (out << "<null>"));
+  out << ")";
+}
+
+
 AdapterDemand::~AdapterDemand() noexcept {
 }
 
@@ -765,6 +979,10 @@
 void AdapterDemand::__set_plain_crashes(const std::vector<PlainServerCrash> & val) {
   this->plain_crashes = val;
 }
+
+void AdapterDemand::__set_quotas(const std::vector<QuotaReport> & val) {
+  this->quotas = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -813,14 +1031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->uses.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->uses.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->uses[_i20].read(iprot);
+              xfer += this->uses[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -849,14 +1067,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->models.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->models.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->models[_i25].read(iprot);
+              xfer += this->models[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -885,14 +1103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->prompts.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->prompts.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->prompts[_i30].read(iprot);
+              xfer += this->prompts[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -945,14 +1163,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->lost.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->lost.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->lost[_i35].read(iprot);
+              xfer += this->lost[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -965,14 +1183,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->begun_parts.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->begun_parts.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->begun_parts.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += iprot->readI64(this->begun_parts[_i40]);
+              xfer += iprot->readI64(this->begun_parts[_i42]);
             }
             xfer += iprot->readListEnd();
           }
@@ -985,14 +1203,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plain_crashes.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->plain_crashes.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->plain_crashes.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->plain_crashes[_i45].read(iprot);
+              xfer += this->plain_crashes[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1001,6 +1219,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quotas.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->quotas.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += this->quotas[_i52].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quotas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1029,10 +1267,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<AdapterUse> ::const_iterator _iter46;
-    for (_iter46 = this->uses.begin(); _iter46 != this->uses.end(); ++_iter46)
+    std::vector<AdapterUse> ::const_iterator _iter53;
+    for (_iter53 = this->uses.begin(); _iter53 != this->uses.end(); ++_iter53)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1049,10 +1287,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<BaseModel> ::const_iterator _iter47;
-    for (_iter47 = this->models.begin(); _iter47 != this->models.end(); ++_iter47)
+    std::vector<BaseModel> ::const_iterator _iter54;
+    for (_iter54 = this->models.begin(); _iter54 != this->models.end(); ++_iter54)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1069,10 +1307,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<WaitingPrompt> ::const_iterator _iter48;
-    for (_iter48 = this->prompts.begin(); _iter48 != this->prompts.end(); ++_iter48)
+    std::vector<WaitingPrompt> ::const_iterator _iter55;
+    for (_iter55 = this->prompts.begin(); _iter55 != this->prompts.end(); ++_iter55)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1101,10 +1339,10 @@
   xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
-    std::vector<LostRequest> ::const_iterator _iter49;
-    for (_iter49 = this->lost.begin(); _iter49 != this->lost.end(); ++_iter49)
+    std::vector<LostRequest> ::const_iterator _iter56;
+    for (_iter56 = this->lost.begin(); _iter56 != this->lost.end(); ++_iter56)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1113,10 +1351,10 @@
   xfer += oprot->writeFieldBegin("begun_parts", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->begun_parts.size()));
-    std::vector<int64_t> ::const_iterator _iter50;
-    for (_iter50 = this->begun_parts.begin(); _iter50 != this->begun_parts.end(); ++_iter50)
+    std::vector<int64_t> ::const_iterator _iter57;
+    for (_iter57 = this->begun_parts.begin(); _iter57 != this->begun_parts.end(); ++_iter57)
     {
-      xfer += oprot->writeI64((*_iter50));
+      xfer += oprot->writeI64((*_iter57));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1125,10 +1363,22 @@
   xfer += oprot->writeFieldBegin("plain_crashes", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plain_crashes.size()));
-    std::vector<PlainServerCrash> ::const_iterator _iter51;
-    for (_iter51 = this->plain_crashes.begin(); _iter51 != this->plain_crashes.end(); ++_iter51)
+    std::vector<PlainServerCrash> ::const_iterator _iter58;
+    for (_iter58 = this->plain_crashes.begin(); _iter58 != this->plain_crashes.end(); ++_iter58)
+    {
+      xfer += (*_iter58).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quotas", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quotas.size()));
+    std::vector<QuotaReport> ::const_iterator _iter59;
+    for (_iter59 = this->quotas.begin(); _iter59 != this->quotas.end(); ++_iter59)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1158,48 +1408,51 @@
   swap(a.lost, b.lost);
   swap(a.begun_parts, b.begun_parts);
   swap(a.plain_crashes, b.plain_crashes);
+  swap(a.quotas, b.quotas);
   swap(a.__isset, b.__isset);
 }
 
-AdapterDemand::AdapterDemand(const AdapterDemand& other52) {
-  router = other52.router;
-  sequence = other52.sequence;
-  uses = other52.uses;
-  adapter_places = other52.adapter_places;
-  weights_mb = other52.weights_mb;
-  models = other52.models;
-  incarnation = other52.incarnation;
-  prompt_tokens = other52.prompt_tokens;
-  prompts = other52.prompts;
-  prompt_window = other52.prompt_window;
-  batch_size = other52.batch_size;
-  sent_tokens = other52.sent_tokens;
-  gap_ms = other52.gap_ms;
-  has_late_pauses = other52.has_late_pauses;
-  lost = other52.lost;
-  begun_parts = other52.begun_parts;
-  plain_crashes = other52.plain_crashes;
-  __isset = other52.__isset;
-}
-AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other53) {
-  router = other53.router;
-  sequence = other53.sequence;
-  uses = other53.uses;
-  adapter_places = other53.adapter_places;
-  weights_mb = other53.weights_mb;
-  models = other53.models;
-  incarnation = other53.incarnation;
-  prompt_tokens = other53.prompt_tokens;
-  prompts = other53.prompts;
-  prompt_window = other53.prompt_window;
-  batch_size = other53.batch_size;
-  sent_tokens = other53.sent_tokens;
-  gap_ms = other53.gap_ms;
-  has_late_pauses = other53.has_late_pauses;
-  lost = other53.lost;
-  begun_parts = other53.begun_parts;
-  plain_crashes = other53.plain_crashes;
-  __isset = other53.__isset;
+AdapterDemand::AdapterDemand(const AdapterDemand& other60) {
+  router = other60.router;
+  sequence = other60.sequence;
+  uses = other60.uses;
+  adapter_places = other60.adapter_places;
+  weights_mb = other60.weights_mb;
+  models = other60.models;
+  incarnation = other60.incarnation;
+  prompt_tokens = other60.prompt_tokens;
+  prompts = other60.prompts;
+  prompt_window = other60.prompt_window;
+  batch_size = other60.batch_size;
+  sent_tokens = other60.sent_tokens;
+  gap_ms = other60.gap_ms;
+  has_late_pauses = other60.has_late_pauses;
+  lost = other60.lost;
+  begun_parts = other60.begun_parts;
+  plain_crashes = other60.plain_crashes;
+  quotas = other60.quotas;
+  __isset = other60.__isset;
+}
+AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other61) {
+  router = other61.router;
+  sequence = other61.sequence;
+  uses = other61.uses;
+  adapter_places = other61.adapter_places;
+  weights_mb = other61.weights_mb;
+  models = other61.models;
+  incarnation = other61.incarnation;
+  prompt_tokens = other61.prompt_tokens;
+  prompts = other61.prompts;
+  prompt_window = other61.prompt_window;
+  batch_size = other61.batch_size;
+  sent_tokens = other61.sent_tokens;
+  gap_ms = other61.gap_ms;
+  has_late_pauses = other61.has_late_pauses;
+  lost = other61.lost;
+  begun_parts = other61.begun_parts;
+  plain_crashes = other61.plain_crashes;
+  quotas = other61.quotas;
+  __isset = other61.__isset;
   return *this;
 }
 void AdapterDemand::printTo(std::ostream& out) const {
@@ -1222,6 +1475,7 @@
   out << ", " << "lost=" << to_string(lost);
   out << ", " << "begun_parts=" << to_string(begun_parts);
   out << ", " << "plain_crashes=" << to_string(plain_crashes);
+  out << ", " << "quotas=" << to_string(quotas);
   out << ")";
 }
 
@@ -1335,17 +1589,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ResidentAdapter::ResidentAdapter(const ResidentAdapter& other54) {
-  adapter = other54.adapter;
-  version = other54.version;
-  model = other54.model;
-  __isset = other54.__isset;
+ResidentAdapter::ResidentAdapter(const ResidentAdapter& other62) {
+  adapter = other62.adapter;
+  version = other62.version;
+  model = other62.model;
+  __isset = other62.__isset;
 }
-ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other55) {
-  adapter = other55.adapter;
-  version = other55.version;
-  model = other55.model;
-  __isset = other55.__isset;
+ResidentAdapter& ResidentAdapter::operator=(const ResidentAdapter& other63) {
+  adapter = other63.adapter;
+  version = other63.version;
+  model = other63.model;
+  __isset = other63.__isset;
   return *this;
 }
 void ResidentAdapter::printTo(std::ostream& out) const {
@@ -1453,14 +1707,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->models.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->models.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readString(this->models[_i60]);
+              xfer += iprot->readString(this->models[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1473,14 +1727,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resident.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->resident.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->resident.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->resident[_i65].read(iprot);
+              xfer += this->resident[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1493,14 +1747,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loading.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->loading.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->loading.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->loading[_i70].read(iprot);
+              xfer += this->loading[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1605,10 +1859,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter71;
-    for (_iter71 = this->models.begin(); _iter71 != this->models.end(); ++_iter71)
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->models.begin(); _iter79 != this->models.end(); ++_iter79)
     {
-      xfer += oprot->writeString((*_iter71));
+      xfer += oprot->writeString((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1617,10 +1871,10 @@
   xfer += oprot->writeFieldBegin("resident", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resident.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter72;
-    for (_iter72 = this->resident.begin(); _iter72 != this->resident.end(); ++_iter72)
+    std::vector<ResidentAdapter> ::const_iterator _iter80;
+    for (_iter80 = this->resident.begin(); _iter80 != this->resident.end(); ++_iter80)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1629,10 +1883,10 @@
   xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loading.size()));
-    std::vector<ResidentAdapter> ::const_iterator _iter73;
-    for (_iter73 = this->loading.begin(); _iter73 != this->loading.end(); ++_iter73)
+    std::vector<ResidentAdapter> ::const_iterator _iter81;
+    for (_iter81 = this->loading.begin(); _iter81 != this->loading.end(); ++_iter81)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1697,37 +1951,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other74) {
-  sequence = other74.sequence;
-  models = other74.models;
-  resident = other74.resident;
-  loading = other74.loading;
-  running = other74.running;
-  queued = other74.queued;
-  free_places = other74.free_places;
-  routers = other74.routers;
-  incarnation = other74.incarnation;
-  reachable = other74.reachable;
-  started_at_ms = other74.started_at_ms;
-  load_wait_ms = other74.load_wait_ms;
-  event_interval_ms = other74.event_interval_ms;
-  __isset = other74.__isset;
-}
-EngineStatus& EngineStatus::operator=(const EngineStatus& other75) {
-  sequence = other75.sequence;
-  models = other75.models;
-  resident = other75.resident;
-  loading = other75.loading;
-  running = other75.running;
-  queued = other75.queued;
-  free_places = other75.free_places;
-  routers = other75.routers;
-  incarnation = other75.incarnation;
-  reachable = other75.reachable;
-  started_at_ms = other75.started_at_ms;
-  load_wait_ms = other75.load_wait_ms;
-  event_interval_ms = other75.event_interval_ms;
-  __isset = other75.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other82) {
+  sequence = other82.sequence;
+  models = other82.models;
+  resident = other82.resident;
+  loading = other82.loading;
+  running = other82.running;
+  queued = other82.queued;
+  free_places = other82.free_places;
+  routers = other82.routers;
+  incarnation = other82.incarnation;
+  reachable = other82.reachable;
+  started_at_ms = other82.started_at_ms;
+  load_wait_ms = other82.load_wait_ms;
+  event_interval_ms = other82.event_interval_ms;
+  __isset = other82.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other83) {
+  sequence = other83.sequence;
+  models = other83.models;
+  resident = other83.resident;
+  loading = other83.loading;
+  running = other83.running;
+  queued = other83.queued;
+  free_places = other83.free_places;
+  routers = other83.routers;
+  incarnation = other83.incarnation;
+  reachable = other83.reachable;
+  started_at_ms = other83.started_at_ms;
+  load_wait_ms = other83.load_wait_ms;
+  event_interval_ms = other83.event_interval_ms;
+  __isset = other83.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -1861,14 +2115,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admitted.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->admitted.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->admitted.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readI64(this->admitted[_i80]);
+              xfer += iprot->readI64(this->admitted[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1921,10 +2175,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter81;
-    for (_iter81 = this->admitted.begin(); _iter81 != this->admitted.end(); ++_iter81)
+    std::vector<int64_t> ::const_iterator _iter89;
+    for (_iter89 = this->admitted.begin(); _iter89 != this->admitted.end(); ++_iter89)
     {
-      xfer += oprot->writeI64((*_iter81));
+      xfer += oprot->writeI64((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1947,25 +2201,25 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other82) {
-  sequence = other82.sequence;
-  incarnation = other82.incarnation;
-  requests = other82.requests;
-  prompt_tokens = other82.prompt_tokens;
-  unread_tokens = other82.unread_tokens;
-  limits_prompts = other82.limits_prompts;
-  admitted = other82.admitted;
-  __isset = other82.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other90) {
+  sequence = other90.sequence;
+  incarnation = other90.incarnation;
+  requests = other90.requests;
+  prompt_tokens = other90.prompt_tokens;
+  unread_tokens = other90.unread_tokens;
+  limits_prompts = other90.limits_prompts;
+  admitted = other90.admitted;
+  __isset = other90.__isset;
 }
-EngineLoad& EngineLoad::operator=(const EngineLoad& other83) {
-  sequence = other83.sequence;
-  incarnation = other83.incarnation;
-  requests = other83.requests;
-  prompt_tokens = other83.prompt_tokens;
-  unread_tokens = other83.unread_tokens;
-  limits_prompts = other83.limits_prompts;
-  admitted = other83.admitted;
-  __isset = other83.__isset;
+EngineLoad& EngineLoad::operator=(const EngineLoad& other91) {
+  sequence = other91.sequence;
+  incarnation = other91.incarnation;
+  requests = other91.requests;
+  prompt_tokens = other91.prompt_tokens;
+  unread_tokens = other91.unread_tokens;
+  limits_prompts = other91.limits_prompts;
+  admitted = other91.admitted;
+  __isset = other91.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -2045,14 +2299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->requests.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->requests.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->requests[_i88].read(iprot);
+              xfer += this->requests[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2089,10 +2343,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LostRequest> ::const_iterator _iter89;
-    for (_iter89 = this->requests.begin(); _iter89 != this->requests.end(); ++_iter89)
+    std::vector<LostRequest> ::const_iterator _iter97;
+    for (_iter97 = this->requests.begin(); _iter97 != this->requests.end(); ++_iter97)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2111,17 +2365,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerCrash::ServerCrash(const ServerCrash& other90) {
-  id = other90.id;
-  age_ms = other90.age_ms;
-  requests = other90.requests;
-  __isset = other90.__isset;
+ServerCrash::ServerCrash(const ServerCrash& other98) {
+  id = other98.id;
+  age_ms = other98.age_ms;
+  requests = other98.requests;
+  __isset = other98.__isset;
 }
-ServerCrash& ServerCrash::operator=(const ServerCrash& other91) {
-  id = other91.id;
-  age_ms = other91.age_ms;
-  requests = other91.requests;
-  __isset = other91.__isset;
+ServerCrash& ServerCrash::operator=(const ServerCrash& other99) {
+  id = other99.id;
+  age_ms = other99.age_ms;
+  requests = other99.requests;
+  __isset = other99.__isset;
   return *this;
 }
 void ServerCrash::printTo(std::ostream& out) const {
@@ -2173,14 +2427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->crashes.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->crashes.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->crashes[_i96].read(iprot);
+              xfer += this->crashes[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2209,10 +2463,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<ServerCrash> ::const_iterator _iter97;
-    for (_iter97 = this->crashes.begin(); _iter97 != this->crashes.end(); ++_iter97)
+    std::vector<ServerCrash> ::const_iterator _iter105;
+    for (_iter105 = this->crashes.begin(); _iter105 != this->crashes.end(); ++_iter105)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2229,13 +2483,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other98) {
-  crashes = other98.crashes;
-  __isset = other98.__isset;
+CrashReport::CrashReport(const CrashReport& other106) {
+  crashes = other106.crashes;
+  __isset = other106.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other99) {
-  crashes = other99.crashes;
-  __isset = other99.__isset;
+CrashReport& CrashReport::operator=(const CrashReport& other107) {
+  crashes = other107.crashes;
+  __isset = other107.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -2246,6 +2500,330 @@
 }
 
 
+QuotaView::~QuotaView() noexcept {
+}
+
+
+void QuotaView::__set_tenant(const int64_t val) {
+  this->tenant = val;
+}
+
+void QuotaView::__set_level(const double val) {
+  this->level = val;
+}
+
+void QuotaView::__set_asked_per_s(const double val) {
+  this->asked_per_s = val;
+}
+
+void QuotaView::__set_own_asked_per_s(const double val) {
+  this->own_asked_per_s = val;
+}
+
+void QuotaView::__set_counted_use(const double val) {
+  this->counted_use = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaView& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaView::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->asked_per_s);
+          this->__isset.asked_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->own_asked_per_s);
+          this->__isset.own_asked_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->counted_use);
+          this->__isset.counted_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaView");
+
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked_per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->asked_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("own_asked_per_s", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->own_asked_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counted_use", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->counted_use);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaView &a, QuotaView &b) {
+  using ::std::swap;
+  swap(a.tenant, b.tenant);
+  swap(a.level, b.level);
+  swap(a.asked_per_s, b.asked_per_s);
+  swap(a.own_asked_per_s, b.own_asked_per_s);
+  swap(a.counted_use, b.counted_use);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaView::QuotaView(const QuotaView& other108) noexcept {
+  tenant = other108.tenant;
+  level = other108.level;
+  asked_per_s = other108.asked_per_s;
+  own_asked_per_s = other108.own_asked_per_s;
+  counted_use = other108.counted_use;
+  __isset = other108.__isset;
+}
+QuotaView& QuotaView::operator=(const QuotaView& other109) noexcept {
+  tenant = other109.tenant;
+  level = other109.level;
+  asked_per_s = other109.asked_per_s;
+  own_asked_per_s = other109.own_asked_per_s;
+  counted_use = other109.counted_use;
+  __isset = other109.__isset;
+  return *this;
+}
+void QuotaView::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaView(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "level=" << to_string(level);
+  out << ", " << "asked_per_s=" << to_string(asked_per_s);
+  out << ", " << "own_asked_per_s=" << to_string(own_asked_per_s);
+  out << ", " << "counted_use=" << to_string(counted_use);
+  out << ")";
+}
+
+
+QuotaViews::~QuotaViews() noexcept {
+}
+
+
+void QuotaViews::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void QuotaViews::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void QuotaViews::__set_views(const std::vector<QuotaView> & val) {
+  this->views = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaViews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaViews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->views.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->views.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->views[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.views = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaViews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaViews");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("views", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->views.size()));
+    std::vector<QuotaView> ::const_iterator _iter115;
+    for (_iter115 = this->views.begin(); _iter115 != this->views.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaViews &a, QuotaViews &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.views, b.views);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaViews::QuotaViews(const QuotaViews& other116) {
+  incarnation = other116.incarnation;
+  sequence = other116.sequence;
+  views = other116.views;
+  __isset = other116.__isset;
+}
+QuotaViews& QuotaViews::operator=(const QuotaViews& other117) {
+  incarnation = other117.incarnation;
+  sequence = other117.sequence;
+  views = other117.views;
+  __isset = other117.__isset;
+  return *this;
+}
+void QuotaViews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaViews(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "views=" << to_string(views);
+  out << ")";
+}
+
+
 AgentDatagram::~AgentDatagram() noexcept {
 }
 
@@ -2269,6 +2847,11 @@
   this->crash_report = val;
 __isset.crash_report = true;
 }
+
+void AgentDatagram::__set_quotas(const QuotaViews& val) {
+  this->quotas = val;
+__isset.quotas = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentDatagram& obj)
 {
   obj.printTo(out);
@@ -2329,6 +2912,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotas.read(iprot);
+          this->__isset.quotas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2366,6 +2957,11 @@
     xfer += this->crash_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotas) {
+    xfer += oprot->writeFieldBegin("quotas", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->quotas.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2377,22 +2973,25 @@
   swap(a.status, b.status);
   swap(a.load, b.load);
   swap(a.crash_report, b.crash_report);
+  swap(a.quotas, b.quotas);
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other100) {
-  demand = other100.demand;
-  status = other100.status;
-  load = other100.load;
-  crash_report = other100.crash_report;
-  __isset = other100.__isset;
-}
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other101) {
-  demand = other101.demand;
-  status = other101.status;
-  load = other101.load;
-  crash_report = other101.crash_report;
-  __isset = other101.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other118) {
+  demand = other118.demand;
+  status = other118.status;
+  load = other118.load;
+  crash_report = other118.crash_report;
+  quotas = other118.quotas;
+  __isset = other118.__isset;
+}
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other119) {
+  demand = other119.demand;
+  status = other119.status;
+  load = other119.load;
+  crash_report = other119.crash_report;
+  quotas = other119.quotas;
+  __isset = other119.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
@@ -2402,6 +3001,7 @@
   out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
+  out << ", " << "quotas="; (__isset.quotas ? (out << to_string(quotas)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -31,6 +31,8 @@
 
 class PlainServerCrash;
 
+class QuotaReport;
+
 class AdapterDemand;
 
 class ResidentAdapter;
@@ -43,6 +45,10 @@
 
 class CrashReport;
 
+class QuotaView;
+
+class QuotaViews;
+
 class AgentDatagram;
 
 typedef struct _AdapterUse__isset {
@@ -328,8 +334,95 @@
 
 std::ostream& operator<<(std::ostream& out, const PlainServerCrash& obj);
 
+typedef struct _QuotaReport__isset {
+  _QuotaReport__isset() : tenant(false), rate_per_s(false), burst(false), limits_version(false), used(false), asked(false), level(false) {}
+  bool tenant :1;
+  bool rate_per_s :1;
+  bool burst :1;
+  bool limits_version :1;
+  bool used :1;
+  bool asked :1;
+  bool level :1;
+} _QuotaReport__isset;
+
+class QuotaReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReport(const QuotaReport&) noexcept;
+  QuotaReport& operator=(const QuotaReport&) noexcept;
+  QuotaReport() noexcept
+              : tenant(0),
+                rate_per_s(0),
+                burst(0),
+                limits_version(0),
+                used(0),
+                asked(0),
+                level(0) {
+  }
+
+  virtual ~QuotaReport() noexcept;
+  int64_t tenant;
+  double rate_per_s;
+  double burst;
+  int64_t limits_version;
+  double used;
+  double asked;
+  double level;
+
+  _QuotaReport__isset __isset;
+
+  void __set_tenant(const int64_t val);
+
+  void __set_rate_per_s(const double val);
+
+  void __set_burst(const double val);
+
+  void __set_limits_version(const int64_t val);
+
+  void __set_used(const double val);
+
+  void __set_asked(const double val);
+
+  void __set_level(const double val);
+
+  bool operator == (const QuotaReport & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(rate_per_s == rhs.rate_per_s))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    if (!(limits_version == rhs.limits_version))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    if (__isset.level != rhs.__isset.level)
+      return false;
+    else if (__isset.level && !(level == rhs.level))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReport &a, QuotaReport &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj);
+
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false), plain_crashes(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false), plain_crashes(false), quotas(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -347,6 +440,7 @@
   bool lost :1;
   bool begun_parts :1;
   bool plain_crashes :1;
+  bool quotas :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -386,6 +480,7 @@
   std::vector<LostRequest>  lost;
   std::vector<int64_t>  begun_parts;
   std::vector<PlainServerCrash>  plain_crashes;
+  std::vector<QuotaReport>  quotas;
 
   _AdapterDemand__isset __isset;
 
@@ -423,6 +518,8 @@
 
   void __set_plain_crashes(const std::vector<PlainServerCrash> & val);
 
+  void __set_quotas(const std::vector<QuotaReport> & val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -459,6 +556,8 @@
       return false;
     if (!(plain_crashes == rhs.plain_crashes))
       return false;
+    if (!(quotas == rhs.quotas))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
@@ -840,12 +939,140 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
+typedef struct _QuotaView__isset {
+  _QuotaView__isset() : tenant(false), level(false), asked_per_s(false), own_asked_per_s(false), counted_use(false) {}
+  bool tenant :1;
+  bool level :1;
+  bool asked_per_s :1;
+  bool own_asked_per_s :1;
+  bool counted_use :1;
+} _QuotaView__isset;
+
+class QuotaView : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaView(const QuotaView&) noexcept;
+  QuotaView& operator=(const QuotaView&) noexcept;
+  QuotaView() noexcept
+            : tenant(0),
+              level(0),
+              asked_per_s(0),
+              own_asked_per_s(0),
+              counted_use(0) {
+  }
+
+  virtual ~QuotaView() noexcept;
+  int64_t tenant;
+  double level;
+  double asked_per_s;
+  double own_asked_per_s;
+  double counted_use;
+
+  _QuotaView__isset __isset;
+
+  void __set_tenant(const int64_t val);
+
+  void __set_level(const double val);
+
+  void __set_asked_per_s(const double val);
+
+  void __set_own_asked_per_s(const double val);
+
+  void __set_counted_use(const double val);
+
+  bool operator == (const QuotaView & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(level == rhs.level))
+      return false;
+    if (!(asked_per_s == rhs.asked_per_s))
+      return false;
+    if (!(own_asked_per_s == rhs.own_asked_per_s))
+      return false;
+    if (!(counted_use == rhs.counted_use))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaView &a, QuotaView &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaView& obj);
+
+typedef struct _QuotaViews__isset {
+  _QuotaViews__isset() : incarnation(false), sequence(false), views(false) {}
+  bool incarnation :1;
+  bool sequence :1;
+  bool views :1;
+} _QuotaViews__isset;
+
+class QuotaViews : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaViews(const QuotaViews&);
+  QuotaViews& operator=(const QuotaViews&);
+  QuotaViews() noexcept
+             : incarnation(0),
+               sequence(0) {
+  }
+
+  virtual ~QuotaViews() noexcept;
+  int64_t incarnation;
+  int64_t sequence;
+  std::vector<QuotaView>  views;
+
+  _QuotaViews__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_views(const std::vector<QuotaView> & val);
+
+  bool operator == (const QuotaViews & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(views == rhs.views))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaViews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaViews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaViews &a, QuotaViews &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaViews& obj);
+
 typedef struct _AgentDatagram__isset {
-  _AgentDatagram__isset() : demand(false), status(false), load(false), crash_report(false) {}
+  _AgentDatagram__isset() : demand(false), status(false), load(false), crash_report(false), quotas(false) {}
   bool demand :1;
   bool status :1;
   bool load :1;
   bool crash_report :1;
+  bool quotas :1;
 } _AgentDatagram__isset;
 
 class AgentDatagram : public virtual ::apache::thrift::TBase {
@@ -861,6 +1088,7 @@
   EngineStatus status;
   EngineLoad load;
   CrashReport crash_report;
+  QuotaViews quotas;
 
   _AgentDatagram__isset __isset;
 
@@ -872,6 +1100,8 @@
 
   void __set_crash_report(const CrashReport& val);
 
+  void __set_quotas(const QuotaViews& val);
+
   bool operator == (const AgentDatagram & rhs) const
   {
     if (__isset.demand != rhs.__isset.demand)
@@ -890,6 +1120,10 @@
       return false;
     else if (__isset.crash_report && !(crash_report == rhs.crash_report))
       return false;
+    if (__isset.quotas != rhs.__isset.quotas)
+      return false;
+    else if (__isset.quotas && !(quotas == rhs.quotas))
+      return false;
     return true;
   }
   bool operator != (const AgentDatagram &rhs) const {
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -1,7 +1,6 @@
 #include "src/router/fleet.h"
 
 #include <algorithm>
-#include <limits>
 #include <span>
 #include <utility>
 
@@ -46,12 +45,6 @@
   return demand;
 }
 
-// Returns a hash of `text` that is uniformly distributed from 0 to 1.
-double UnitHash(std::string_view text, std::uint64_t seed) {
-  return static_cast<double>(Hash64(text, seed)) /
-         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 AdapterName NameOf(const RequestInfo& info) {
   return {info.model, info.adapter};
 }
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -43,13 +43,6 @@
 // answer, the request is sent to the engine as it is.
 constexpr Duration kWaitForSilentAgent = milliseconds(150);
 
-// Formats `duration` as seconds with three decimals.
-std::string FormatSeconds(Duration duration) {
-  const std::string digits = std::to_string(ToMilliseconds(duration) + 1000000);
-  return std::to_string(ToMilliseconds(duration) / 1000) + "." +
-         digits.substr(digits.size() - 3);
-}
-
 // Returns the Content-Type of `head` without its parameters.
 std::string MediaType(const HttpResponse& head) {
   const std::string_view type = FindHeader(head.headers, "content-type");
@@ -84,6 +77,8 @@
       info_(std::move(info)),
       route_(WithTenantPriority(route, identity.tenant)),
       tenant_(identity.tenant == nullptr ? "" : identity.tenant->name),
+      quota_cost_(
+          identity.tenant == nullptr ? 0 : QuotaCost(*identity.tenant, info_)),
       drops_caller_tenant_(identity.has_tenants),
       responder_(std::move(responder)) {
   progress_.kind = route_.kind;
@@ -817,6 +812,8 @@
   result.service = service_;
   result.duration = now - started_;
   result.may_have_run = progress_.may_have_run > 0;
+  result.tenant = tenant_;
+  result.quota_cost = quota_cost_;
   on_done_(result);
 }
 
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -47,6 +47,8 @@
   std::string service;
   Duration duration = Duration::zero();
   bool may_have_run = false;
+  std::string tenant;  // Empty for callers without one.
+  double quota_cost = 0;
 };
 
 // Relays one request of a caller: chooses a server, waits for the adapter,
@@ -162,6 +164,7 @@
   const RequestInfo info_;
   const Route route_;
   const std::string tenant_;  // Empty for callers without one.
+  const double quota_cost_;   // What the request was charged.
   // Whether the caller's own key and tenant are not passed on.
   const bool drops_caller_tenant_;
   // The latest configuration that lists the caller's key.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -2,16 +2,20 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "amaranthcove/agent_link/quota_codec.h"
+#include "amaranthcove/base/hash.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/log/event_log.h"
 #include "amaranthcove/log/guarded.h"
 #include "amaranthcove/net/http_server.h"
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
+#include "amaranthcove/quota/quota_accounts.h"
 #include "platform/backend_request.h"
 #include "src/router/fleet.h"
 #include "src/router/fleet_updates.h"
@@ -28,6 +32,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
 // The longest time for which requests are held at startup. A router receives
@@ -50,6 +55,9 @@
 // Time for writing the answers that are in progress when the last request ends.
 constexpr Duration kLastWritesDelay = milliseconds(150);
 
+// When callers should return that came before the first configuration.
+constexpr Duration kRetryWithoutConfig = std::chrono::seconds(1);
+
 // When this much of the stop limit is left, the router no longer waits for
 // requests in progress.
 constexpr Duration kStopMargin = milliseconds(700);
@@ -94,6 +102,7 @@
                  {[this](std::string_view server) { NotifyCalls(server); },
                   [this] {
                     ApplyLimits();
+                    ApplyQuotas();
                     ReleaseHeld();
                   }}) {}
 
@@ -121,6 +130,14 @@
                            Time now);
   // Applies the configured limits of callers to the HTTP server.
   void ApplyLimits();
+  // Applies the configured quotas of tenants.
+  void ApplyQuotas();
+  // Takes the request out of the quota of its tenant. Refuses it, and returns
+  // false, if the quota does not cover it.
+  bool TakeQuota(const Tenant& tenant,
+                 const RequestInfo& info,
+                 HttpResponder& responder,
+                 Time now);
   void ReleaseHeld();
   void RefuseExpiredHeld(Time now);
   void Relay(HttpRequest request,
@@ -134,11 +151,19 @@
               int status,
               std::string_view reason,
               HttpResponder& responder);
+  // Answers a request that has not run. Callers follow `retry_after` up to a
+  // third of their remaining time.
+  void SendRefusal(int status,
+                   std::string_view reason,
+                   std::optional<Duration> retry_after,
+                   HttpResponder& responder);
   void OnReadinessRequest(const HttpRequest& request, HttpResponder& responder);
   void OnCallDone(std::uint64_t call, const RelayResult& result);
   void OnDatagram(const Address& sender, std::string_view bytes);
   // Returns the estimates of the services with engines.
   nlohmann::json DumpServices(Time now) const;
+  // Returns the quotas of tenants and what was done about them.
+  nlohmann::json DumpTenants(Time now) const;
   void NotifyCalls(std::string_view server);
   // Records a request that was lost in the crash of a plain server, and tells
   // the other routers by way of an agent.
@@ -157,6 +182,7 @@
   AgentLinks links_;
   Fleet fleet_;
   CrashTable crashes_;
+  QuotaAccounts quotas_;
   std::unique_ptr<UpstreamClient> upstream_;
   RequestMetrics request_metrics_;
   CrashChecker crash_checker_;
@@ -236,6 +262,9 @@
              {{"instance", settings_.instance},
               {"http", FormatAddress(settings_.http_address)},
               {"store", FormatAddress(settings_.metadata_store)}});
+  links_.SetQuotaReporter([this](const Address& agent, Time now) {
+    return quotas_.ReportsFor(agent, now);
+  });
   updates_.Start();
   Tick();
   return {};
@@ -285,6 +314,47 @@
                       limits.header_timeout, limits.idle_timeout});
 }
 
+void RouterImpl::ApplyQuotas() {
+  if (fleet_.has_config()) {
+    const RoutingConfig& config = fleet_.table().config();
+    quotas_.SetTenants(config.tenants, config.version);
+  }
+}
+
+bool RouterImpl::TakeQuota(const Tenant& tenant,
+                           const RequestInfo& info,
+                           HttpResponder& responder,
+                           Time now) {
+  const double cost = QuotaCost(tenant, info);
+  const QuotaDecision decision =
+      quotas_.Take(tenant.name, cost, links_.router_count(now),
+                   UnitHash(info.attempt_id, key_salt_), now);
+  for (const Address& agent :
+       quotas_.TakeUrgentReports(links_.router_count(now), now)) {
+    links_.ReportQuotas(agent, now);
+    SendDemandsSoon();
+  }
+  if (decision.admitted) {
+    return true;
+  }
+  log_.Write(
+      LogLevel::kInfo, "quota_exceeded",
+      {{"request", info.attempt_id},
+       {"tenant", tenant.name},
+       {"cost", std::to_string(static_cast<std::int64_t>(cost))},
+       {"available",
+        std::to_string(static_cast<std::int64_t>(decision.available))},
+       {"basis", std::string(QuotaBasisName(decision.basis))},
+       {"view_age_ms", std::to_string(ToMilliseconds(decision.view_age))},
+       {"rate_per_s",
+        std::to_string(static_cast<std::int64_t>(tenant.quota.rate_per_s))},
+       {"retry_after_ms", std::to_string(ToMilliseconds(decision.retry_after))},
+       {"config", std::to_string(fleet_.config_version())}});
+  SendRefusal(kTooManyRequests, "quota_exceeded", decision.retry_after,
+              responder);
+  return false;
+}
+
 void RouterImpl::ReleaseHeld() {
   if (!HasConfigAndBackends()) {
     return;
@@ -326,6 +396,10 @@
     Refuse(info, kBadRequest, "model_not_utf8", *responder);
     return;
   }
+  if (identity.tenant != nullptr &&
+      !TakeQuota(*identity.tenant, info, *responder, now)) {
+    return;
+  }
   const std::uint64_t id = next_call_++;
   auto call = std::make_unique<RelayCall>(environment_, std::move(request),
                                           std::move(info), *route, identity,
@@ -364,12 +438,22 @@
               {"config", std::to_string(fleet_.config_version())},
               {"config_age_ms",
                std::to_string(ToMilliseconds(fleet_.ConfigAge(loop_.Now())))}});
+  SendRefusal(status, reason,
+              status == kServiceUnavailable
+                  ? std::optional<Duration>(kRetryWithoutConfig)
+                  : std::nullopt,
+              responder);
+}
+
+void RouterImpl::SendRefusal(int status,
+                             std::string_view reason,
+                             std::optional<Duration> retry_after,
+                             HttpResponder& responder) {
   HttpResponse response;
   response.status = status;
   response.headers = {{"Content-Type", "application/json"}};
-  if (status == kServiceUnavailable) {
-    // Callers follow this value up to a third of their remaining time.
-    response.headers.push_back({"Retry-After", "1"});
+  if (retry_after) {
+    response.headers.push_back({"Retry-After", FormatSeconds(*retry_after)});
   }
   response.body = R"({"error":{"code":")" + std::string(reason) +
                   R"(","outcome":"not_run"}})";
@@ -379,6 +463,9 @@
 
 void RouterImpl::OnCallDone(std::uint64_t call, const RelayResult& result) {
   request_metrics_.Count(result);
+  if (!result.tenant.empty() && !result.may_have_run) {
+    quotas_.GiveBack(result.tenant, result.quota_cost);
+  }
   done_calls_.push_back(call);
   if (cleanup_timer_ == 0) {
     // Deferred because the call is still on the stack.
@@ -403,6 +490,10 @@
       LogCrashCauses();
     }
   }
+  if (update.quotas) {
+    quotas_.OnViews(sender, update.quotas->incarnation, update.quotas->sequence,
+                    DecodeLedgerViews(update.quotas->views), loop_.Now());
+  }
   if (update.engine) {
     NotifyCalls(*update.engine);
   }
@@ -453,6 +544,7 @@
   const Time now = loop_.Now();
   log_.SetNow(now);
   LogLateTick(now);
+  quotas_.SetAgents(links_.AnsweringAgents(now));
   links_.Tick(now);
   updates_.Tick(now);
   RefuseExpiredHeld(now);
@@ -532,6 +624,21 @@
   return services;
 }
 
+nlohmann::json RouterImpl::DumpTenants(Time now) const {
+  nlohmann::json tenants = nlohmann::json::object();
+  for (const QuotaAccounts::Summary& summary : quotas_.Summaries(now)) {
+    tenants[summary.tenant] = {
+        {"admitted", summary.counters.admitted},
+        {"limited", summary.counters.limited},
+        {"given_back", summary.counters.given_back},
+        {"used", summary.use},
+        {"rate_per_s", summary.limits.rate_per_s},
+        {"level", summary.level},
+        {"view_age_ms", ToMilliseconds(summary.view_age)}};
+  }
+  return tenants;
+}
+
 nlohmann::json RouterImpl::Dump() const {
   const Time now = loop_.Now();
   nlohmann::json servers = nlohmann::json::array();
@@ -562,6 +669,7 @@
   return {
       {"instance", settings_.instance},
       {"services", DumpServices(now)},
+      {"tenants", DumpTenants(now)},
       {"ready", ready()},
       {"config_version", fleet_.config_version()},
       {"config_age_s", ToSeconds(fleet_.ConfigAge(now))},
