quota: give callers half of the permitted excess

What routers believe is up to 250 ms old, so an exact bucket refuses requests inside the quota.

Change: the share and the tolerance by which a quota may be exceeded are known to the accounts; half is given to callers, half is kept for what routers do not know yet. An equal part, without a view, has no slack.

--- a/include/amaranthcove/quota/quota_accounts.h
+++ b/include/amaranthcove/quota/quota_accounts.h
@@ -20,6 +20,17 @@
 // Returns the id of the tenant called `name`. Thread-safe.
 TenantId IdOfTenant(std::string_view name);
 
+// By how much the use of a quota may exceed it in any window, for every tenant.
+struct QuotaSlack {
+  double overshoot = 0;  // Share of the limits.
+  double tolerance = 0;  // In what the quota counts, on top of it.
+};
+
+// Returns the limits by which requests are admitted: half of the slack is given
+// to callers, and half is kept for what instances do not know of each other
+// yet. Thread-safe.
+QuotaLimits WithSlack(const QuotaLimits& limits, const QuotaSlack& slack);
+
 // A router's part in the quotas of tenants: admits requests, reports its use to
 // the ledgers, and keeps what they tell.
 //
@@ -36,6 +47,8 @@
     std::uint64_t given_back = 0;
   };
 
+  explicit QuotaAccounts(const QuotaSlack& slack = {}) : slack_(slack) {}
+
   // Replaces the tenants by those of the configuration `version`. The accounts
   // of tenants that remain are kept.
   void SetTenants(std::span<const Tenant> tenants, std::int64_t version);
@@ -84,7 +97,8 @@
  private:
   struct Account {
     TenantId id = 0;
-    QuotaLimits limits;
+    QuotaLimits configured;
+    QuotaLimits limits;  // With the slack.
     double use = 0;
     double asked = 0;
     QuotaPart part;
@@ -104,6 +118,7 @@
   // Returns the view to use, or null if there is no recent one.
   static const QuotaView* CurrentView(const Account& account, Time now);
 
+  QuotaSlack slack_;
   std::map<std::string, Account, std::less<>> accounts_;
   std::int64_t version_ = 0;
   std::vector<Address> agents_;  // Sorted.
--- a/src/quota/quota_accounts.cc
+++ b/src/quota/quota_accounts.cc
@@ -18,6 +18,8 @@
 constexpr double kUrgentShare = 0.25;
 constexpr Duration kUrgentInterval = std::chrono::milliseconds(50);
 
+constexpr double kSlackForCallers = 0.5;
+
 // Bounds the size of a datagram.
 constexpr std::size_t kMaxReportsToAgent = 64;
 
@@ -27,6 +29,12 @@
   return Hash64(name);
 }
 
+QuotaLimits WithSlack(const QuotaLimits& limits, const QuotaSlack& slack) {
+  const double factor = 1 + kSlackForCallers * slack.overshoot;
+  return {limits.rate_per_s * factor,
+          limits.burst * factor + kSlackForCallers * slack.tolerance};
+}
+
 void QuotaAccounts::SetTenants(std::span<const Tenant> tenants,
                                std::int64_t version) {
   std::map<std::string, Account, std::less<>> accounts;
@@ -42,7 +50,8 @@
       account.id = IdOfTenant(tenant.name);
       ChooseLedgers(account);
     }
-    account.limits = tenant.quota;
+    account.configured = tenant.quota;
+    account.limits = WithSlack(tenant.quota, slack_);
     accounts.emplace(tenant.name, std::move(account));
   }
   accounts_ = std::move(accounts);
@@ -107,7 +116,7 @@
   }
   Account& account = found->second;
   account.asked += cost;
-  account.part = RefillPart(account.part, account.limits, instances, now);
+  account.part = RefillPart(account.part, account.configured, instances, now);
   QuotaBudget budget = {account.limits, std::nullopt, account.use, account.part,
                         instances};
   if (const QuotaView* view = CurrentView(account, now)) {
--- a/src/quota/quota_test.cc
+++ b/src/quota/quota_test.cc
@@ -29,6 +29,7 @@
 constexpr double kWindowS = 8;
 constexpr double kOvershoot = 1.25;
 constexpr double kTolerance = 110'000;
+constexpr QuotaSlack kSlack = {kOvershoot - 1, kTolerance};
 
 // The usual short request, and a long one of which a few come.
 constexpr double kShortCost = 716;
@@ -66,14 +67,14 @@
   }
 
   void AddRouter() {
-    routers_.push_back({});
+    routers_.emplace_back();
     Restart(routers_.size() - 1);
     routers_.back().address = AddressOf(static_cast<int>(routers_.size()));
   }
 
   // Restarts a router, which forgets all.
   void Restart(std::size_t router) {
-    routers_[router].accounts = {};
+    routers_[router].accounts = QuotaAccounts(kSlack);
     routers_[router].incarnation = ++last_incarnation_;
     routers_[router].next_report = now_;
     Configure(router);
