http_server: bound what clients that nobody controls can hold

Cause: h2o gathers a body whole, and nothing summed over connections: 40 clients that stop short of 4 MiB made a router grow by 233 MB, and all descriptors could be taken by connections that only open. On a failed accept for want of descriptors the loop span.

Change: after each round of events the server sums what its connections hold (intake_control) and decides who may go on (intake_policy): small requests are read at once, large ones need a grant for all the memory they may take, one that stands still while others wait gives way with 408, one that waits too long gets 503. Answers that are not read longest are closed above the budget, large answers are gathered a few at a time and wait in their connections to the servers. The number of connections is bounded, the idlest one is closed for a new one. Settings memory_mb and max_descriptors; freed large buffers go back to the system. Also the settings of quotas and revocation_strict.

--- a/include/amaranthcove/net/event_loop.h
+++ b/include/amaranthcove/net/event_loop.h
@@ -56,6 +56,11 @@
   Status HandleSignals(std::span<const int> signals,
                        std::function<void(int)> handler);
 
+  // Calls `callback` in each round, after the events of sockets. It must not
+  // write to sockets or close them by h2o.
+  TimerId AddRoundHook(Callback callback);
+  void RemoveRoundHook(TimerId hook);
+
   // Handles events until `Stop` is called.
   void Run();
 
@@ -83,6 +88,7 @@
   TimerId next_timer_ = 1;
   std::map<TimerKey, Callback> timers_;
   std::unordered_map<TimerId, Time> timer_times_;
+  std::map<TimerId, Callback> round_hooks_;
   std::function<void(int)> signal_handler_;
   st_h2o_socket_t* signal_socket_ = nullptr;
 };
--- a/include/amaranthcove/net/http_server.h
+++ b/include/amaranthcove/net/http_server.h
@@ -98,6 +98,16 @@
   struct Options {
     AbortMethod abort_method = AbortMethod::kMalformedChunk;
     Limits limits;
+    // Memory in bytes for requests, and again for answers that callers have not
+    // read. Above it large requests are read one after the other, requests that
+    // get on least are refused, and the connections are closed whose answers
+    // have waited longest. One request and one answer are always allowed.
+    std::size_t memory_budget = 64 << 20;
+    // Maximum number of connections; 0 for three eighths of the descriptors of
+    // the process, so that each caller may need another one for a backend
+    // server. At the maximum, the connection without a request in progress that
+    // has been idle for longest is closed for a new one.
+    std::size_t max_connections = 0;
   };
 
   // Counts, since the start, of requests and connections that did not reach the
@@ -110,6 +120,11 @@
     // Connections closed before a complete request arrived: probes, truncated
     // requests and bytes that are not HTTP.
     std::uint64_t incomplete_connections = 0;
+    // Requests refused because they took too long or there was no memory.
+    std::uint64_t refused_intake = 0;
+    // Connections closed because their answers were not read, or for new ones.
+    std::uint64_t closed_unread = 0;
+    std::uint64_t closed_for_new = 0;
   };
 
   // Listens on `address` and calls `handler` for each request.
--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -52,6 +52,12 @@
   // Queues `bytes` for sending. Does nothing after the connection has closed.
   void Write(std::string_view bytes);
 
+  // Leaves what the peer sends in the connection, and reads it again. While
+  // reading is paused, the end of the connection is not noticed. Do nothing
+  // unless the connection is open.
+  void PauseReading();
+  void ResumeReading();
+
   // Returns the number of bytes queued but not yet accepted by the system.
   std::size_t buffered_bytes() const {
     return queued_.size() + sending_.size();
--- a/include/amaranthcove/net/upstream_client.h
+++ b/include/amaranthcove/net/upstream_client.h
@@ -123,6 +123,11 @@
   // are ignored.
   virtual void Cancel(UpstreamCallId call) = 0;
 
+  // Leaves the answer to a call in its connection, and reads it again. Unknown
+  // and ended calls are ignored.
+  virtual void PauseReading(UpstreamCallId call) = 0;
+  virtual void ResumeReading(UpstreamCallId call) = 0;
+
   // Returns whether nothing of the request has been passed to the system yet,
   // for example because the connection is still being opened. False for unknown
   // and ended calls.
--- a/include/amaranthcove/node/node_settings.h
+++ b/include/amaranthcove/node/node_settings.h
@@ -40,8 +40,20 @@
   Duration retry_window = std::chrono::seconds(10);
   // Maximum duration of a graceful shutdown.
   Duration stop_limit = std::chrono::seconds(8);
+  // By how much the use of a tenant's quota may exceed it, over all routers and
+  // in any window: by this share of it and, in what the quota counts, by the
+  // tolerance.
+  double quota_overshoot = 0;
+  double quota_tolerance = 0;
+  // Whether a router that has not heard from the metadata store for
+  // `revocation_limit` refuses the callers of tenants: their keys may have been
+  // taken away.
+  bool revocation_strict = false;
+  Duration revocation_limit = std::chrono::seconds(5);
   // Memory of the instance that the process may use, in MB.
   int memory_mb = 512;
+  // Descriptors that the process may use; 0 for its own limit.
+  int max_descriptors = 0;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -95,6 +95,16 @@
   timer_times_.erase(found);
 }
 
+TimerId EventLoop::AddRoundHook(Callback callback) {
+  const TimerId hook = next_timer_++;
+  round_hooks_.emplace(hook, std::move(callback));
+  return hook;
+}
+
+void EventLoop::RemoveRoundHook(TimerId hook) {
+  round_hooks_.erase(hook);
+}
+
 Status EventLoop::HandleSignals(std::span<const int> signals,
                                 std::function<void(int)> handler) {
   sigset_t set;
@@ -145,6 +155,9 @@
   SetCrashActivity("sockets");
   h2o_evloop_run(loop_, static_cast<std::int32_t>(wait_ms.count()));
   now_ = SteadyNow();
+  for (const auto& [hook, callback] : round_hooks_) {
+    callback();
+  }
   if (timers_.empty() || timers_.begin()->first.first > now_) {
     return;
   }
--- a/src/net/http_errors.cc
+++ b/src/net/http_errors.cc
@@ -20,6 +20,26 @@
     R"("the header fields did not arrive in time",)"
     R"("outcome":"not_run","request_id":""}})";
 
+constexpr std::string_view kRequestTooSlowBody =
+    R"({"error":{"code":"request_too_slow","message":)"
+    R"("the request did not arrive in time",)"
+    R"("outcome":"not_run","request_id":""}})";
+
+constexpr std::string_view kNoMemoryBody =
+    R"({"error":{"code":"no_memory","message":)"
+    R"("this instance has no memory for the request at present",)"
+    R"("outcome":"not_run","request_id":""}})";
+
+// Returns an encoded answer after which the connection is closed.
+std::string EncodeAnswer(std::string_view status,
+                         std::string_view more_fields,
+                         std::string_view body) {
+  return "HTTP/1.1 " + std::string(status) + "\r\nconnection: close\r\n" +
+         std::string(more_fields) +
+         "content-type: application/json\r\ncontent-length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
 // h2o answers oversized requests and malformed chunks itself, in plain text,
 // before any handler runs. This output stream replaces that text by JSON. The
 // 400 for bytes that are not an HTTP request is a constant in h2o and remains
@@ -92,10 +112,16 @@
 }
 
 std::string HeaderTooSlowAnswer() {
-  return "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n"
-         "content-type: application/json\r\ncontent-length: " +
-         std::to_string(kHeaderTooSlowBody.size()) + "\r\n\r\n" +
-         std::string(kHeaderTooSlowBody);
+  return EncodeAnswer("408 Request Timeout", "", kHeaderTooSlowBody);
+}
+
+std::string RequestTooSlowAnswer() {
+  return EncodeAnswer("408 Request Timeout", "", kRequestTooSlowBody);
+}
+
+std::string NoMemoryAnswer() {
+  return EncodeAnswer("503 Service Unavailable", "retry-after: 2\r\n",
+                      kNoMemoryBody);
 }
 
 void AddErrorFilter(h2o_pathconf_t* path, std::uint64_t* refused) {
--- a/src/net/http_errors.h
+++ b/src/net/http_errors.h
@@ -23,6 +23,11 @@
 // request that it has not parsed.
 std::string HeaderTooSlowAnswer();
 
+// Likewise, for a request that is not complete in time or does not get on while
+// others wait, and for one that there is no memory for.
+std::string RequestTooSlowAnswer();
+std::string NoMemoryAnswer();
+
 // Replaces the bodies of the errors that h2o itself answers with under `path`
 // by JSON, and counts them in `refused`. Precondition: `refused` outlives the
 // path.
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -104,6 +104,7 @@
     return;
   }
   has_head_ = true;
+  answer_began_ = loop_.Now();
   pending_ = std::move(response.body);
   response_ = std::move(response);
   ended_ = true;
@@ -115,6 +116,7 @@
     return;
   }
   has_head_ = true;
+  answer_began_ = loop_.Now();
   pending_ = std::move(response.body);
   response_ = std::move(response);
   if (!CanBeChunked(*request_, response_.status)) {
@@ -180,6 +182,12 @@
   }
 }
 
+void Exchange::GiveUp() {
+  given_up_ = true;
+  // Makes the pending write fail, whereupon h2o disposes of the request.
+  shutdown(socket_fd(), SHUT_RDWR);
+}
+
 std::size_t Exchange::buffered_bytes() const {
   return pending_.size() + in_flight_.size();
 }
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -76,6 +76,12 @@
   // has not detected yet. Precondition: the exchange is attached.
   void HandleCallerDisconnect();
   std::size_t buffered_bytes() const;
+  // Closes the connection of an answer that is not read. The caller sees that
+  // it is incomplete. Precondition: the exchange is attached.
+  void GiveUp();
+  bool is_given_up() const { return given_up_; }
+  // When the answer began. Precondition: the answer has begun.
+  Time answer_began() const { return answer_began_; }
 
  private:
   static void OnProceed(h2o_generator_t* self, h2o_req_t* /*request*/);
@@ -105,6 +111,7 @@
   h2o_req_t* request_ = nullptr;  // Null once h2o has disposed of it.
   RequestGenerator* generator_ = nullptr;
   HttpResponse response_;
+  Time answer_began_;
   std::string pending_;
   std::string in_flight_;
   std::function<void()> on_caller_disconnected_;
@@ -115,6 +122,7 @@
   bool sending_ = false;       // h2o is sending a piece.
   bool ended_ = false;
   bool aborted_ = false;
+  bool given_up_ = false;
   bool sent_last_ = false;  // The last piece was passed to h2o.
 };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <optional>
@@ -16,13 +18,16 @@
 #include "src/net/h2o_headers.h"
 #include "src/net/http_errors.h"
 #include "src/net/http_exchange.h"
+#include "src/net/intake_control.h"
 #include "src/net/message_head.h"
+#include "src/net/server_connection.h"
 
 namespace amaranthcove {
 
 namespace {
 
 using internal::Exchange;
+using internal::ServerConnection;
 using internal::ToString;
 
 // Interval between checks for disconnected callers. h2o does not read while a
@@ -37,6 +42,21 @@
 // Interval between checks for idle connections and slow header fields.
 constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(250);
 
+// Interval between checks of the memory for requests while events arrive.
+constexpr Duration kIntakeInterval = std::chrono::milliseconds(2);
+
+// Pause after which connections are accepted again when the process has run out
+// of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+// Share of the descriptors of the process for connections of callers, and the
+// number that is assumed if the system does not tell it.
+constexpr double kConnectionShare = 0.375;
+constexpr std::size_t kAssumedDescriptors = 1024;
+
+// Bounds what the system keeps of a connection that the server does not read.
+constexpr int kReceiveBufferBytes = 64 << 10;
+
 // Maximum number of connections accepted before other events are handled.
 constexpr int kMaxAcceptsPerRound = 64;
 
@@ -54,6 +74,27 @@
   return bytes;
 }
 
+// Returns the maximum number of connections of a server.
+std::size_t MaxConnections(const HttpServer::Options& options) {
+  if (options.max_connections > 0) {
+    return options.max_connections;
+  }
+  rlimit limit = {};
+  const bool known =
+      getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  const auto descriptors =
+      known ? static_cast<std::size_t>(limit.rlim_cur) : kAssumedDescriptors;
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(kConnectionShare *
+                                  static_cast<double>(descriptors)));
+}
+
+internal::IntakeLimits IntakeLimitsOf(const HttpServer::Options& options) {
+  internal::IntakeLimits limits;
+  limits.budget = options.memory_budget;
+  return limits;
+}
+
 // The state that h2o's connections refer to. It outlives the `HttpServer` until
 // the last connection is closed, because h2o closes connections only from the
 // loop.
@@ -65,7 +106,10 @@
       : loop_(loop),
         options_(options),
         limits_(options.limits),
-        handler_(std::move(handler)) {
+        handler_(std::move(handler)),
+        intake_(IntakeLimitsOf(options)),
+        max_connections_(MaxConnections(options)) {
+    round_hook_ = loop_.AddRoundHook([this] { OnRound(); });
     h2o_config_init(&config_);
     static constexpr std::string_view kServerName = "amaranthcove";
     config_.server_name =
@@ -86,6 +130,8 @@
   ~ServerCore() {
     loop_.Cancel(caller_check_timer_);
     loop_.Cancel(connection_check_timer_);
+    loop_.Cancel(accept_timer_);
+    loop_.RemoveRoundHook(round_hook_);
     internal::KeepUntilExit(context_.queue);
     h2o_context_dispose(&context_);
     h2o_config_dispose(&config_);
@@ -94,10 +140,31 @@
   ServerCore(const ServerCore&) = delete;
   ServerCore& operator=(const ServerCore&) = delete;
 
-  void Accept(h2o_socket_t* listener) {
+  void Listen(h2o_socket_t* listener) {
+    listener_ = listener;
+    h2o_socket_read_start(listener_, &ServerCore::OnAcceptable);
+  }
+
+  void CloseListener() {
+    if (listener_ != nullptr) {
+      h2o_socket_read_stop(listener_);
+      h2o_socket_close(std::exchange(listener_, nullptr));
+    }
+  }
+
+  void Accept() {
     for (int i = 0; i < kMaxAcceptsPerRound; ++i) {
-      h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+      if (!HasRoomForConnection()) {
+        SuspendAccepting();
+        return;
+      }
+      errno = 0;
+      h2o_socket_t* socket = h2o_evloop_socket_accept(listener_);
       if (socket == nullptr) {
+        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+            errno == ENOMEM) {
+          SuspendAccepting();
+        }
         return;
       }
       connections_[socket].idle_since = loop_.Now();
@@ -169,20 +236,6 @@
     h2o_socket_t* socket;
   };
 
-  struct Connection {
-    bool has_requested = false;  // A complete request has arrived.
-    bool shut_down = false;      // By this server, so no answer can be sent.
-    // When a request in progress or new bytes were last observed. Initially the
-    // time of the accept.
-    Time idle_since;
-    // State at the last check.
-    std::size_t bytes_read = 0;
-    bool was_busy = false;
-    bool reading_body = false;  // The header fields of a request are complete.
-    // When incomplete header fields were first observed.
-    std::optional<Time> header_since;
-  };
-
   void AddHandler(h2o_pathconf_t* path) {
     auto* handler = reinterpret_cast<RequestHandler*>(
         h2o_create_handler(path, sizeof(RequestHandler)));
@@ -202,6 +255,98 @@
     close_data->core->DeleteIfUnused();
   }
 
+  static void OnAcceptable(h2o_socket_t* listener, const char* error) {
+    if (error == nullptr) {
+      static_cast<ServerCore*>(listener->data)->Accept();
+    }
+  }
+
+  // Stops accepting for a while. New connections wait in the system's queue.
+  void SuspendAccepting() {
+    if (!accepting_ || listener_ == nullptr) {
+      return;
+    }
+    accepting_ = false;
+    h2o_socket_read_stop(listener_);
+    accept_timer_ = loop_.RunAfter(kAcceptPause, [this] {
+      accept_timer_ = 0;
+      accepting_ = true;
+      if (listener_ != nullptr) {
+        h2o_socket_read_start(listener_, &ServerCore::OnAcceptable);
+      }
+    });
+  }
+
+  // Returns whether another connection may be accepted. If there are too many,
+  // closes one that has no request in progress, if there is any.
+  bool HasRoomForConnection() {
+    if (connections_.size() < max_connections_) {
+      return true;
+    }
+    const std::unordered_set<int> busy = BusySockets();
+    h2o_socket_t* idlest = nullptr;
+    std::size_t open = 0;
+    for (auto& [socket, connection] : connections_) {
+      if (connection.shut_down) {
+        continue;
+      }
+      ++open;
+      if (!busy.contains(h2o_socket_get_fd(socket)) &&
+          (idlest == nullptr ||
+           connection.idle_since < connections_[idlest].idle_since)) {
+        idlest = socket;
+      }
+    }
+    if (open >= max_connections_ && idlest != nullptr) {
+      ++counters_.closed_for_new;
+      intake_.Close(*idlest, connections_[idlest]);
+    }
+    // A connection that was shut down ends in the next round.
+    return connections_.size() < max_connections_;
+  }
+
+  void OnRound() {
+    const Time now = loop_.Now();
+    if (now - intake_checked_ < kIntakeInterval) {
+      return;
+    }
+    intake_checked_ = now;
+    if (intake_.IsUnderPressure(connections_)) {
+      CheckIntake(BusySockets(), now);
+    }
+    LimitUnreadAnswers();
+  }
+
+  void CheckIntake(const std::unordered_set<int>& busy, Time now) {
+    counters_.refused_intake +=
+        intake_.Check(connections_, busy, limits_.max_body_bytes, now);
+  }
+
+  // Closes the connections whose answers have waited longest, until those that
+  // remain are within the budget.
+  void LimitUnreadAnswers() {
+    std::size_t unread = 0;
+    for (const Exchange* exchange : open_exchanges_) {
+      unread += exchange->buffered_bytes();
+    }
+    while (unread > options_.memory_budget) {
+      Exchange* oldest = nullptr;
+      for (Exchange* exchange : open_exchanges_) {
+        if (exchange->buffered_bytes() > 0 && !exchange->is_given_up() &&
+            (oldest == nullptr ||
+             exchange->answer_began() < oldest->answer_began())) {
+          oldest = exchange;
+        }
+      }
+      if (oldest == nullptr) {
+        return;
+      }
+      unread -= oldest->buffered_bytes();
+      oldest->GiveUp();
+      ++counters_.closed_unread;
+    }
+  }
+
   void DeleteIfUnused() {
     if (!delete_when_unused_ || !connections_.empty()) {
       return;
@@ -311,6 +456,7 @@
     connection_check_timer_ = 0;
     const Time now = loop_.Now();
     const std::unordered_set<int> busy = BusySockets();
+    CheckIntake(busy, now);
     for (auto& [socket, connection] : connections_) {
       const int fd = h2o_socket_get_fd(socket);
       UpdateState(*socket, busy.contains(fd), connection, now);
@@ -330,7 +476,7 @@
 
   static void UpdateState(const h2o_socket_t& socket,
                           bool is_busy,
-                          Connection& connection,
+                          ServerConnection& connection,
                           Time now) {
     if (is_busy || connection.was_busy ||
         connection.bytes_read != socket.bytes_read) {
@@ -398,7 +544,14 @@
   h2o_globalconf_t config_ = {};
   h2o_context_t context_ = {};
   h2o_accept_ctx_t accept_ = {};
-  std::unordered_map<h2o_socket_t*, Connection> connections_;
+  internal::ServerConnections connections_;
+  internal::IntakeControl intake_;
+  const std::size_t max_connections_;
+  h2o_socket_t* listener_ = nullptr;  // Null once it is closed.
+  bool accepting_ = true;
+  TimerId accept_timer_ = 0;
+  TimerId round_hook_ = 0;
+  Time intake_checked_;
   HttpServer::Counters counters_;
   std::unordered_set<Exchange*> open_exchanges_;
   TimerId caller_check_timer_ = 0;
@@ -415,11 +568,11 @@
                  const Options& options,
                  Handler handler)
       : core_(new ServerCore(loop, options, std::move(handler))) {
-    listener_ =
+    h2o_socket_t* listener =
         h2o_evloop_socket_create(loop.native(), fd, H2O_SOCKET_FLAG_DONT_READ);
-    listener_->data = core_;
+    listener->data = core_;
     local_address_ = AddressOf(fd);
-    h2o_socket_read_start(listener_, &HttpServerImpl::OnAccept);
+    core_->Listen(listener);
   }
 
   ~HttpServerImpl() override {
@@ -436,22 +589,15 @@
   void CloseAfterAnswers() override { core_->CloseAfterAnswers(); }
 
   void StopAccepting() override {
-    if (listener_ == nullptr) {
+    if (std::exchange(stopped_accepting_, true)) {
       return;
     }
-    h2o_socket_read_stop(listener_);
-    h2o_socket_close(std::exchange(listener_, nullptr));
+    core_->CloseListener();
     core_->CloseAfterAnswers();
     core_->CloseIdle();
   }
 
  private:
-  static void OnAccept(h2o_socket_t* listener, const char* error) {
-    if (error == nullptr) {
-      static_cast<ServerCore*>(listener->data)->Accept(listener);
-    }
-  }
-
   static Address AddressOf(int fd) {
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
@@ -462,7 +608,7 @@
   }
 
   ServerCore* core_;  // Deletes itself after `ShutDownAndDelete`.
-  h2o_socket_t* listener_ = nullptr;
+  bool stopped_accepting_ = false;
   Address local_address_;
 };
 
@@ -477,6 +623,11 @@
   }
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
+  if (fd >= 0) {
+    // Accepted connections have the same size. A failure changes little.
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
+  }
   if (fd < 0 ||
       setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
       bind(fd, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0 ||
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -174,6 +174,18 @@
   }
 }
 
+void TcpConnection::PauseReading() {
+  if (socket_ != nullptr && connected_) {
+    h2o_socket_read_stop(socket_);
+  }
+}
+
+void TcpConnection::ResumeReading() {
+  if (socket_ != nullptr && connected_) {
+    StartReading();
+  }
+}
+
 void TcpConnection::Write(std::string_view bytes) {
   if (socket_ == nullptr) {
     return;
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -63,6 +63,17 @@
     return std::exchange(callbacks_, {});
   }
 
+  void PauseReading() {
+    if (tcp_ != nullptr && !std::exchange(paused_, true)) {
+      tcp_->PauseReading();
+    }
+  }
+  void ResumeReading() {
+    if (tcp_ != nullptr && std::exchange(paused_, false)) {
+      tcp_->ResumeReading();
+    }
+  }
+
   // Closes the connection. No callback of the connection follows.
   void Close() { tcp_.reset(); }
 
@@ -120,6 +131,7 @@
   const UpstreamConnectionId id_;
   const Address server_;
   std::unique_ptr<TcpConnection> tcp_;
+  bool paused_ = false;  // Whether reading is paused.
   http_parser parser_{};
   HttpResponse head_;
   bool in_value_ = true;   // The last header piece was (part of) a value.
@@ -184,6 +196,20 @@
     RemoveCallAndConnection(connection, call);
   }
 
+  void PauseReading(UpstreamCallId call) override {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+      found->second->PauseReading();
+    }
+  }
+
+  void ResumeReading(UpstreamCallId call) override {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+      found->second->ResumeReading();
+    }
+  }
+
   bool IsUnsent(UpstreamCallId call) const override {
     const auto found = calls_.find(call);
     return found != calls_.end() && found->second->has_unsent_request();
@@ -487,6 +513,7 @@
 
 void Connection::OnAnswerComplete(bool has_more_bytes) {
   complete_ = false;
+  ResumeReading();
   if (has_more_bytes) {
     owner_.CountStrayAnswer();
   }
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -23,11 +23,18 @@
     {"warn", LogLevel::kWarn},
     {"error", LogLevel::kError}};
 
+constexpr std::pair<std::string_view, bool> kBooleans[] = {{"true", true},
+                                                           {"false", false}};
+
 constexpr IniRange kPortRange = {1, 65'535};
 constexpr IniRange kStopRangeMs = {500, 600'000};
 constexpr IniRange kLeavingRangeMs = {1000, 600'000};
 constexpr IniRange kConfigRangeMs = {200, 600'000};
 constexpr IniRange kRetryWindowRangeMs = {100, 3'600'000};
+constexpr double kMaxOvershoot = 10;
+constexpr double kMaxTolerance = 1e12;
+constexpr IniRange kRevocationRangeMs = {100, 3'600'000};
+constexpr IniRange kDescriptorRange = {0, 1 << 20};
 constexpr IniRange kMemoryRangeMb = {32, 1 << 20};
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetryExtra = 1'000'000;
@@ -74,6 +81,17 @@
                                   ToMilliseconds(router.retry_window)));
   router.stop_limit = milliseconds(reader.Integer(
       "stop_limit_ms", kStopRangeMs, ToMilliseconds(router.stop_limit)));
+  router.quota_overshoot = reader.Number("quota_overshoot", 0, kMaxOvershoot,
+                                         router.quota_overshoot);
+  router.quota_tolerance = reader.Number("quota_tolerance", 0, kMaxTolerance,
+                                         router.quota_tolerance);
+  router.revocation_strict = reader.Enum<bool>("revocation_strict", kBooleans,
+                                               router.revocation_strict);
+  router.revocation_limit =
+      milliseconds(reader.Integer("revocation_limit_ms", kRevocationRangeMs,
+                                  ToMilliseconds(router.revocation_limit)));
+  router.max_descriptors = static_cast<int>(reader.Integer(
+      "max_descriptors", kDescriptorRange, router.max_descriptors));
   router.memory_mb = static_cast<int>(
       reader.Integer("memory_mb", kMemoryRangeMb, router.memory_mb));
   reader.ReportUnknownKeys();
--- a/src/programs/amaranthd/main.cc
+++ b/src/programs/amaranthd/main.cc
@@ -1,6 +1,7 @@
 // The amaranthd daemon. Runs an entry, a sidecar, a router or an adapter agent,
 // depending on its settings.
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -69,6 +70,11 @@
   std::_Exit(exit_code);
 }
 
+// Allocations from this size on go back to the system when they are freed. The
+// allocator would otherwise raise its threshold with each large body, and keep
+// the memory.
+constexpr int kLargeAllocationBytes = 256 << 10;
+
 int RunWithSettings(const std::string& file, bool check_only) {
   if (const auto sections = ReadNodeSections(file)) {
     return RunWithNodeSettings(file, *sections, check_only);
@@ -121,6 +127,7 @@
     std::cerr << "amaranthd: --settings is missing\n" << description;
     return kExitUsage;
   }
+  mallopt(M_MMAP_THRESHOLD, kLargeAllocationBytes);
   amaranthcove::InstallCrashLog(STDOUT_FILENO);
   return RunWithSettings(values["settings"].as<std::string>(),
                          values.contains("check-settings"));
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -92,6 +92,7 @@
   loop.Cancel(wait_timer_);
   loop.Cancel(silence_timer_);
   environment_.upstream.Cancel(call_);
+  LeaveAnswerGate();
 }
 
 void RelayCall::Start(Time now,
@@ -427,10 +428,25 @@
     head_.body += data;
     if (head_.body.size() > kMaxAnswerBytes) {
       OnAnswerTooLong();
+    } else if (head_.body.size() > AnswerGate::kSmallAnswerBytes &&
+               answer_ticket_ == 0) {
+      EnterAnswerGate();
     }
   }
 }
 
+void RelayCall::EnterAnswerGate() {
+  answer_ticket_ = environment_.answers.Enter(
+      [this] { environment_.upstream.ResumeReading(call_); });
+  if (!environment_.answers.HasPlace(answer_ticket_)) {
+    environment_.upstream.PauseReading(call_);
+  }
+}
+
+void RelayCall::LeaveAnswerGate() {
+  environment_.answers.Leave(std::exchange(answer_ticket_, 0));
+}
+
 void RelayCall::OnAnswerTooLong() {
   environment_.log.Write(
       LogLevel::kWarn, "answer_too_long",
@@ -544,6 +560,7 @@
 }
 
 void RelayCall::EndActivity() {
+  LeaveAnswerGate();
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
   environment_.fleet.EndSend(placement_.server.id);
   RemovePrompt(environment_.loop.Now());
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -22,6 +22,7 @@
 #include "amaranthcove/routing/route_table.h"
 #include "amaranthcove/suspects/crash_table.h"
 #include "amaranthcove/tenants/authentication.h"
+#include "src/router/answer_gate.h"
 #include "src/router/crash_checker.h"
 #include "src/router/fleet.h"
 
@@ -64,6 +65,7 @@
     EventLog& log;
     CrashTable& crashes;
     CrashChecker& crash_checker;
+    AnswerGate& answers;
     // Schedules sending the changed demands to the agents.
     std::function<void()> demand_changed;
   };
@@ -114,6 +116,10 @@
   void OnHead(const HttpResponse& head);
   void OnData(std::string_view data);
   void OnStreamData(std::string_view data);
+  // Asks for a place for an answer that has become large, and pauses it until
+  // there is one.
+  void EnterAnswerGate();
+  void LeaveAnswerGate();
   void OnAnswerTooLong();
   void AbortSlowCaller();
   void OnUpstreamEnd(UpstreamEnd end, Time now);
@@ -209,6 +215,7 @@
   Duration expected_delay_ = Duration::zero();
 
   UpstreamCallId call_ = 0;
+  std::uint64_t answer_ticket_ = 0;  // 0 unless the answer is large.
   // Connections that have carried this request. A server that sends its answer
   // once more would answer the next send there, since the attempt id, by which
   // answers are told apart, is that of the caller.
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -34,6 +34,8 @@
     return call;
   }
   void Cancel(UpstreamCallId /*call*/) override {}
+  void PauseReading(UpstreamCallId /*call*/) override {}
+  void ResumeReading(UpstreamCallId /*call*/) override {}
   bool IsUnsent(UpstreamCallId /*call*/) const override { return false; }
   void CloseIdle(const Address& /*server*/) override {}
   Counters counters() const override { return {}; }
@@ -131,8 +133,10 @@
   Fleet fleet_{{"dc", 7000, {0.2, 112, std::chrono::seconds(10)}}, links_};
   CrashTable crashes_;
   CrashChecker crash_checker_{loop_, [](std::uint64_t, const LostRequest&) {}};
-  RelayCall::Environment environment_{loop_,    upstream_,      fleet_, log_,
-                                      crashes_, crash_checker_, [] {}};
+  AnswerGate answers_{2};
+  RelayCall::Environment environment_{loop_,    upstream_, fleet_,
+                                      log_,     crashes_,  crash_checker_,
+                                      answers_, [] {}};
 
   void setup() override {
     fleet_.directory().Put(MakeEngine());
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -62,6 +62,28 @@
 // requests in progress.
 constexpr Duration kStopMargin = milliseconds(700);
 
+// Memory of the instance that is not for the requests and answers of callers:
+// the program, the configuration, and what is known of servers.
+constexpr std::size_t kOwnMemoryMb = 40;
+// Share of the descriptors for connections of callers: each may need another
+// one to a backend server.
+constexpr double kCallerDescriptorShare = 0.375;
+// The least memory for requests and for answers.
+constexpr std::size_t kMinCallerMemoryMb = 4;
+
+// Returns the memory in bytes for requests, and again for answers.
+std::size_t CallerMemory(int memory_mb) {
+  const auto total = static_cast<std::size_t>(memory_mb);
+  const std::size_t free = total - std::min(total, kOwnMemoryMb);
+  return std::max(free / 2, kMinCallerMemoryMb) << 20;
+}
+
+// Returns how many large answers may be gathered at the same time.
+std::size_t AnswerPlaces(int memory_mb) {
+  constexpr std::size_t kAnswerMb = 8;  // The largest one while it grows.
+  return std::max<std::size_t>(1, (CallerMemory(memory_mb) >> 20) / kAnswerMb);
+}
+
 class RouterImpl final : public Router {
  public:
   RouterImpl(EventLoop& loop,
@@ -82,17 +104,14 @@
                links_),
         upstream_(UpstreamClient::Create(loop, {})),
         request_metrics_(metrics),
+        answers_(AnswerPlaces(settings.memory_mb)),
         crash_checker_(loop,
                        [this](std::uint64_t id, LostRequest request) {
                          OnPlainCrash(id, std::move(request));
                        }),
-        environment_{loop_,
-                     *upstream_,
-                     fleet_,
-                     log_,
-                     crashes_,
-                     crash_checker_,
-                     [this] { SendDemandsSoon(); }},
+        environment_{
+            loop_,    *upstream_,     fleet_,   log_,
+            crashes_, crash_checker_, answers_, [this] { SendDemandsSoon(); }},
         updates_(loop,
                  fleet_,
                  *upstream_,
@@ -144,6 +163,11 @@
              RequestInfo info,
              std::unique_ptr<HttpResponder> responder,
              Time now);
+  // Returns whether keys may have been taken away too long ago.
+  bool AreKeysTooOld(Time now) const {
+    return settings_.revocation_strict &&
+           fleet_.ConfigAge(now) > settings_.revocation_limit;
+  }
   void LogUnknownKey(const RequestInfo& info);
   // Returns whether a service of `route` has engines.
   bool HasEngines(const Route& route) const;
@@ -182,9 +206,10 @@
   AgentLinks links_;
   Fleet fleet_;
   CrashTable crashes_;
-  QuotaAccounts quotas_;
+  QuotaAccounts quotas_{{settings_.quota_overshoot, settings_.quota_tolerance}};
   std::unique_ptr<UpstreamClient> upstream_;
   RequestMetrics request_metrics_;
+  AnswerGate answers_;
   CrashChecker crash_checker_;
   RelayCall::Environment environment_;
   FleetUpdates updates_;
@@ -229,6 +254,9 @@
   udp_ = std::move(*udp);
   HttpServer::Options options;
   options.abort_method = HttpServer::AbortMethod::kClose;
+  options.memory_budget = CallerMemory(settings_.memory_mb);
+  options.max_connections = static_cast<std::size_t>(kCallerDescriptorShare *
+                                                     settings_.max_descriptors);
   auto server = HttpServer::Listen(
       loop_, settings_.http_address, options,
       [this](HttpRequest request, std::unique_ptr<HttpResponder> responder) {
@@ -387,6 +415,10 @@
     return;
   }
   const CallerIdentity identity = IdentifyCaller(fleet_.table(), *route, info);
+  if (identity.has_tenants && !route->is_public && AreKeysTooOld(now)) {
+    Refuse(info, kServiceUnavailable, "keys_too_old", *responder);
+    return;
+  }
   if (!identity.allowed) {
     LogUnknownKey(info);
     Refuse(info, kUnauthorized, "unknown_key", *responder);
@@ -641,6 +673,8 @@
 
 nlohmann::json RouterImpl::Dump() const {
   const Time now = loop_.Now();
+  const HttpServer::Counters http =
+      server_ == nullptr ? HttpServer::Counters() : server_->counters();
   nlohmann::json servers = nlohmann::json::array();
   for (const BackendServer* server : fleet_.directory().All()) {
     nlohmann::json item = {{"id", server->id},
@@ -680,6 +714,9 @@
          {{"store_calls", updates_.store_calls()},
           {"failed_store_calls", updates_.failed_store_calls()},
           {"upstream_connections", upstream_->counters().connections_opened},
+          {"requests_refused_for_memory", http.refused_intake},
+          {"answers_closed_unread", http.closed_unread},
+          {"connections_closed_for_new", http.closed_for_new},
           {"stray_answers", upstream_->counters().stray_answers},
           {"dropped_log_lines", log_.dropped()},
           {"requests_in_progress", calls_.size()}}}}}};
