--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -112,6 +112,8 @@
     std::vector<ServerCrash> crashes;
     // What the agent's ledger of quotas tells, if the sender is known.
     std::optional<agent_wire::QuotaViews> quotas;
+    // The places that the agent has granted.
+    std::optional<agent_wire::PlaceGrants> places;
   };
 
   // Processes a datagram from `sender`. Drops malformed datagrams, those of
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "amaranthcove/base/time.h"
 #include "amaranthcove/engine_cost/engine_cost.h"
@@ -123,6 +124,15 @@
   std::uint64_t tie_break = 0;
 };
 
+// Returns the indices of the servers that a plain call may use: those that it
+// has not tried and that are not avoided, as far as there are any. Thread-safe.
+std::vector<std::size_t> UsablePlainServers(
+    std::span<const PlainCandidate> candidates);
+
+// Returns how many running calls the distance and the failures of a server
+// weigh. Thread-safe.
+int PlainPenalty(const PlainCandidate& candidate);
+
 // Returns the index of the server for a plain call, or nullopt if there are no
 // candidates. Servers of the same data centre are preferred until this instance
 // keeps a third of their slots busy. Thread-safe.
--- a/include/amaranthcove/node/node_settings.h
+++ b/include/amaranthcove/node/node_settings.h
@@ -15,6 +15,13 @@
 
 namespace amaranthcove {
 
+// When routers ask for the places of the servers of a plain service.
+enum class SharedPlaces {
+  kOff,
+  kOn,
+  kAuto  // For services with fewer than two places for each router.
+};
+
 // Settings of a router, which forwards requests of callers to backend servers.
 struct RouterSettings {
   std::string instance;
@@ -50,6 +57,8 @@
   // taken away.
   bool revocation_strict = false;
   Duration revocation_limit = std::chrono::seconds(5);
+  // Whether the places of plain servers are shared by all routers.
+  SharedPlaces shared_places = SharedPlaces::kOff;
   // Memory of the instance that the process may use, in MB.
   int memory_mb = 512;
   // Descriptors that the process may use; 0 for its own limit.
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -15,6 +15,7 @@
 #include "amaranthcove/adapter_agent/event_interval_estimator.h"
 #include "amaranthcove/agent_link/datagram.h"
 #include "amaranthcove/agent_link/lost_request_codec.h"
+#include "amaranthcove/agent_link/place_codec.h"
 #include "amaranthcove/agent_link/quota_codec.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/utf8.h"
@@ -22,6 +23,7 @@
 #include "amaranthcove/log/guarded.h"
 #include "amaranthcove/net/udp.h"
 #include "amaranthcove/net/upstream_client.h"
+#include "amaranthcove/places/place_queue.h"
 #include "amaranthcove/quota/quota_ledger.h"
 #include "platform/engine_control.h"
 
@@ -222,6 +224,10 @@
   // Tells the routers soon that the engine's load has grown.
   void SendLoadsSoon();
   void SendLoads();
+  void OnPlaceDemand(const Address& router, PlaceDemand demand);
+  // Grants free places and tells the routers that got one, and `asking` in any
+  // case.
+  void GrantPlaces(std::set<PlaceQueue::Source> asking);
   // Tells the routers of the quotas often while a tenant is near its limit.
   void SendQuotasWhileNearLimit();
   void SendQuotas(const std::vector<Address>& routers);
@@ -248,6 +254,7 @@
   std::unique_ptr<UpstreamClient> client_;
   std::unique_ptr<UdpSocket> udp_;
   DemandTable demands_;
+  PlaceQueue place_queue_;
   QuotaLedger quota_ledger_;
   std::int64_t quota_sequence_ = 0;
   CrashRecorder crash_recorder_;
@@ -305,6 +312,10 @@
 void AdapterAgentImpl::OnDatagram(const Address& sender,
                                   std::string_view bytes) {
   auto datagram = DecodeDatagram(bytes);
+  if (datagram && datagram->__isset.place_demand) {
+    OnPlaceDemand(sender, DecodePlaceDemand(datagram->place_demand));
+    return;
+  }
   if (!datagram || !datagram->__isset.demand) {
     log_.Write(LogLevel::kInfo, "datagram_refused",
                {{"sender", FormatAddress(sender)}});
@@ -360,6 +371,10 @@
   log_.SetNow(loop_.Now());
   demands_.Expire(loop_.Now());
   quota_ledger_.Expire(loop_.Now());
+  if (!place_queue_.empty()) {
+    place_queue_.Expire(loop_.Now());
+    GrantPlaces({});
+  }
   if (calling_) {
     return;
   }
@@ -632,6 +647,30 @@
   return wire;
 }
 
+void AdapterAgentImpl::OnPlaceDemand(const Address& router,
+                                     PlaceDemand demand) {
+  const PlaceQueue::Source source(router, demand.service);
+  const bool asks = !demand.asks.empty();
+  if (!place_queue_.Put(router, std::move(demand), loop_.Now())) {
+    return;
+  }
+  GrantPlaces(asks ? std::set<PlaceQueue::Source>{source}
+                   : std::set<PlaceQueue::Source>{});
+}
+
+void AdapterAgentImpl::GrantPlaces(std::set<PlaceQueue::Source> asking) {
+  asking.merge(place_queue_.Grant(loop_.Now()));
+  for (const PlaceQueue::Source& source : asking) {
+    agent_wire::PlaceGrants grants;
+    grants.service_hash = static_cast<std::int64_t>(source.second);
+    grants.sequence = place_queue_.SequenceOf(source);
+    grants.grants = EncodePlaceUses(place_queue_.GrantsOf(source));
+    agent_wire::AgentDatagram datagram;
+    datagram.__set_place_grants(grants);
+    udp_->Send(source.first, EncodeDatagram(datagram));
+  }
+}
+
 void AdapterAgentImpl::SendQuotas(const std::vector<Address>& routers) {
   for (const Address& router : routers) {
     agent_wire::AgentDatagram datagram;
@@ -806,7 +845,9 @@
                              {"reports", reports_},
                              {"dropped_log_lines", log_.dropped()},
                              {"routers", demands_.Routers().size()},
-                             {"quota_ledgers", quota_ledger_.size()}}}}}};
+                             {"quota_ledgers", quota_ledger_.size()},
+                             {"waiting_calls", place_queue_.waiting()},
+                             {"calls_with_places", place_queue_.in_use()}}}}}};
   if (report_) {
     dump["resident"] = report_->resident.size();
     dump["loading"] = report_->loading.size();
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -151,10 +151,50 @@
   3: list<QuotaView> views
 }
 
+// A plain server that a call may use.
+struct PlaceOption {
+  1: i64 server          // Hash of the id.
+  2: i32 places          // Calls that the server runs at a time.
+  3: i32 penalty         // Running calls that its drawbacks weigh.
+}
+
+// A call to a plain service that waits for a place.
+struct PlaceAsk {
+  1: i64 id              // Unique within the incarnation of the router.
+  2: list<PlaceOption> options
+  3: i32 priority        // 0 is first.
+  4: i64 useful_ms       // The call is late afterwards.
+}
+
+// A call that has a place.
+struct PlaceUse {
+  1: i64 id
+  2: i64 server          // Hash of the id.
+}
+
+// All calls of a router to a plain service. Sent to the agent that keeps the
+// places of the service.
+struct PlaceDemand {
+  1: i64 incarnation     // Incarnation of the router.
+  2: i64 sequence        // Increases with each demand of the incarnation.
+  3: i64 service_hash    // Hash of the name.
+  4: list<PlaceAsk> asks
+  5: list<PlaceUse> running
+}
+
+// The answer to a demand, repeated when places were granted since.
+struct PlaceGrants {
+  1: i64 service_hash    // Hash of the name.
+  2: i64 sequence        // Of the last demand.
+  3: list<PlaceUse> grants  // Of the calls that are not listed as running.
+}
+
 struct AgentDatagram {
   1: optional AdapterDemand demand
   2: optional EngineStatus status
   3: optional EngineLoad load
   4: optional CrashReport crash_report
   5: optional QuotaViews quotas
+  6: optional PlaceDemand place_demand
+  7: optional PlaceGrants place_grants
 }
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -200,6 +200,9 @@
     if (datagram->__isset.quotas) {
       update.quotas = datagram->quotas;
     }
+    if (datagram->__isset.place_grants) {
+      update.places = datagram->place_grants;
+    }
     if (datagram->__isset.crash_report && update.crashes.empty()) {
       for (const agent_wire::ServerCrash& crash :
            datagram->crash_report.crashes) {
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -2824,6 +2824,786 @@
 }
 
 
+PlaceOption::~PlaceOption() noexcept {
+}
+
+
+void PlaceOption::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void PlaceOption::__set_places(const int32_t val) {
+  this->places = val;
+}
+
+void PlaceOption::__set_penalty(const int32_t val) {
+  this->penalty = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceOption& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceOption::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->places);
+          this->__isset.places = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->penalty);
+          this->__isset.penalty = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceOption::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceOption");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->places);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("penalty", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->penalty);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceOption &a, PlaceOption &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.places, b.places);
+  swap(a.penalty, b.penalty);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceOption::PlaceOption(const PlaceOption& other118) noexcept {
+  server = other118.server;
+  places = other118.places;
+  penalty = other118.penalty;
+  __isset = other118.__isset;
+}
+PlaceOption& PlaceOption::operator=(const PlaceOption& other119) noexcept {
+  server = other119.server;
+  places = other119.places;
+  penalty = other119.penalty;
+  __isset = other119.__isset;
+  return *this;
+}
+void PlaceOption::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceOption(";
+  out << "server=" << to_string(server);
+  out << ", " << "places=" << to_string(places);
+  out << ", " << "penalty=" << to_string(penalty);
+  out << ")";
+}
+
+
+PlaceAsk::~PlaceAsk() noexcept {
+}
+
+
+void PlaceAsk::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void PlaceAsk::__set_options(const std::vector<PlaceOption> & val) {
+  this->options = val;
+}
+
+void PlaceAsk::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void PlaceAsk::__set_useful_ms(const int64_t val) {
+  this->useful_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->options.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->options.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->options[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.options = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->useful_ms);
+          this->__isset.useful_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAsk");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("options", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->options.size()));
+    std::vector<PlaceOption> ::const_iterator _iter125;
+    for (_iter125 = this->options.begin(); _iter125 != this->options.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("useful_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->useful_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceAsk &a, PlaceAsk &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.options, b.options);
+  swap(a.priority, b.priority);
+  swap(a.useful_ms, b.useful_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceAsk::PlaceAsk(const PlaceAsk& other126) {
+  id = other126.id;
+  options = other126.options;
+  priority = other126.priority;
+  useful_ms = other126.useful_ms;
+  __isset = other126.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other127) {
+  id = other127.id;
+  options = other127.options;
+  priority = other127.priority;
+  useful_ms = other127.useful_ms;
+  __isset = other127.__isset;
+  return *this;
+}
+void PlaceAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAsk(";
+  out << "id=" << to_string(id);
+  out << ", " << "options=" << to_string(options);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "useful_ms=" << to_string(useful_ms);
+  out << ")";
+}
+
+
+PlaceUse::~PlaceUse() noexcept {
+}
+
+
+void PlaceUse::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void PlaceUse::__set_server(const int64_t val) {
+  this->server = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceUse");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceUse &a, PlaceUse &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.server, b.server);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceUse::PlaceUse(const PlaceUse& other128) noexcept {
+  id = other128.id;
+  server = other128.server;
+  __isset = other128.__isset;
+}
+PlaceUse& PlaceUse::operator=(const PlaceUse& other129) noexcept {
+  id = other129.id;
+  server = other129.server;
+  __isset = other129.__isset;
+  return *this;
+}
+void PlaceUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceUse(";
+  out << "id=" << to_string(id);
+  out << ", " << "server=" << to_string(server);
+  out << ")";
+}
+
+
+PlaceDemand::~PlaceDemand() noexcept {
+}
+
+
+void PlaceDemand::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void PlaceDemand::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlaceDemand::__set_service_hash(const int64_t val) {
+  this->service_hash = val;
+}
+
+void PlaceDemand::__set_asks(const std::vector<PlaceAsk> & val) {
+  this->asks = val;
+}
+
+void PlaceDemand::__set_running(const std::vector<PlaceUse> & val) {
+  this->running = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_hash);
+          this->__isset.service_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->asks.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
+            {
+              xfer += this->asks[_i134].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->running.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
+            {
+              xfer += this->running[_i139].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceDemand");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_hash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->service_hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PlaceAsk> ::const_iterator _iter140;
+    for (_iter140 = this->asks.begin(); _iter140 != this->asks.end(); ++_iter140)
+    {
+      xfer += (*_iter140).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<PlaceUse> ::const_iterator _iter141;
+    for (_iter141 = this->running.begin(); _iter141 != this->running.end(); ++_iter141)
+    {
+      xfer += (*_iter141).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceDemand &a, PlaceDemand &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.service_hash, b.service_hash);
+  swap(a.asks, b.asks);
+  swap(a.running, b.running);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceDemand::PlaceDemand(const PlaceDemand& other142) {
+  incarnation = other142.incarnation;
+  sequence = other142.sequence;
+  service_hash = other142.service_hash;
+  asks = other142.asks;
+  running = other142.running;
+  __isset = other142.__isset;
+}
+PlaceDemand& PlaceDemand::operator=(const PlaceDemand& other143) {
+  incarnation = other143.incarnation;
+  sequence = other143.sequence;
+  service_hash = other143.service_hash;
+  asks = other143.asks;
+  running = other143.running;
+  __isset = other143.__isset;
+  return *this;
+}
+void PlaceDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceDemand(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "service_hash=" << to_string(service_hash);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "running=" << to_string(running);
+  out << ")";
+}
+
+
+PlaceGrants::~PlaceGrants() noexcept {
+}
+
+
+void PlaceGrants::__set_service_hash(const int64_t val) {
+  this->service_hash = val;
+}
+
+void PlaceGrants::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlaceGrants::__set_grants(const std::vector<PlaceUse> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceGrants& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceGrants::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_hash);
+          this->__isset.service_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->grants.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              xfer += this->grants[_i148].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceGrants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceGrants");
+
+  xfer += oprot->writeFieldBegin("service_hash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<PlaceUse> ::const_iterator _iter149;
+    for (_iter149 = this->grants.begin(); _iter149 != this->grants.end(); ++_iter149)
+    {
+      xfer += (*_iter149).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceGrants &a, PlaceGrants &b) {
+  using ::std::swap;
+  swap(a.service_hash, b.service_hash);
+  swap(a.sequence, b.sequence);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceGrants::PlaceGrants(const PlaceGrants& other150) {
+  service_hash = other150.service_hash;
+  sequence = other150.sequence;
+  grants = other150.grants;
+  __isset = other150.__isset;
+}
+PlaceGrants& PlaceGrants::operator=(const PlaceGrants& other151) {
+  service_hash = other151.service_hash;
+  sequence = other151.sequence;
+  grants = other151.grants;
+  __isset = other151.__isset;
+  return *this;
+}
+void PlaceGrants::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceGrants(";
+  out << "service_hash=" << to_string(service_hash);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
 AgentDatagram::~AgentDatagram() noexcept {
 }
 
@@ -2852,6 +3632,16 @@
   this->quotas = val;
 __isset.quotas = true;
 }
+
+void AgentDatagram::__set_place_demand(const PlaceDemand& val) {
+  this->place_demand = val;
+__isset.place_demand = true;
+}
+
+void AgentDatagram::__set_place_grants(const PlaceGrants& val) {
+  this->place_grants = val;
+__isset.place_grants = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentDatagram& obj)
 {
   obj.printTo(out);
@@ -2920,6 +3710,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->place_demand.read(iprot);
+          this->__isset.place_demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->place_grants.read(iprot);
+          this->__isset.place_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2962,6 +3768,16 @@
     xfer += this->quotas.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.place_demand) {
+    xfer += oprot->writeFieldBegin("place_demand", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->place_demand.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.place_grants) {
+    xfer += oprot->writeFieldBegin("place_grants", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->place_grants.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2974,24 +3790,30 @@
   swap(a.load, b.load);
   swap(a.crash_report, b.crash_report);
   swap(a.quotas, b.quotas);
+  swap(a.place_demand, b.place_demand);
+  swap(a.place_grants, b.place_grants);
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other118) {
-  demand = other118.demand;
-  status = other118.status;
-  load = other118.load;
-  crash_report = other118.crash_report;
-  quotas = other118.quotas;
-  __isset = other118.__isset;
-}
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other119) {
-  demand = other119.demand;
-  status = other119.status;
-  load = other119.load;
-  crash_report = other119.crash_report;
-  quotas = other119.quotas;
-  __isset = other119.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other152) {
+  demand = other152.demand;
+  status = other152.status;
+  load = other152.load;
+  crash_report = other152.crash_report;
+  quotas = other152.quotas;
+  place_demand = other152.place_demand;
+  place_grants = other152.place_grants;
+  __isset = other152.__isset;
+}
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other153) {
+  demand = other153.demand;
+  status = other153.status;
+  load = other153.load;
+  crash_report = other153.crash_report;
+  quotas = other153.quotas;
+  place_demand = other153.place_demand;
+  place_grants = other153.place_grants;
+  __isset = other153.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
@@ -3002,6 +3824,8 @@
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
   out << ", " << "quotas="; (__isset.quotas ? (out << to_string(quotas)) : (out << "<null>"));
+  out << ", " << "place_demand="; (__isset.place_demand ? (out << to_string(place_demand)) : (out << "<null>"));
+  out << ", " << "place_grants="; (__isset.place_grants ? (out << to_string(place_grants)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -49,6 +49,16 @@
 
 class QuotaViews;
 
+class PlaceOption;
+
+class PlaceAsk;
+
+class PlaceUse;
+
+class PlaceDemand;
+
+class PlaceGrants;
+
 class AgentDatagram;
 
 typedef struct _AdapterUse__isset {
@@ -1066,13 +1076,310 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaViews& obj);
 
+typedef struct _PlaceOption__isset {
+  _PlaceOption__isset() : server(false), places(false), penalty(false) {}
+  bool server :1;
+  bool places :1;
+  bool penalty :1;
+} _PlaceOption__isset;
+
+class PlaceOption : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceOption(const PlaceOption&) noexcept;
+  PlaceOption& operator=(const PlaceOption&) noexcept;
+  PlaceOption() noexcept
+              : server(0),
+                places(0),
+                penalty(0) {
+  }
+
+  virtual ~PlaceOption() noexcept;
+  int64_t server;
+  int32_t places;
+  int32_t penalty;
+
+  _PlaceOption__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_places(const int32_t val);
+
+  void __set_penalty(const int32_t val);
+
+  bool operator == (const PlaceOption & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(places == rhs.places))
+      return false;
+    if (!(penalty == rhs.penalty))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceOption &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceOption & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceOption &a, PlaceOption &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceOption& obj);
+
+typedef struct _PlaceAsk__isset {
+  _PlaceAsk__isset() : id(false), options(false), priority(false), useful_ms(false) {}
+  bool id :1;
+  bool options :1;
+  bool priority :1;
+  bool useful_ms :1;
+} _PlaceAsk__isset;
+
+class PlaceAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAsk(const PlaceAsk&);
+  PlaceAsk& operator=(const PlaceAsk&);
+  PlaceAsk() noexcept
+           : id(0),
+             priority(0),
+             useful_ms(0) {
+  }
+
+  virtual ~PlaceAsk() noexcept;
+  int64_t id;
+  std::vector<PlaceOption>  options;
+  int32_t priority;
+  int64_t useful_ms;
+
+  _PlaceAsk__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_options(const std::vector<PlaceOption> & val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_useful_ms(const int64_t val);
+
+  bool operator == (const PlaceAsk & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(options == rhs.options))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(useful_ms == rhs.useful_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAsk &a, PlaceAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
+
+typedef struct _PlaceUse__isset {
+  _PlaceUse__isset() : id(false), server(false) {}
+  bool id :1;
+  bool server :1;
+} _PlaceUse__isset;
+
+class PlaceUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceUse(const PlaceUse&) noexcept;
+  PlaceUse& operator=(const PlaceUse&) noexcept;
+  PlaceUse() noexcept
+           : id(0),
+             server(0) {
+  }
+
+  virtual ~PlaceUse() noexcept;
+  int64_t id;
+  int64_t server;
+
+  _PlaceUse__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_server(const int64_t val);
+
+  bool operator == (const PlaceUse & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceUse &a, PlaceUse &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceUse& obj);
+
+typedef struct _PlaceDemand__isset {
+  _PlaceDemand__isset() : incarnation(false), sequence(false), service_hash(false), asks(false), running(false) {}
+  bool incarnation :1;
+  bool sequence :1;
+  bool service_hash :1;
+  bool asks :1;
+  bool running :1;
+} _PlaceDemand__isset;
+
+class PlaceDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceDemand(const PlaceDemand&);
+  PlaceDemand& operator=(const PlaceDemand&);
+  PlaceDemand() noexcept
+              : incarnation(0),
+                sequence(0),
+                service_hash(0) {
+  }
+
+  virtual ~PlaceDemand() noexcept;
+  int64_t incarnation;
+  int64_t sequence;
+  int64_t service_hash;
+  std::vector<PlaceAsk>  asks;
+  std::vector<PlaceUse>  running;
+
+  _PlaceDemand__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_service_hash(const int64_t val);
+
+  void __set_asks(const std::vector<PlaceAsk> & val);
+
+  void __set_running(const std::vector<PlaceUse> & val);
+
+  bool operator == (const PlaceDemand & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(service_hash == rhs.service_hash))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceDemand &a, PlaceDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceDemand& obj);
+
+typedef struct _PlaceGrants__isset {
+  _PlaceGrants__isset() : service_hash(false), sequence(false), grants(false) {}
+  bool service_hash :1;
+  bool sequence :1;
+  bool grants :1;
+} _PlaceGrants__isset;
+
+class PlaceGrants : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceGrants(const PlaceGrants&);
+  PlaceGrants& operator=(const PlaceGrants&);
+  PlaceGrants() noexcept
+              : service_hash(0),
+                sequence(0) {
+  }
+
+  virtual ~PlaceGrants() noexcept;
+  int64_t service_hash;
+  int64_t sequence;
+  std::vector<PlaceUse>  grants;
+
+  _PlaceGrants__isset __isset;
+
+  void __set_service_hash(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_grants(const std::vector<PlaceUse> & val);
+
+  bool operator == (const PlaceGrants & rhs) const
+  {
+    if (!(service_hash == rhs.service_hash))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceGrants &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceGrants & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceGrants &a, PlaceGrants &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceGrants& obj);
+
 typedef struct _AgentDatagram__isset {
-  _AgentDatagram__isset() : demand(false), status(false), load(false), crash_report(false), quotas(false) {}
+  _AgentDatagram__isset() : demand(false), status(false), load(false), crash_report(false), quotas(false), place_demand(false), place_grants(false) {}
   bool demand :1;
   bool status :1;
   bool load :1;
   bool crash_report :1;
   bool quotas :1;
+  bool place_demand :1;
+  bool place_grants :1;
 } _AgentDatagram__isset;
 
 class AgentDatagram : public virtual ::apache::thrift::TBase {
@@ -1089,6 +1396,8 @@
   EngineLoad load;
   CrashReport crash_report;
   QuotaViews quotas;
+  PlaceDemand place_demand;
+  PlaceGrants place_grants;
 
   _AgentDatagram__isset __isset;
 
@@ -1102,6 +1411,10 @@
 
   void __set_quotas(const QuotaViews& val);
 
+  void __set_place_demand(const PlaceDemand& val);
+
+  void __set_place_grants(const PlaceGrants& val);
+
   bool operator == (const AgentDatagram & rhs) const
   {
     if (__isset.demand != rhs.__isset.demand)
@@ -1124,6 +1437,14 @@
       return false;
     else if (__isset.quotas && !(quotas == rhs.quotas))
       return false;
+    if (__isset.place_demand != rhs.__isset.place_demand)
+      return false;
+    else if (__isset.place_demand && !(place_demand == rhs.place_demand))
+      return false;
+    if (__isset.place_grants != rhs.__isset.place_grants)
+      return false;
+    else if (__isset.place_grants && !(place_grants == rhs.place_grants))
+      return false;
     return true;
   }
   bool operator != (const AgentDatagram &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -216,6 +216,29 @@
   }
 }
 
+std::vector<std::size_t> UsablePlainServers(
+    std::span<const PlainCandidate> candidates) {
+  const auto drawback = [](const PlainCandidate& candidate) {
+    return std::pair(candidate.tried, candidate.avoided);
+  };
+  std::pair least(true, true);
+  for (const PlainCandidate& candidate : candidates) {
+    least = std::min(least, drawback(candidate));
+  }
+  std::vector<std::size_t> usable;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (drawback(candidates[i]) == least) {
+      usable.push_back(i);
+    }
+  }
+  return usable;
+}
+
+int PlainPenalty(const PlainCandidate& candidate) {
+  return (candidate.same_data_centre ? 0 : 1) +
+         static_cast<int>(kErrorWeight * candidate.error_share);
+}
+
 std::optional<std::size_t> ChoosePlainServer(
     std::span<const PlainCandidate> candidates) {
   std::optional<std::size_t> best;
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -23,6 +23,10 @@
     {"warn", LogLevel::kWarn},
     {"error", LogLevel::kError}};
 
+constexpr std::pair<std::string_view, SharedPlaces> kSharedPlaces[] = {
+    {"off", SharedPlaces::kOff},
+    {"on", SharedPlaces::kOn},
+    {"auto", SharedPlaces::kAuto}};
 constexpr std::pair<std::string_view, bool> kBooleans[] = {{"true", true},
                                                            {"false", false}};
 
@@ -90,6 +94,8 @@
   router.revocation_limit =
       milliseconds(reader.Integer("revocation_limit_ms", kRevocationRangeMs,
                                   ToMilliseconds(router.revocation_limit)));
+  router.shared_places = reader.Enum<SharedPlaces>(
+      "shared_places", kSharedPlaces, router.shared_places);
   router.max_descriptors = static_cast<int>(reader.Integer(
       "max_descriptors", kDescriptorRange, router.max_descriptors));
   router.memory_mb = static_cast<int>(
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -19,6 +19,10 @@
 // one between two statuses of an agent.
 constexpr int kMaxCountedRouters = 16;
 
+// With fewer places of a plain service for each router, what a router sees of
+// them says little about the others.
+constexpr std::size_t kPlacesPerRouter = 2;
+
 int CountSince(std::span<const Time> times, Time since) {
   return static_cast<int>(std::count_if(
       times.begin(), times.end(), [since](Time at) { return at >= since; }));
@@ -292,11 +296,11 @@
   return estimate;
 }
 
-std::optional<Placement> Fleet::PlacePlain(std::string_view service,
-                                           const std::set<std::string>& tried,
-                                           std::uint64_t random,
-                                           Time now) const {
-  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+std::vector<PlainCandidate> Fleet::PlainCandidates(
+    std::span<const BackendServer* const> servers,
+    const std::set<std::string>& tried,
+    std::uint64_t random,
+    Time now) const {
   std::vector<PlainCandidate> candidates;
   for (const BackendServer* server : servers) {
     PlainCandidate candidate;
@@ -316,6 +320,16 @@
     }
     candidates.push_back(candidate);
   }
+  return candidates;
+}
+
+std::optional<Placement> Fleet::PlacePlain(std::string_view service,
+                                           const std::set<std::string>& tried,
+                                           std::uint64_t random,
+                                           Time now) const {
+  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  const std::vector<PlainCandidate> candidates =
+      PlainCandidates(servers, tried, random, now);
   const std::optional<std::size_t> best = ChoosePlainServer(candidates);
   if (!best) {
     return std::nullopt;
@@ -326,6 +340,46 @@
   return placement;
 }
 
+std::vector<PlaceOption> Fleet::PlainOptions(std::string_view service,
+                                             const std::set<std::string>& tried,
+                                             Time now) const {
+  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  const std::vector<PlainCandidate> candidates =
+      PlainCandidates(servers, tried, 0, now);
+  std::vector<PlaceOption> options;
+  for (const std::size_t i : UsablePlainServers(candidates)) {
+    options.push_back({HashOfServer(candidates[i].id), candidates[i].slots,
+                       PlainPenalty(candidates[i])});
+  }
+  return options;
+}
+
+std::optional<Placement> Fleet::PlaceAt(std::string_view service,
+                                        ServerHash server) const {
+  for (const BackendServer* candidate : directory_.Serving(service)) {
+    if (HashOfServer(candidate->id) == server) {
+      Placement placement;
+      placement.server = *candidate;
+      placement.candidates = 1;
+      return placement;
+    }
+  }
+  return std::nullopt;
+}
+
+bool Fleet::SharesPlaces(std::string_view service, Time now) const {
+  if (options_.shared_places == SharedPlaces::kOff ||
+      !places_.CanAsk(service, now)) {
+    return false;
+  }
+  std::size_t places = 0;
+  for (const BackendServer* server : directory_.Serving(service)) {
+    places += static_cast<std::size_t>(std::max(server->slots, 1));
+  }
+  return options_.shared_places == SharedPlaces::kOn ||
+         places < kPlacesPerRouter * links_.router_count(now);
+}
+
 bool Fleet::IsAdapterReady(std::string_view engine,
                            const RequestInfo& info,
                            Time now,
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,8 @@
 #include "amaranthcove/engine_cost/engine_cost.h"
 #include "amaranthcove/engine_cost/pace_estimator.h"
 #include "amaranthcove/engine_cost/pause_monitor.h"
+#include "amaranthcove/node/node_settings.h"
+#include "amaranthcove/places/place_client.h"
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/retry_budget/retry_budget.h"
 #include "amaranthcove/routing/route_table.h"
@@ -51,11 +54,13 @@
     std::string data_centre;
     std::uint16_t agent_port = 0;
     RetryBudgetLimits retry_budget;
+    SharedPlaces shared_places = SharedPlaces::kOff;
+    Incarnation incarnation = 0;
   };
 
   // `links` must outlive this object.
   Fleet(const Options& options, AgentLinks& links)
-      : options_(options), links_(links) {}
+      : options_(options), links_(links), places_(options.incarnation) {}
 
   // Applies a configuration. Returns false, and changes nothing, unless its
   // version is higher than the current one.
@@ -148,6 +153,21 @@
                                       std::uint64_t random,
                                       Time now) const;
 
+  // Returns the servers of a plain service that a call may use, in the order of
+  // preference. Empty if no server takes work.
+  std::vector<PlaceOption> PlainOptions(std::string_view service,
+                                        const std::set<std::string>& tried,
+                                        Time now) const;
+
+  // Returns the placement at the server with the hash `server`, or nullopt if
+  // it does not take work for `service`.
+  std::optional<Placement> PlaceAt(std::string_view service,
+                                   ServerHash server) const;
+
+  // Returns whether calls to a plain service ask for places of its servers.
+  bool SharesPlaces(std::string_view service, Time now) const;
+  PlaceClient& places() { return places_; }
+
   // Returns whether `engine` holds the adapter of `info` in a version that may
   // serve, and stores a positive version in `version`. Returns true for
   // requests of the base model itself.
@@ -193,6 +213,11 @@
   // Returns the time between two events of a running generation at an engine,
   // in milliseconds; 0 if unknown.
   double EventIntervalMs(const BackendServer& server, Time now) const;
+  std::vector<PlainCandidate> PlainCandidates(
+      std::span<const BackendServer* const> servers,
+      const std::set<std::string>& tried,
+      std::uint64_t random,
+      Time now) const;
   EngineCandidate MakeCandidate(const BackendServer& server,
                                 const RequestInfo& info,
                                 const EnginePace& pace,
@@ -201,6 +226,7 @@
 
   const Options options_;
   AgentLinks& links_;
+  PlaceClient places_;
   std::optional<RouteTable> table_;
   Time config_confirmed_;
   Time backends_confirmed_;
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -93,6 +93,7 @@
   loop.Cancel(silence_timer_);
   environment_.upstream.Cancel(call_);
   LeaveAnswerGate();
+  environment_.fleet.places().End(place_ticket_);
 }
 
 void RelayCall::Start(Time now,
@@ -140,16 +141,16 @@
     return;
   }
   Fleet& fleet = environment_.fleet;
+  if (!is_generation_ && fleet.SharesPlaces(service_, now)) {
+    WaitForPlace(now);
+    return;
+  }
   const std::optional<Placement> placement =
       is_generation_
           ? fleet.PlaceGeneration(service_, info_, Goal(), tried_, now)
           : fleet.PlacePlain(service_, tried_, Hash64(info_.attempt_id), now);
   if (!placement) {
-    expected_delay_ = kDelayWithoutServer;
-    environment_.log.Write(
-        LogLevel::kWarn, "no_server",
-        {{"request", info_.attempt_id}, {"service", service_}});
-    TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
+    EndWithoutServer(now);
     return;
   }
   placement_ = *placement;
@@ -168,6 +169,21 @@
   WaitForAdapter(now);
 }
 
+void RelayCall::EndWithoutServer(Time now) {
+  expected_delay_ = kDelayWithoutServer;
+  environment_.log.Write(
+      LogLevel::kWarn, "no_server",
+      {{"request", info_.attempt_id}, {"service", service_}});
+  TakeStep(NextStep(progress_, SendEnd::kNotSent, false), now);
+}
+
+void RelayCall::GiveBackPlace() {
+  if (place_ticket_ != 0) {
+    environment_.fleet.places().End(std::exchange(place_ticket_, 0));
+    environment_.demand_changed();
+  }
+}
+
 void RelayCall::SendOrAsk(std::optional<std::int64_t> version, Time now) {
   if (is_generation_ &&
       environment_.fleet.NeedsAdmission(placement_, info_, Goal(), now)) {
@@ -273,6 +289,78 @@
   });
 }
 
+void RelayCall::WaitForPlace(Time now) {
+  Fleet& fleet = environment_.fleet;
+  std::vector<PlaceOption> options = fleet.PlainOptions(service_, tried_, now);
+  if (options.empty()) {
+    SendWithoutPlace(now);
+    return;
+  }
+  GiveBackPlace();
+  state_ = State::kWaiting;
+  wait_started_ = now;
+  placement_ = {};
+  place_ticket_ =
+      fleet.places().Ask(service_, std::move(options), route_.priority,
+                         started_ + route_.target_latency, now);
+  environment_.demand_changed();
+  SchedulePlaceCheck();
+}
+
+void RelayCall::SchedulePlaceCheck() {
+  wait_timer_ = environment_.loop.RunAfter(PlaceClient::kMaxSilence, [this] {
+    wait_timer_ = 0;
+    CheckPlace(environment_.loop.Now());
+  });
+}
+
+void RelayCall::CheckPlace(Time now) {
+  if (!environment_.fleet.places().IsAnswered(place_ticket_, now)) {
+    // The agent learns of the call when it answers again.
+    const std::int64_t ticket = std::exchange(place_ticket_, 0);
+    StopWaiting();
+    place_ticket_ = ticket;
+    SendWithoutPlace(now);
+    return;
+  }
+  if (now - wait_started_ >= kWaitBeforePlacingAgain) {
+    // Other servers may serve by now.
+    StopWaiting();
+    Place(now);
+    return;
+  }
+  SchedulePlaceCheck();
+}
+
+void RelayCall::SendWithoutPlace(Time now) {
+  const std::optional<Placement> placement = environment_.fleet.PlacePlain(
+      service_, tried_, Hash64(info_.attempt_id), now);
+  if (!placement) {
+    EndWithoutServer(now);
+    return;
+  }
+  placement_ = *placement;
+  Send(std::nullopt, now);
+}
+
+void RelayCall::OnPlaceGranted(std::int64_t id, ServerHash server, Time now) {
+  if (state_ != State::kWaiting || place_ticket_ != id) {
+    return;
+  }
+  const std::optional<Placement> placement =
+      environment_.fleet.PlaceAt(service_, server);
+  if (!placement) {
+    StopWaiting();
+    Place(now);
+    return;
+  }
+  const std::int64_t ticket = std::exchange(place_ticket_, 0);
+  StopWaiting();
+  place_ticket_ = ticket;
+  placement_ = *placement;
+  Send(std::nullopt, now);
+}
+
 void RelayCall::StopWaiting() {
   if (state_ != State::kWaiting) {
     return;
@@ -281,6 +369,10 @@
   const Time now = environment_.loop.Now();
   waited_ += now - wait_started_;
   environment_.loop.Cancel(std::exchange(wait_timer_, 0));
+  if (!is_generation_) {
+    GiveBackPlace();
+    return;
+  }
   if (asked_prompt_ != 0) {
     environment_.fleet.links().WithdrawPrompt(
         placement_.server.id, std::exchange(asked_prompt_, 0), now);
@@ -368,6 +460,10 @@
   streaming_ = false;
   head_ = {};
   environment_.fleet.BeginSend(id, now);
+  if (place_ticket_ != 0) {
+    environment_.fleet.places().Start(place_ticket_, service_, id);
+    environment_.demand_changed();
+  }
   SendOptions options;
   options.expected_server = id;
   options.time_left = deadline_ - now;
@@ -561,6 +657,7 @@
 
 void RelayCall::EndActivity() {
   LeaveAnswerGate();
+  GiveBackPlace();
   environment_.loop.Cancel(std::exchange(silence_timer_, 0));
   environment_.fleet.EndSend(placement_.server.id);
   RemovePrompt(environment_.loop.Now());
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -88,6 +88,10 @@
   // Handles the admission of a prompt; ignores those of other calls.
   void OnAdmitted(std::int64_t prompt, Time now);
 
+  // Handles a place that was granted to the call `id` at a plain server;
+  // ignores those of other calls.
+  void OnPlaceGranted(std::int64_t id, ServerHash server, Time now);
+
   // Handles a change at a server: of its adapters, or whether it serves.
   void OnServerChanged(std::string_view server, Time now);
 
@@ -109,6 +113,16 @@
   // long that another engine may be better.
   void CheckAdmission(Time now);
   void WaitForAdapter(Time now);
+  // Asks for a place at one of the servers of a plain service, and waits for it
+  // while the agent that keeps the places answers.
+  void WaitForPlace(Time now);
+  void SchedulePlaceCheck();
+  void GiveBackPlace();
+  // Ends a request for which there is no server.
+  void EndWithoutServer(Time now);
+  void CheckPlace(Time now);
+  // Sends a plain call without a place.
+  void SendWithoutPlace(Time now);
   void StopWaiting();
   void OnWaitTimeout(Time now);
   void Send(std::optional<std::int64_t> version, Time now);
@@ -188,6 +202,9 @@
   bool is_generation_ = false;
   // Whether the prompt counts as work of the chosen engine.
   bool prompt_added_ = false;
+  // Id of the call at the agent that keeps the places of its service, while it
+  // waits or runs; 0 otherwise.
+  std::int64_t place_ticket_ = 0;
   // Id of the prompt while it waits for admission; 0 otherwise.
   std::int64_t asked_prompt_ = 0;
   // Version and age of the configuration when the request started.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "amaranthcove/agent_link/place_codec.h"
 #include "amaranthcove/agent_link/quota_codec.h"
 #include "amaranthcove/base/hash.h"
 #include "amaranthcove/base/ids.h"
@@ -100,7 +101,9 @@
         fleet_({settings.data_centre,
                 settings.agent_port,
                 {settings.retry_ratio, settings.retry_extra,
-                 settings.retry_window}},
+                 settings.retry_window},
+                settings.shared_places,
+                NewIncarnation()},
                links_),
         upstream_(UpstreamClient::Create(loop, {})),
         request_metrics_(metrics),
@@ -194,6 +197,10 @@
   void OnPlainCrash(std::uint64_t id, LostRequest request);
   void LogCrashCauses();
   void SendDemandsSoon();
+  // Sends the demands for places that are due.
+  void SendPlaceDemands(Time now);
+  void OnPlaceGrants(const Address& agent,
+                     const agent_wire::PlaceGrants& grants);
   void Tick();
   // Logs a tick that comes so late that the router has fallen behind.
   void LogLateTick(Time now);
@@ -522,6 +529,9 @@
       LogCrashCauses();
     }
   }
+  if (update.places) {
+    OnPlaceGrants(sender, *update.places);
+  }
   if (update.quotas) {
     quotas_.OnViews(sender, update.quotas->incarnation, update.quotas->sequence,
                     DecodeLedgerViews(update.quotas->views), loop_.Now());
@@ -568,15 +578,39 @@
     demand_timer_ = loop_.RunAfter(Duration::zero(), [this] {
       demand_timer_ = 0;
       links_.Tick(loop_.Now());
+      SendPlaceDemands(loop_.Now());
     });
   }
 }
 
+void RouterImpl::SendPlaceDemands(Time now) {
+  for (const PlaceClient::Outgoing& outgoing : fleet_.places().TakeDue(now)) {
+    agent_wire::AgentDatagram datagram;
+    datagram.__set_place_demand(EncodePlaceDemand(outgoing.demand));
+    udp_->Send(outgoing.agent, EncodeDatagram(datagram));
+  }
+}
+
+void RouterImpl::OnPlaceGrants(const Address& agent,
+                               const agent_wire::PlaceGrants& grants) {
+  const Time now = loop_.Now();
+  const std::vector<PlaceUse> news = fleet_.places().OnGrants(
+      agent, static_cast<ServiceHash>(grants.service_hash), grants.sequence,
+      DecodePlaceUses(grants.grants));
+  for (const PlaceUse& grant : news) {
+    for (const auto& [id, call] : calls_) {
+      call->OnPlaceGranted(grant.id, grant.server, now);
+    }
+  }
+}
+
 void RouterImpl::Tick() {
   const Time now = loop_.Now();
   log_.SetNow(now);
   LogLateTick(now);
   quotas_.SetAgents(links_.AnsweringAgents(now));
+  fleet_.places().SetAgents(links_.AnsweringAgents(now));
+  SendPlaceDemands(now);
   links_.Tick(now);
   updates_.Tick(now);
   RefuseExpiredHeld(now);
