places: leave time for the call itself, refuse what cannot be on time

Change: a call counts as late unless twice the mean time of the service is left; the agent tells how many calls come before it, and the router refuses a call at once that would get its place too late to be on time. A server has one call more than it runs for six slots, so that no slot stands empty while a call is on its way. A call that is late on arrival is refused after twice its target.

--- a/include/amaranthcove/places/place_queue.h
+++ b/include/amaranthcove/places/place_queue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -42,6 +43,17 @@
   bool operator==(const PlaceUse&) const = default;
 };
 
+// How many calls come before a call that waits.
+struct PlaceWait {
+  std::int64_t id = 0;
+  int ahead = 0;
+};
+
+// Returns when a call gets a place that waits behind `ahead` others, if servers
+// run `places` calls at a time and take `service_time` on average.
+// Precondition: `places` is positive. Thread-safe.
+Duration ExpectedPlaceWait(int ahead, int places, Duration service_time);
+
 // The calls of one router to one service. Complete, so that the next demand
 // makes up for a lost one.
 struct PlaceDemand {
@@ -77,6 +89,9 @@
   // Returns all grants of `source` whose calls it does not list as running yet.
   std::vector<PlaceUse> GrantsOf(const Source& source) const;
 
+  // Returns how many calls come before each call of `source` that waits.
+  std::vector<PlaceWait> WaitsOf(const Source& source, Time now) const;
+
   // Returns the sequence of the last demand of `source`; 0 without one.
   std::int64_t SequenceOf(const Source& source) const;
 
@@ -104,6 +119,9 @@
     std::map<std::int64_t, ServerHash> running;  // By id.
   };
 
+  // Waiting calls by whether they are late, their priority and their age.
+  using Rank = std::tuple<bool, int, Time, Source, std::int64_t>;
+  std::vector<Rank> RankWaiting(Time now) const;
   std::map<ServerHash, int> CallsByServer() const;
 
   std::map<Source, State> sources_;
--- a/include/amaranthcove/relay/relay_policy.h
+++ b/include/amaranthcove/relay/relay_policy.h
@@ -79,6 +79,27 @@
                      std::optional<Duration> caller_timeout,
                      Time started);
 
+// Returns the latest time of a send with which a plain call can still be on
+// time, if servers take `service_time` on average. `started` and
+// `caller_timeout` are as above.
+Time LatestPlainSend(const Route& route,
+                     std::optional<Duration> caller_timeout,
+                     Duration service_time,
+                     Time started);
+
+// Returns whether a plain call should be refused that gets a place only after
+// `expected_wait` more: its answer would be late, and delay others.
+bool IsRefusedForPlaces(const Route& route,
+                        Time started,
+                        Duration service_time,
+                        Duration expected_wait,
+                        Time now);
+
+// Returns whether a plain call that waits for a place since `started` should be
+// refused: it is late, and calls that can be on time take all places. Waiting
+// on would hold it until its caller gives up.
+bool IsHopelesslyLate(const Route& route, Time started, Time now);
+
 // Returns whether a request that has waited this long for its adapter should be
 // refused, so that its caller can retry before it gives up.
 bool HasWaitedTooLong(Duration waited);
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -665,6 +665,12 @@
     grants.service_hash = static_cast<std::int64_t>(source.second);
     grants.sequence = place_queue_.SequenceOf(source);
     grants.grants = EncodePlaceUses(place_queue_.GrantsOf(source));
+    for (const PlaceWait& wait : place_queue_.WaitsOf(source, loop_.Now())) {
+      agent_wire::PlaceWait item;
+      item.id = wait.id;
+      item.ahead = wait.ahead;
+      grants.waits.push_back(item);
+    }
     agent_wire::AgentDatagram datagram;
     datagram.__set_place_grants(grants);
     udp_->Send(source.first, EncodeDatagram(datagram));
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -182,11 +182,18 @@
   5: list<PlaceUse> running
 }
 
+// How many calls come before a call that waits.
+struct PlaceWait {
+  1: i64 id
+  2: i32 ahead
+}
+
 // The answer to a demand, repeated when places were granted since.
 struct PlaceGrants {
   1: i64 service_hash    // Hash of the name.
   2: i64 sequence        // Of the last demand.
   3: list<PlaceUse> grants  // Of the calls that are not listed as running.
+  4: list<PlaceWait> waits  // Of the calls without a grant.
 }
 
 struct AgentDatagram {
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -3452,6 +3452,118 @@
 }
 
 
+PlaceWait::~PlaceWait() noexcept {
+}
+
+
+void PlaceWait::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void PlaceWait::__set_ahead(const int32_t val) {
+  this->ahead = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceWait& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceWait::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          this->__isset.ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceWait::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceWait");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ahead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceWait &a, PlaceWait &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.ahead, b.ahead);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceWait::PlaceWait(const PlaceWait& other144) noexcept {
+  id = other144.id;
+  ahead = other144.ahead;
+  __isset = other144.__isset;
+}
+PlaceWait& PlaceWait::operator=(const PlaceWait& other145) noexcept {
+  id = other145.id;
+  ahead = other145.ahead;
+  __isset = other145.__isset;
+  return *this;
+}
+void PlaceWait::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceWait(";
+  out << "id=" << to_string(id);
+  out << ", " << "ahead=" << to_string(ahead);
+  out << ")";
+}
+
+
 PlaceGrants::~PlaceGrants() noexcept {
 }
 
@@ -3467,6 +3579,10 @@
 void PlaceGrants::__set_grants(const std::vector<PlaceUse> & val) {
   this->grants = val;
 }
+
+void PlaceGrants::__set_waits(const std::vector<PlaceWait> & val) {
+  this->waits = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceGrants& obj)
 {
   obj.printTo(out);
@@ -3515,14 +3631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->grants.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->grants.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->grants[_i148].read(iprot);
+              xfer += this->grants[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3531,6 +3647,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waits.clear();
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->waits.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
+            {
+              xfer += this->waits[_i155].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3559,10 +3695,22 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<PlaceUse> ::const_iterator _iter149;
-    for (_iter149 = this->grants.begin(); _iter149 != this->grants.end(); ++_iter149)
+    std::vector<PlaceUse> ::const_iterator _iter156;
+    for (_iter156 = this->grants.begin(); _iter156 != this->grants.end(); ++_iter156)
+    {
+      xfer += (*_iter156).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waits", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waits.size()));
+    std::vector<PlaceWait> ::const_iterator _iter157;
+    for (_iter157 = this->waits.begin(); _iter157 != this->waits.end(); ++_iter157)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3578,20 +3726,23 @@
   swap(a.service_hash, b.service_hash);
   swap(a.sequence, b.sequence);
   swap(a.grants, b.grants);
+  swap(a.waits, b.waits);
   swap(a.__isset, b.__isset);
 }
 
-PlaceGrants::PlaceGrants(const PlaceGrants& other150) {
-  service_hash = other150.service_hash;
-  sequence = other150.sequence;
-  grants = other150.grants;
-  __isset = other150.__isset;
+PlaceGrants::PlaceGrants(const PlaceGrants& other158) {
+  service_hash = other158.service_hash;
+  sequence = other158.sequence;
+  grants = other158.grants;
+  waits = other158.waits;
+  __isset = other158.__isset;
 }
-PlaceGrants& PlaceGrants::operator=(const PlaceGrants& other151) {
-  service_hash = other151.service_hash;
-  sequence = other151.sequence;
-  grants = other151.grants;
-  __isset = other151.__isset;
+PlaceGrants& PlaceGrants::operator=(const PlaceGrants& other159) {
+  service_hash = other159.service_hash;
+  sequence = other159.sequence;
+  grants = other159.grants;
+  waits = other159.waits;
+  __isset = other159.__isset;
   return *this;
 }
 void PlaceGrants::printTo(std::ostream& out) const {
@@ -3600,6 +3751,7 @@
   out << "service_hash=" << to_string(service_hash);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "grants=" << to_string(grants);
+  out << ", " << "waits=" << to_string(waits);
   out << ")";
 }
 
@@ -3795,25 +3947,25 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentDatagram::AgentDatagram(const AgentDatagram& other152) {
-  demand = other152.demand;
-  status = other152.status;
-  load = other152.load;
-  crash_report = other152.crash_report;
-  quotas = other152.quotas;
-  place_demand = other152.place_demand;
-  place_grants = other152.place_grants;
-  __isset = other152.__isset;
-}
-AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other153) {
-  demand = other153.demand;
-  status = other153.status;
-  load = other153.load;
-  crash_report = other153.crash_report;
-  quotas = other153.quotas;
-  place_demand = other153.place_demand;
-  place_grants = other153.place_grants;
-  __isset = other153.__isset;
+AgentDatagram::AgentDatagram(const AgentDatagram& other160) {
+  demand = other160.demand;
+  status = other160.status;
+  load = other160.load;
+  crash_report = other160.crash_report;
+  quotas = other160.quotas;
+  place_demand = other160.place_demand;
+  place_grants = other160.place_grants;
+  __isset = other160.__isset;
+}
+AgentDatagram& AgentDatagram::operator=(const AgentDatagram& other161) {
+  demand = other161.demand;
+  status = other161.status;
+  load = other161.load;
+  crash_report = other161.crash_report;
+  quotas = other161.quotas;
+  place_demand = other161.place_demand;
+  place_grants = other161.place_grants;
+  __isset = other161.__isset;
   return *this;
 }
 void AgentDatagram::printTo(std::ostream& out) const {
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -57,6 +57,8 @@
 
 class PlaceDemand;
 
+class PlaceWait;
+
 class PlaceGrants;
 
 class AgentDatagram;
@@ -1315,11 +1317,62 @@
 
 std::ostream& operator<<(std::ostream& out, const PlaceDemand& obj);
 
+typedef struct _PlaceWait__isset {
+  _PlaceWait__isset() : id(false), ahead(false) {}
+  bool id :1;
+  bool ahead :1;
+} _PlaceWait__isset;
+
+class PlaceWait : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceWait(const PlaceWait&) noexcept;
+  PlaceWait& operator=(const PlaceWait&) noexcept;
+  PlaceWait() noexcept
+            : id(0),
+              ahead(0) {
+  }
+
+  virtual ~PlaceWait() noexcept;
+  int64_t id;
+  int32_t ahead;
+
+  _PlaceWait__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_ahead(const int32_t val);
+
+  bool operator == (const PlaceWait & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(ahead == rhs.ahead))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceWait &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceWait & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceWait &a, PlaceWait &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceWait& obj);
+
 typedef struct _PlaceGrants__isset {
-  _PlaceGrants__isset() : service_hash(false), sequence(false), grants(false) {}
+  _PlaceGrants__isset() : service_hash(false), sequence(false), grants(false), waits(false) {}
   bool service_hash :1;
   bool sequence :1;
   bool grants :1;
+  bool waits :1;
 } _PlaceGrants__isset;
 
 class PlaceGrants : public virtual ::apache::thrift::TBase {
@@ -1336,6 +1389,7 @@
   int64_t service_hash;
   int64_t sequence;
   std::vector<PlaceUse>  grants;
+  std::vector<PlaceWait>  waits;
 
   _PlaceGrants__isset __isset;
 
@@ -1345,6 +1399,8 @@
 
   void __set_grants(const std::vector<PlaceUse> & val);
 
+  void __set_waits(const std::vector<PlaceWait> & val);
+
   bool operator == (const PlaceGrants & rhs) const
   {
     if (!(service_hash == rhs.service_hash))
@@ -1353,6 +1409,8 @@
       return false;
     if (!(grants == rhs.grants))
       return false;
+    if (!(waits == rhs.waits))
+      return false;
     return true;
   }
   bool operator != (const PlaceGrants &rhs) const {
--- a/src/places/place_queue.cc
+++ b/src/places/place_queue.cc
@@ -35,6 +35,10 @@
 
 }  // namespace
 
+Duration ExpectedPlaceWait(int ahead, int places, Duration service_time) {
+  return service_time * (ahead + 1) / places;
+}
+
 bool PlaceQueue::Put(const Address& router, PlaceDemand demand, Time now) {
   State& state = sources_[{router, demand.service}];
   if (state.incarnation == demand.incarnation &&
@@ -86,9 +90,7 @@
   return calls;
 }
 
-std::set<PlaceQueue::Source> PlaceQueue::Grant(Time now) {
-  // Ordered by whether the call is late, its priority and its age.
-  using Rank = std::tuple<bool, int, Time, Source, std::int64_t>;
+std::vector<PlaceQueue::Rank> PlaceQueue::RankWaiting(Time now) const {
   std::vector<Rank> ranked;
   for (const auto& [source, state] : sources_) {
     for (const auto& [id, item] : state.waiting) {
@@ -96,11 +98,33 @@
                           item.since, source, id);
     }
   }
+  std::sort(ranked.begin(), ranked.end());
+  return ranked;
+}
+
+std::vector<PlaceWait> PlaceQueue::WaitsOf(const Source& source,
+                                           Time now) const {
+  std::vector<PlaceWait> waits;
+  const auto state = sources_.find(source);
+  if (state == sources_.end() || state->second.waiting.empty()) {
+    return waits;
+  }
+  int ahead = 0;
+  for (const auto& [late, priority, since, owner, id] : RankWaiting(now)) {
+    if (owner == source) {
+      waits.push_back({id, ahead});
+    }
+    ahead += owner.second == source.second ? 1 : 0;
+  }
+  return waits;
+}
+
+std::set<PlaceQueue::Source> PlaceQueue::Grant(Time now) {
+  const std::vector<Rank> ranked = RankWaiting(now);
   std::set<Source> changed;
   if (ranked.empty()) {
     return changed;
   }
-  std::sort(ranked.begin(), ranked.end());
   std::map<ServerHash, int> calls = CallsByServer();
   for (const auto& [late, priority, since, source, id] : ranked) {
     State& state = sources_[source];
--- a/src/relay/relay_policy.cc
+++ b/src/relay/relay_policy.cc
@@ -46,6 +46,21 @@
 
 constexpr Duration kMinRetryAfter = milliseconds(300);
 
+// A server takes longer than this multiple of its mean time for few calls only.
+constexpr int kServiceTimeMargin = 2;
+
+// A call that waits for a place is refused after this multiple of its target
+// latency.
+constexpr int kMaxLateFactor = 2;
+
+// Returns the time that the caller has spent waiting for other routers before.
+Duration TimeSpent(const Route& route, std::optional<Duration> caller_timeout) {
+  const Duration spent = std::max(
+      route.timeout - caller_timeout.value_or(route.timeout), Duration::zero());
+  return spent < route.timeout / kCallerTimeoutSpreadDivisor ? Duration::zero()
+                                                             : spent;
+}
+
 RelayStep StepWithoutRetry(const RelayProgress& progress, SendEnd end) {
   if (progress.answer_begun) {
     return end == SendEnd::kAnswered ? RelayStep::kPassOn
@@ -123,12 +138,28 @@
 Time LatestLoadStart(const Route& route,
                      std::optional<Duration> caller_timeout,
                      Time started) {
-  Duration spent = std::max(
-      route.timeout - caller_timeout.value_or(route.timeout), Duration::zero());
-  if (spent < route.timeout / kCallerTimeoutSpreadDivisor) {
-    spent = Duration::zero();
-  }
-  return started + route.target_latency - spent - kLoadAndFirstToken;
+  return started + route.target_latency - TimeSpent(route, caller_timeout) -
+         kLoadAndFirstToken;
+}
+
+Time LatestPlainSend(const Route& route,
+                     std::optional<Duration> caller_timeout,
+                     Duration service_time,
+                     Time started) {
+  return started + route.target_latency - TimeSpent(route, caller_timeout) -
+         kServiceTimeMargin * service_time;
+}
+
+bool IsRefusedForPlaces(const Route& route,
+                        Time started,
+                        Duration service_time,
+                        Duration expected_wait,
+                        Time now) {
+  return now + expected_wait + service_time > started + route.target_latency;
+}
+
+bool IsHopelesslyLate(const Route& route, Time started, Time now) {
+  return now - started >= kMaxLateFactor * route.target_latency;
 }
 
 bool HasWaitedTooLong(Duration waited) {
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -23,6 +23,13 @@
 // them says little about the others.
 constexpr std::size_t kPlacesPerRouter = 2;
 
+// A server has one call more than it runs for so many slots, so that a slot
+// does not stand empty while the next call is on its way.
+constexpr int kSlotsPerQueuedCall = 6;
+
+// The latest service time has one part of so many in the moving average.
+constexpr int kServiceTimeWeightDivisor = 16;
+
 int CountSince(std::span<const Time> times, Time since) {
   return static_cast<int>(std::count_if(
       times.begin(), times.end(), [since](Time at) { return at >= since; }));
@@ -348,7 +355,9 @@
       PlainCandidates(servers, tried, 0, now);
   std::vector<PlaceOption> options;
   for (const std::size_t i : UsablePlainServers(candidates)) {
-    options.push_back({HashOfServer(candidates[i].id), candidates[i].slots,
+    const int slots = std::max(candidates[i].slots, 1);
+    options.push_back({HashOfServer(candidates[i].id),
+                       slots + std::max(slots / kSlotsPerQueuedCall, 1),
                        PlainPenalty(candidates[i])});
   }
   return options;
@@ -367,6 +376,18 @@
   return std::nullopt;
 }
 
+void Fleet::RecordServiceTime(const std::string& service, Duration taken) {
+  const auto [known, is_new] = service_times_.try_emplace(service, taken);
+  if (!is_new) {
+    known->second += (taken - known->second) / kServiceTimeWeightDivisor;
+  }
+}
+
+Duration Fleet::ServiceTime(std::string_view service) const {
+  const auto known = service_times_.find(service);
+  return known == service_times_.end() ? Duration::zero() : known->second;
+}
+
 bool Fleet::SharesPlaces(std::string_view service, Time now) const {
   if (options_.shared_places == SharedPlaces::kOff ||
       !places_.CanAsk(service, now)) {
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -168,6 +168,11 @@
   bool SharesPlaces(std::string_view service, Time now) const;
   PlaceClient& places() { return places_; }
 
+  // Records the time from the send of a plain call to its complete answer.
+  void RecordServiceTime(const std::string& service, Duration taken);
+  // Returns the mean of these times; zero if there are none.
+  Duration ServiceTime(std::string_view service) const;
+
   // Returns whether `engine` holds the adapter of `info` in a version that may
   // serve, and stores a positive version in `version`. Returns true for
   // requests of the base model itself.
@@ -235,6 +240,8 @@
   std::map<std::string, BackendHealth, std::less<>> health_;
   std::map<std::string, Activity, std::less<>> activity_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
+  // Moving averages for plain services.
+  std::map<std::string, Duration, std::less<>> service_times_;
   std::map<std::string, PauseMonitor, std::less<>> pauses_;  // By service.
   std::map<std::string, PaceEstimator, std::less<>> paces_;  // By service.
 };
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -300,9 +300,15 @@
   state_ = State::kWaiting;
   wait_started_ = now;
   placement_ = {};
+  places_ = 0;
+  for (const PlaceOption& option : options) {
+    places_ += option.places;
+  }
   place_ticket_ =
       fleet.places().Ask(service_, std::move(options), route_.priority,
-                         started_ + route_.target_latency, now);
+                         LatestPlainSend(route_, info_.caller_timeout,
+                                         fleet.ServiceTime(service_), started_),
+                         now);
   environment_.demand_changed();
   SchedulePlaceCheck();
 }
@@ -323,6 +329,12 @@
     SendWithoutPlace(now);
     return;
   }
+  if (progress_.may_have_run == 0 && IsHopelesslyLate(route_, started_, now)) {
+    StopWaiting();
+    expected_delay_ = now - started_;
+    TakeStep(RelayStep::kRefuse, now);
+    return;
+  }
   if (now - wait_started_ >= kWaitBeforePlacingAgain) {
     // Other servers may serve by now.
     StopWaiting();
@@ -343,6 +355,22 @@
   Send(std::nullopt, now);
 }
 
+void RelayCall::OnPlaceWait(const PlaceWait& wait, Time now) {
+  if (state_ != State::kWaiting || place_ticket_ != wait.id ||
+      progress_.may_have_run > 0) {
+    return;
+  }
+  const Duration service_time = environment_.fleet.ServiceTime(service_);
+  const Duration expected =
+      ExpectedPlaceWait(std::max(wait.ahead, 0), places_, service_time);
+  if (!IsRefusedForPlaces(route_, started_, service_time, expected, now)) {
+    return;
+  }
+  StopWaiting();
+  expected_delay_ = expected;
+  TakeStep(RelayStep::kRefuse, now);
+}
+
 void RelayCall::OnPlaceGranted(std::int64_t id, ServerHash server, Time now) {
   if (state_ != State::kWaiting || place_ticket_ != id) {
     return;
@@ -624,6 +652,9 @@
     FinishSend(SendEnd::kNotRun, now);
   } else {
     RecordSound(parts_, now);
+    if (!is_generation_) {
+      environment_.fleet.RecordServiceTime(service_, now - sent_);
+    }
     FinishAnswer(now);
   }
 }
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -92,6 +92,10 @@
   // ignores those of other calls.
   void OnPlaceGranted(std::int64_t id, ServerHash server, Time now);
 
+  // Handles how many calls come before a call that waits for a place; ignores
+  // those of other calls.
+  void OnPlaceWait(const PlaceWait& wait, Time now);
+
   // Handles a change at a server: of its adapters, or whether it serves.
   void OnServerChanged(std::string_view server, Time now);
 
@@ -205,6 +209,8 @@
   // Id of the call at the agent that keeps the places of its service, while it
   // waits or runs; 0 otherwise.
   std::int64_t place_ticket_ = 0;
+  // Calls that the servers run at a time that this one may use.
+  int places_ = 0;
   // Id of the prompt while it waits for admission; 0 otherwise.
   std::int64_t asked_prompt_ = 0;
   // Version and age of the configuration when the request started.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -602,6 +602,11 @@
       call->OnPlaceGranted(grant.id, grant.server, now);
     }
   }
+  for (const agent_wire::PlaceWait& wait : grants.waits) {
+    for (const auto& [id, call] : calls_) {
+      call->OnPlaceWait({wait.id, wait.ahead}, now);
+    }
+  }
 }
 
 void RouterImpl::Tick() {
