--- a/src/net/intake_policy_test.cc
+++ b/src/net/intake_policy_test.cc
@@ -35,6 +35,7 @@
 // is granted stays within the budget, the rest waits, and small requests pass.
 TEST(IntakePolicy, LargeBodiesAreReadWithinTheBudget) {
   std::vector<IntakeState> crowd;
+  crowd.reserve(91);
   for (int i = 0; i < 90; ++i) {
     crowd.push_back(MakeIncomplete(kSmallRequestBytes + 1, kLargeBytes,
                                    kStart + milliseconds(i)));
@@ -105,6 +106,7 @@
   IntakeLimits limits;
   limits.budget = 1U << 20;
   std::vector<IntakeState> crowd;
+  crowd.reserve(100);
   for (int i = 0; i < 100; ++i) {
     crowd.push_back(
         MakeIncomplete(32U << 10, 40'000, kStart + milliseconds(99 - i)));
--- a/src/places/places_test.cc
+++ b/src/places/places_test.cc
@@ -50,7 +50,7 @@
   PlaceFleet(int routers, int servers) {
     for (int i = 0; i < routers; ++i) {
       clients_.emplace_back(i + 1);
-      clients_.back().SetAgents(std::vector<Address>{kAgent});
+      clients_.back().SetAgents(std::vector<Address>{agent_});
     }
     for (int i = 0; i < servers; ++i) {
       servers_.push_back({"s" + std::to_string(i), 1, false, {}, {}});
@@ -90,7 +90,7 @@
   int most_at_a_server() const { return most_at_a_server_; }
 
  private:
-  const Address kAgent{"10.9.9.9", 7000};
+  const Address agent_{"10.9.9.9", 7000};
 
   struct Call {
     std::size_t router = 0;
@@ -249,7 +249,7 @@
         ++router;
       }
       for (const PlaceUse& grant :
-           clients_[router].OnGrants(kAgent, source.second, sequence, grants)) {
+           clients_[router].OnGrants(agent_, source.second, sequence, grants)) {
         const auto index = tickets_.find({router, grant.id});
         for (int i = 0; i < static_cast<int>(servers_.size()); ++i) {
           if (HashOfServer(servers_[i].id) == grant.server &&
