--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -327,7 +327,7 @@
   void LimitUnreadAnswers() {
     std::size_t unread = 0;
     for (const Exchange* exchange : open_exchanges_) {
-      unread += exchange->buffered_bytes();
+      unread += exchange->is_given_up() ? 0 : exchange->buffered_bytes();
     }
     while (unread > options_.memory_budget) {
       Exchange* oldest = nullptr;
--- a/src/net/intake_control.cc
+++ b/src/net/intake_control.cc
@@ -78,7 +78,10 @@
   }
   intake.held = socket.input->capacity;
   intake.has_request = is_busy;
-  intake.is_incomplete = !is_busy && !is_empty && !connection.shut_down;
+  // h2o reads nothing while it answers a request that it refuses itself.
+  const bool is_answering = socket._cb.read == nullptr && !intake.paused;
+  intake.is_incomplete =
+      !is_busy && !is_empty && !connection.shut_down && !is_answering;
   if (!intake.is_incomplete) {
     return;
   }
