--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -54,7 +54,11 @@
 constexpr double kConnectionShare = 0.375;
 constexpr std::size_t kAssumedDescriptors = 1024;
 
-// Bounds what the system keeps of a connection that the server does not read.
+// Receive buffer of a connection. It bounds what one read can take, and what
+// the system keeps of a connection that is not read: h2o reads until the
+// connection is empty before the memory is checked. It is set on each
+// connection, since on the listener it delayed long bodies on the users'
+// platform.
 constexpr int kReceiveBufferBytes = 64 << 10;
 
 // Maximum number of connections accepted before other events are handled.
@@ -167,6 +171,9 @@
         }
         return;
       }
+      // A failure changes little.
+      setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF,
+                 &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
       connections_[socket].idle_since = loop_.Now();
       auto* close_data = new CloseCallbackData{this, socket};
       socket->on_close.cb = &ServerCore::OnConnectionClosed;
@@ -623,11 +630,6 @@
   }
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
-  if (fd >= 0) {
-    // Accepted connections have the same size. A failure changes little.
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
-               sizeof(kReceiveBufferBytes));
-  }
   if (fd < 0 ||
       setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
       bind(fd, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0 ||
