--- a/include/amaranthcove/node/node_settings.h
+++ b/include/amaranthcove/node/node_settings.h
@@ -47,14 +47,14 @@
   Duration retry_window = std::chrono::seconds(10);
   // Maximum duration of a graceful shutdown.
   Duration stop_limit = std::chrono::seconds(8);
-  // By how much the use of a tenant's quota may exceed it, over all routers and
-  // in any window: by this share of it and, in what the quota counts, by the
-  // tolerance.
+  // By how much the use of a workspace's quota may exceed it, over all routers
+  // and in any window: by this share of it and, in what the quota counts, by
+  // the tolerance.
   double quota_overshoot = 0;
   double quota_tolerance = 0;
   // Whether a router that has not heard from the metadata store for
-  // `revocation_limit` refuses the callers of tenants: their keys may have been
-  // taken away.
+  // `revocation_limit` refuses the callers of workspaces: their keys may have
+  // been taken away.
   bool revocation_strict = false;
   Duration revocation_limit = std::chrono::seconds(5);
   // Whether the places of plain servers are shared by all routers.
--- a/include/amaranthcove/quota/quota_accounts.h
+++ b/include/amaranthcove/quota/quota_accounts.h
@@ -17,10 +17,11 @@
 
 namespace amaranthcove {
 
-// Returns the id of the tenant called `name`. Thread-safe.
-TenantId IdOfTenant(std::string_view name);
+// Returns the id of the workspace called `name`. Thread-safe.
+WorkspaceId IdOfWorkspace(std::string_view name);
 
-// By how much the use of a quota may exceed it in any window, for every tenant.
+// By how much the use of a quota may exceed it in any window, for every
+// workspace.
 struct QuotaSlack {
   double overshoot = 0;  // Share of the limits.
   double tolerance = 0;  // In what the quota counts, on top of it.
@@ -31,8 +32,8 @@
 // yet. Thread-safe.
 QuotaLimits WithSlack(const QuotaLimits& limits, const QuotaSlack& slack);
 
-// A router's part in the quotas of tenants: admits requests, reports its use to
-// the ledgers, and keeps what they tell.
+// A router's part in the quotas of workspaces: admits requests, reports its use
+// to the ledgers, and keeps what they tell.
 //
 // Thread safety: none.
 class QuotaAccounts {
@@ -40,7 +41,7 @@
   // An older view is not used.
   static constexpr Duration kViewLifetime = std::chrono::milliseconds(700);
 
-  // What a router has done for one tenant.
+  // What a router has done for one workspace.
   struct Counters {
     std::uint64_t admitted = 0;
     std::uint64_t limited = 0;
@@ -49,24 +50,25 @@
 
   explicit QuotaAccounts(const QuotaSlack& slack = {}) : slack_(slack) {}
 
-  // Replaces the tenants by those of the configuration `version`. The accounts
-  // of tenants that remain are kept.
-  void SetTenants(std::span<const Tenant> tenants, std::int64_t version);
+  // Replaces the workspaces by those of the configuration `version`. The
+  // accounts of workspaces that remain are kept.
+  void SetWorkspaces(std::span<const Workspace> workspaces,
+                     std::int64_t version);
 
   // Sets the agents that can keep ledgers, in any order.
   void SetAgents(std::vector<Address> agents);
 
   // Decides on a request for `cost`, and counts it if it is admitted. `random`
   // is uniformly distributed from 0 to 1; `instances` is the known number of
-  // routers. Requests of unknown tenants are admitted.
-  QuotaDecision Take(std::string_view tenant,
+  // routers. Requests of unknown workspaces are admitted.
+  QuotaDecision Take(std::string_view workspace,
                      double cost,
                      std::size_t instances,
                      double random,
                      Time now);
 
   // Gives back the cost of a request that was admitted and has not run.
-  void GiveBack(std::string_view tenant, double cost);
+  void GiveBack(std::string_view workspace, double cost);
 
   // Returns the agents that have to be told soon, because much was used since
   // the last report. Each is returned once for each such use.
@@ -83,9 +85,9 @@
                std::span<const LedgerView> views,
                Time now);
 
-  // What operators see of a tenant.
+  // What operators see of a workspace.
   struct Summary {
-    std::string tenant;
+    std::string workspace;
     Counters counters;
     QuotaLimits limits;
     double use = 0;
@@ -96,7 +98,7 @@
 
  private:
   struct Account {
-    TenantId id = 0;
+    WorkspaceId id = 0;
     QuotaLimits configured;
     QuotaLimits limits;  // With the slack.
     double use = 0;
--- a/include/amaranthcove/quota/quota_decision.h
+++ b/include/amaranthcove/quota/quota_decision.h
@@ -6,15 +6,15 @@
 #include <string_view>
 
 #include "amaranthcove/base/time.h"
-#include "amaranthcove/tenants/tenant.h"
+#include "amaranthcove/workspaces/workspace.h"
 
-// Decides whether a request is within its tenant's quota. The quota is a token
-// bucket over all instances; an instance knows its own use at once and that of
-// the others from a ledger, some hundred milliseconds late. Amounts are in
-// tokens or requests, as the quota counts.
+// Decides whether a request is within its workspace's quota. The quota is a
+// token bucket over all instances; an instance knows its own use at once and
+// that of the others from a ledger, some hundred milliseconds late. Amounts are
+// in tokens or requests, as the quota counts.
 namespace amaranthcove {
 
-// What the ledger of a tenant has told one instance.
+// What the ledger of a workspace has told one instance.
 struct QuotaView {
   Time received;
   double level = 0;  // Left in the bucket of all instances; below 0: overdrawn.
@@ -33,7 +33,7 @@
   Time updated;
 };
 
-// How much one instance may admit for a tenant.
+// How much one instance may admit for a workspace.
 struct QuotaBudget {
   QuotaLimits limits;
   std::optional<QuotaView> view;  // No value without a recent one.
@@ -75,7 +75,7 @@
 // Decides whether a request that counts for `cost` is admitted. `random` is
 // uniformly distributed from 0 to 1. Thread-safe.
 //
-// Answers a tenant that asks for several times its quota at all instances at
+// Answers a workspace that asks for several times its quota at all instances at
 // once: admitted is what the quota has left, split by what callers ask of each
 // instance. While the bucket covers what the others may admit before the next
 // view, nothing is split, so that an instance with few callers can admit a
--- a/include/amaranthcove/quota/quota_ledger.h
+++ b/include/amaranthcove/quota/quota_ledger.h
@@ -10,17 +10,17 @@
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/time.h"
-#include "amaranthcove/tenants/tenant.h"
+#include "amaranthcove/workspaces/workspace.h"
 
 namespace amaranthcove {
 
-// Identifies a tenant by the hash of its name.
-using TenantId = std::uint64_t;
+// Identifies a workspace by the hash of its name.
+using WorkspaceId = std::uint64_t;
 
-// What a router tells the ledgers of a tenant. Amounts are totals since the
+// What a router tells the ledgers of a workspace. Amounts are totals since the
 // start of the router, so that the next report makes up for a lost one.
 struct QuotaReport {
-  TenantId tenant = 0;
+  WorkspaceId workspace = 0;
   QuotaLimits limits;
   std::int64_t limits_version = 0;  // Of the configuration.
   double use = 0;                   // May fall: what did not run is given back.
@@ -29,9 +29,9 @@
   std::optional<double> level;
 };
 
-// What a ledger tells a router about a tenant.
+// What a ledger tells a router about a workspace.
 struct LedgerView {
-  TenantId tenant = 0;
+  WorkspaceId workspace = 0;
   double level = 0;
   double asked_per_s = 0;
   double own_asked_per_s = 0;
@@ -39,12 +39,12 @@
 };
 
 // The use of quotas by all routers, as they report it: a token bucket for each
-// tenant.
+// workspace.
 //
 // Thread safety: none.
 class QuotaLedger {
  public:
-  // A ledger of a tenant is silent for this time after its first report, in
+  // A ledger of a workspace is silent for this time after its first report, in
   // which all routers report to it.
   static constexpr Duration kWarmUp = std::chrono::milliseconds(600);
 
@@ -54,17 +54,17 @@
            std::span<const QuotaReport> reports,
            Time now);
 
-  // Returns what `router` has to know of the tenants that it has reported.
+  // Returns what `router` has to know of the workspaces that it has reported.
   std::vector<LedgerView> ViewsFor(const Address& router, Time now) const;
 
-  // Returns whether a tenant is so near its limit that routers have to be told
-  // often.
+  // Returns whether a workspace is so near its limit that routers have to be
+  // told often.
   bool IsNearLimit(Time now) const;
 
-  // Forgets routers and tenants that have not been reported for a long time.
+  // Forgets routers and workspaces that have not been reported for a long time.
   void Expire(Time now);
 
-  std::size_t size() const { return tenants_.size(); }
+  std::size_t size() const { return workspaces_.size(); }
 
  private:
   struct Reporter {
@@ -99,7 +99,7 @@
   static double Level(const Account& account, Time now);
   static double AskedPerSecond(const Account& account, Time now);
 
-  std::map<TenantId, Account> tenants_;
+  std::map<WorkspaceId, Account> workspaces_;
 };
 
 }  // namespace amaranthcove
--- a/include/amaranthcove/relay/request_info.h
+++ b/include/amaranthcove/relay/request_info.h
@@ -27,7 +27,7 @@
   std::vector<std::string> prompt_parts;
   // Whether the caller states its numbers of tokens.
   bool has_token_usage = false;
-  // The key of the caller's tenant; empty if it has sent none. Never logged.
+  // The key of the caller's workspace; empty if it has sent none. Never logged.
   std::string key;
   // Whether the key was sent more than once.
   bool has_malformed_key = false;
@@ -43,9 +43,10 @@
   std::optional<std::int64_t> expected_version;  // Of the adapter.
   std::optional<int> priority;                   // 0 is the most urgent.
   std::optional<std::string> last_event_id;      // Resumes after this event.
-  // Whether the key and tenant that the caller states are left out.
-  bool drops_caller_tenant = false;
-  std::string tenant;  // Name of the caller's tenant; empty if it has none.
+  // Whether the key and workspace that the caller states are left out.
+  bool drops_caller_workspace = false;
+  std::string
+      workspace;  // Name of the caller's workspace; empty if it has none.
 };
 
 // The data that a router reads from the head of a backend server's answer.
--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "amaranthcove/base/time.h"
-#include "amaranthcove/tenants/tenant.h"
+#include "amaranthcove/workspaces/workspace.h"
 
 namespace amaranthcove {
 
@@ -84,7 +84,7 @@
   std::map<std::string, ServiceSpec, std::less<>> services;
   CallerLimits limits;
   // Callers need a key if there are any.
-  std::vector<Tenant> tenants;
+  std::vector<Workspace> workspaces;
 };
 
 // The routes of one configuration, indexed by host. Movable but not copyable.
@@ -106,12 +106,12 @@
   // the table.
   const ServiceSpec* FindService(std::string_view name) const;
 
-  // Returns whether callers need a key of a tenant.
-  bool has_tenants() const { return !config_.tenants.empty(); }
+  // Returns whether callers need a key of a workspace.
+  bool has_workspaces() const { return !config_.workspaces.empty(); }
 
-  // Returns the tenant that holds `key`, or null. The pointer is valid as long
-  // as the table.
-  const Tenant* FindTenant(std::string_view key) const {
+  // Returns the workspace that holds `key`, or null. The pointer is valid as
+  // long as the table.
+  const Workspace* FindWorkspace(std::string_view key) const {
     return keys_.Find(key);
   }
 
@@ -124,7 +124,7 @@
            std::map<std::string, const Route*, std::less<>>,
            std::less<>>
       by_host_;
-  TenantKeys keys_;
+  WorkspaceKeys keys_;
 };
 
 // Picks a service with a probability in proportion to its weight, and the first
--- a/include/amaranthcove/tenants/tenant.h
+++ b/include/amaranthcove/workspaces/workspace.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHCOVE_TENANTS_TENANT_H_
-#define AMARANTHCOVE_TENANTS_TENANT_H_
+#ifndef AMARANTHCOVE_WORKSPACES_WORKSPACE_H_
+#define AMARANTHCOVE_WORKSPACES_WORKSPACE_H_
 
 #include <cstddef>
 #include <optional>
@@ -10,7 +10,8 @@
 
 namespace amaranthcove {
 
-// What a tenant may use over all instances together. A rate of 0 is no limit.
+// What a workspace may use over all instances together. A rate of 0 is no
+// limit.
 struct QuotaLimits {
   double rate_per_s = 0;
   double burst = 0;  // On top of what the rate gives.
@@ -18,8 +19,8 @@
   bool operator==(const QuotaLimits&) const = default;
 };
 
-// A tenant of the operator. Its callers are known by their keys.
-struct Tenant {
+// A workspace of the operator. Its callers are known by their keys.
+struct Workspace {
   std::string name;
   std::vector<std::string> keys;
   // The rank of its requests, before that of their routes; 0 is the most
@@ -36,27 +37,28 @@
 // large headers.
 inline constexpr std::size_t kMaxKeyBytes = 256;
 
-// Finds tenants by their keys.
+// Finds workspaces by their keys.
 //
 // Thread safety: immutable; reading is thread-safe.
-class TenantKeys {
+class WorkspaceKeys {
  public:
-  TenantKeys() = default;
-  // `tenants` must outlive this object. Empty and over-long keys are left out,
-  // and a key of several tenants belongs to the first.
-  explicit TenantKeys(const std::vector<Tenant>& tenants);
+  WorkspaceKeys() = default;
+  // `workspaces` must outlive this object. Empty and over-long keys are left
+  // out, and a key of several workspaces belongs to the first.
+  explicit WorkspaceKeys(const std::vector<Workspace>& workspaces);
 
-  // Returns the tenant that holds `key`, or null. Takes constant time.
-  const Tenant* Find(std::string_view key) const;
+  // Returns the workspace that holds `key`, or null. Takes constant time.
+  const Workspace* Find(std::string_view key) const;
 
  private:
   struct Hash {
     using is_transparent = void;
     std::size_t operator()(std::string_view key) const;
   };
-  std::unordered_map<std::string, const Tenant*, Hash, std::equal_to<>> by_key_;
+  std::unordered_map<std::string, const Workspace*, Hash, std::equal_to<>>
+      by_key_;
 };
 
 }  // namespace amaranthcove
 
-#endif  // AMARANTHCOVE_TENANTS_TENANT_H_
+#endif  // AMARANTHCOVE_WORKSPACES_WORKSPACE_H_
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -67,7 +67,7 @@
 // the engine's load. With more routers, each of them is told less often.
 constexpr int kMaxLoadDatagramsPerSecond = 200;
 
-// Interval at which routers are told of the quotas of tenants that are near
+// Interval at which routers are told of the quotas of workspaces that are near
 // their limit. Otherwise the statuses carry the quotas.
 constexpr Duration kQuotaInterval = milliseconds(100);
 
@@ -228,7 +228,7 @@
   // Grants free places and tells the routers that got one, and `asking` in any
   // case.
   void GrantPlaces(std::set<PlaceQueue::Source> asking);
-  // Tells the routers of the quotas often while a tenant is near its limit.
+  // Tells the routers of the quotas often while a workspace is near its limit.
   void SendQuotasWhileNearLimit();
   void SendQuotas(const std::vector<Address>& routers);
   // Returns what `router` has to know of quotas, if anything.
--- a/src/admin/exported_metrics.cc
+++ b/src/admin/exported_metrics.cc
@@ -91,7 +91,7 @@
                    "Routers from which the agent hears."},
     ExportedMetric{"/adapter_agent/counters/quota_ledgers",
                    "amaranthcove_agent_quota_ledgers", MetricType::kGauge,
-                   "Tenants whose quota the agent keeps the ledger of."},
+                   "Workspaces whose quota the agent keeps the ledger of."},
     ExportedMetric{"/adapter_agent/counters/waiting_calls",
                    "amaranthcove_agent_waiting_calls", MetricType::kGauge,
                    "Calls to plain services that wait for a place here."},
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -40,10 +40,10 @@
   2: LostRequest request
 }
 
-// The use of a tenant's quota by a router, told to the agents that keep the
-// ledger of the tenant. Amounts are totals of the incarnation of the router.
+// The use of a workspace's quota by a router, told to the agents that keep the
+// ledger of the workspace. Amounts are totals of the incarnation of the router.
 struct QuotaReport {
-  1: i64 tenant          // Hash of the name.
+  1: i64 workspace          // Hash of the name.
   2: double rate_per_s   // Of the quota, from the configuration.
   3: double burst
   4: i64 limits_version  // Of the configuration.
@@ -77,7 +77,7 @@
   16: list<i64> begun_parts  // Parts that the agent listed with a crash, and
                              // that have not crashed a server since.
   17: list<PlainServerCrash> plain_crashes  // Of about the last second.
-  18: list<QuotaReport> quotas  // Of the tenants whose ledger the agent keeps.
+  18: list<QuotaReport> quotas  // Of the workspaces whose ledger the agent keeps.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
@@ -134,9 +134,9 @@
   1: list<ServerCrash> crashes
 }
 
-// What the ledger of a tenant knows, as of the last reports.
+// What the ledger of a workspace knows, as of the last reports.
 struct QuotaView {
-  1: i64 tenant          // Hash of the name.
+  1: i64 workspace          // Hash of the name.
   2: double level        // Left in the bucket of all routers.
   3: double asked_per_s  // At all routers.
   4: double own_asked_per_s  // At the receiver.
@@ -144,7 +144,7 @@
 }
 
 // Sent by an agent to the routers that have reported quotas to it, with each
-// status and more often while a tenant is near its limit.
+// status and more often while a workspace is near its limit.
 struct QuotaViews {
   1: i64 incarnation     // Incarnation of the agent.
   2: i64 sequence        // Increases with each datagram of the incarnation.
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -698,8 +698,8 @@
 }
 
 
-void QuotaReport::__set_tenant(const int64_t val) {
-  this->tenant = val;
+void QuotaReport::__set_workspace(const int64_t val) {
+  this->workspace = val;
 }
 
 void QuotaReport::__set_rate_per_s(const double val) {
@@ -756,8 +756,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tenant);
-          this->__isset.tenant = true;
+          xfer += iprot->readI64(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -827,8 +827,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("QuotaReport");
 
-  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->tenant);
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->workspace);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("rate_per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
@@ -863,7 +863,7 @@
 
 void swap(QuotaReport &a, QuotaReport &b) {
   using ::std::swap;
-  swap(a.tenant, b.tenant);
+  swap(a.workspace, b.workspace);
   swap(a.rate_per_s, b.rate_per_s);
   swap(a.burst, b.burst);
   swap(a.limits_version, b.limits_version);
@@ -874,7 +874,7 @@
 }
 
 QuotaReport::QuotaReport(const QuotaReport& other16) noexcept {
-  tenant = other16.tenant;
+  workspace = other16.workspace;
   rate_per_s = other16.rate_per_s;
   burst = other16.burst;
   limits_version = other16.limits_version;
@@ -884,7 +884,7 @@
   __isset = other16.__isset;
 }
 QuotaReport& QuotaReport::operator=(const QuotaReport& other17) noexcept {
-  tenant = other17.tenant;
+  workspace = other17.workspace;
   rate_per_s = other17.rate_per_s;
   burst = other17.burst;
   limits_version = other17.limits_version;
@@ -897,7 +897,7 @@
 void QuotaReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "QuotaReport(";
-  out << "tenant=" << to_string(tenant);
+  out << "workspace=" << to_string(workspace);
   out << ", " << "rate_per_s=" << to_string(rate_per_s);
   out << ", " << "burst=" << to_string(burst);
   out << ", " << "limits_version=" << to_string(limits_version);
@@ -2504,8 +2504,8 @@
 }
 
 
-void QuotaView::__set_tenant(const int64_t val) {
-  this->tenant = val;
+void QuotaView::__set_workspace(const int64_t val) {
+  this->workspace = val;
 }
 
 void QuotaView::__set_level(const double val) {
@@ -2553,8 +2553,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tenant);
-          this->__isset.tenant = true;
+          xfer += iprot->readI64(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2608,8 +2608,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("QuotaView");
 
-  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->tenant);
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->workspace);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 2);
@@ -2635,7 +2635,7 @@
 
 void swap(QuotaView &a, QuotaView &b) {
   using ::std::swap;
-  swap(a.tenant, b.tenant);
+  swap(a.workspace, b.workspace);
   swap(a.level, b.level);
   swap(a.asked_per_s, b.asked_per_s);
   swap(a.own_asked_per_s, b.own_asked_per_s);
@@ -2644,7 +2644,7 @@
 }
 
 QuotaView::QuotaView(const QuotaView& other108) noexcept {
-  tenant = other108.tenant;
+  workspace = other108.workspace;
   level = other108.level;
   asked_per_s = other108.asked_per_s;
   own_asked_per_s = other108.own_asked_per_s;
@@ -2652,7 +2652,7 @@
   __isset = other108.__isset;
 }
 QuotaView& QuotaView::operator=(const QuotaView& other109) noexcept {
-  tenant = other109.tenant;
+  workspace = other109.workspace;
   level = other109.level;
   asked_per_s = other109.asked_per_s;
   own_asked_per_s = other109.own_asked_per_s;
@@ -2663,7 +2663,7 @@
 void QuotaView::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "QuotaView(";
-  out << "tenant=" << to_string(tenant);
+  out << "workspace=" << to_string(workspace);
   out << ", " << "level=" << to_string(level);
   out << ", " << "asked_per_s=" << to_string(asked_per_s);
   out << ", " << "own_asked_per_s=" << to_string(own_asked_per_s);
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -347,8 +347,8 @@
 std::ostream& operator<<(std::ostream& out, const PlainServerCrash& obj);
 
 typedef struct _QuotaReport__isset {
-  _QuotaReport__isset() : tenant(false), rate_per_s(false), burst(false), limits_version(false), used(false), asked(false), level(false) {}
-  bool tenant :1;
+  _QuotaReport__isset() : workspace(false), rate_per_s(false), burst(false), limits_version(false), used(false), asked(false), level(false) {}
+  bool workspace :1;
   bool rate_per_s :1;
   bool burst :1;
   bool limits_version :1;
@@ -363,7 +363,7 @@
   QuotaReport(const QuotaReport&) noexcept;
   QuotaReport& operator=(const QuotaReport&) noexcept;
   QuotaReport() noexcept
-              : tenant(0),
+              : workspace(0),
                 rate_per_s(0),
                 burst(0),
                 limits_version(0),
@@ -373,7 +373,7 @@
   }
 
   virtual ~QuotaReport() noexcept;
-  int64_t tenant;
+  int64_t workspace;
   double rate_per_s;
   double burst;
   int64_t limits_version;
@@ -383,7 +383,7 @@
 
   _QuotaReport__isset __isset;
 
-  void __set_tenant(const int64_t val);
+  void __set_workspace(const int64_t val);
 
   void __set_rate_per_s(const double val);
 
@@ -399,7 +399,7 @@
 
   bool operator == (const QuotaReport & rhs) const
   {
-    if (!(tenant == rhs.tenant))
+    if (!(workspace == rhs.workspace))
       return false;
     if (!(rate_per_s == rhs.rate_per_s))
       return false;
@@ -952,8 +952,8 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _QuotaView__isset {
-  _QuotaView__isset() : tenant(false), level(false), asked_per_s(false), own_asked_per_s(false), counted_use(false) {}
-  bool tenant :1;
+  _QuotaView__isset() : workspace(false), level(false), asked_per_s(false), own_asked_per_s(false), counted_use(false) {}
+  bool workspace :1;
   bool level :1;
   bool asked_per_s :1;
   bool own_asked_per_s :1;
@@ -966,7 +966,7 @@
   QuotaView(const QuotaView&) noexcept;
   QuotaView& operator=(const QuotaView&) noexcept;
   QuotaView() noexcept
-            : tenant(0),
+            : workspace(0),
               level(0),
               asked_per_s(0),
               own_asked_per_s(0),
@@ -974,7 +974,7 @@
   }
 
   virtual ~QuotaView() noexcept;
-  int64_t tenant;
+  int64_t workspace;
   double level;
   double asked_per_s;
   double own_asked_per_s;
@@ -982,7 +982,7 @@
 
   _QuotaView__isset __isset;
 
-  void __set_tenant(const int64_t val);
+  void __set_workspace(const int64_t val);
 
   void __set_level(const double val);
 
@@ -994,7 +994,7 @@
 
   bool operator == (const QuotaView & rhs) const
   {
-    if (!(tenant == rhs.tenant))
+    if (!(workspace == rhs.workspace))
       return false;
     if (!(level == rhs.level))
       return false;
--- a/src/agent_link/quota_codec.cc
+++ b/src/agent_link/quota_codec.cc
@@ -10,7 +10,7 @@
 
 agent_wire::QuotaReport Encode(const QuotaReport& report) {
   agent_wire::QuotaReport wire;
-  wire.tenant = static_cast<std::int64_t>(report.tenant);
+  wire.workspace = static_cast<std::int64_t>(report.workspace);
   wire.rate_per_s = report.limits.rate_per_s;
   wire.burst = report.limits.burst;
   wire.limits_version = report.limits_version;
@@ -24,7 +24,7 @@
 
 QuotaReport Decode(const agent_wire::QuotaReport& wire) {
   QuotaReport report;
-  report.tenant = static_cast<TenantId>(wire.tenant);
+  report.workspace = static_cast<WorkspaceId>(wire.workspace);
   report.limits = {std::max(wire.rate_per_s, 0.0), std::max(wire.burst, 0.0)};
   report.limits_version = wire.limits_version;
   report.use = wire.used;
@@ -37,7 +37,7 @@
 
 agent_wire::QuotaView Encode(const LedgerView& view) {
   agent_wire::QuotaView wire;
-  wire.tenant = static_cast<std::int64_t>(view.tenant);
+  wire.workspace = static_cast<std::int64_t>(view.workspace);
   wire.level = view.level;
   wire.asked_per_s = view.asked_per_s;
   wire.own_asked_per_s = view.own_asked_per_s;
@@ -46,8 +46,8 @@
 }
 
 LedgerView Decode(const agent_wire::QuotaView& wire) {
-  return {static_cast<TenantId>(wire.tenant), wire.level, wire.asked_per_s,
-          wire.own_asked_per_s, wire.counted_use};
+  return {static_cast<WorkspaceId>(wire.workspace), wire.level,
+          wire.asked_per_s, wire.own_asked_per_s, wire.counted_use};
 }
 
 template <typename To, typename From>
--- a/src/quota/quota_accounts.cc
+++ b/src/quota/quota_accounts.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Number of agents that keep the ledger of a tenant, so that the loss of one
+// Number of agents that keep the ledger of a workspace, so that the loss of one
 // forgets nothing.
-constexpr std::size_t kLedgersPerTenant = 2;
+constexpr std::size_t kLedgersPerWorkspace = 2;
 
 // A router reports early when callers have asked it for this share of an equal
 // part of the burst, but not more often than the interval.
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-TenantId IdOfTenant(std::string_view name) {
+WorkspaceId IdOfWorkspace(std::string_view name) {
   return Hash64(name);
 }
 
@@ -35,24 +35,24 @@
           limits.burst * factor + kSlackForCallers * slack.tolerance};
 }
 
-void QuotaAccounts::SetTenants(std::span<const Tenant> tenants,
-                               std::int64_t version) {
+void QuotaAccounts::SetWorkspaces(std::span<const Workspace> workspaces,
+                                  std::int64_t version) {
   std::map<std::string, Account, std::less<>> accounts;
-  for (const Tenant& tenant : tenants) {
-    if (tenant.quota.rate_per_s <= 0) {
+  for (const Workspace& workspace : workspaces) {
+    if (workspace.quota.rate_per_s <= 0) {
       continue;
     }
-    const auto known = accounts_.find(tenant.name);
+    const auto known = accounts_.find(workspace.name);
     Account account;
     if (known != accounts_.end()) {
       account = std::move(known->second);
     } else {
-      account.id = IdOfTenant(tenant.name);
+      account.id = IdOfWorkspace(workspace.name);
       ChooseLedgers(account);
     }
-    account.configured = tenant.quota;
-    account.limits = WithSlack(tenant.quota, slack_);
-    accounts.emplace(tenant.name, std::move(account));
+    account.configured = workspace.quota;
+    account.limits = WithSlack(workspace.quota, slack_);
+    accounts.emplace(workspace.name, std::move(account));
   }
   accounts_ = std::move(accounts);
   version_ = version;
@@ -79,7 +79,7 @@
   for (const Address& agent : agents_) {
     ranked.emplace_back(Hash64(FormatAddress(agent), account.id), &agent);
   }
-  const std::size_t count = std::min(kLedgersPerTenant, ranked.size());
+  const std::size_t count = std::min(kLedgersPerWorkspace, ranked.size());
   std::partial_sort(
       ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
       ranked.end(),
@@ -105,12 +105,12 @@
   return nullptr;
 }
 
-QuotaDecision QuotaAccounts::Take(std::string_view tenant,
+QuotaDecision QuotaAccounts::Take(std::string_view workspace,
                                   double cost,
                                   std::size_t instances,
                                   double random,
                                   Time now) {
-  const auto found = accounts_.find(tenant);
+  const auto found = accounts_.find(workspace);
   if (found == accounts_.end()) {
     return {};
   }
@@ -135,8 +135,8 @@
   return decision;
 }
 
-void QuotaAccounts::GiveBack(std::string_view tenant, double cost) {
-  const auto found = accounts_.find(tenant);
+void QuotaAccounts::GiveBack(std::string_view workspace, double cost) {
+  const auto found = accounts_.find(workspace);
   if (found != accounts_.end()) {
     found->second.use -= cost;
     ++found->second.counters.given_back;
@@ -172,7 +172,7 @@
       continue;
     }
     QuotaReport report;
-    report.tenant = account.id;
+    report.workspace = account.id;
     report.limits = account.limits;
     report.limits_version = version_;
     report.use = account.use;
@@ -200,7 +200,7 @@
   last = {incarnation, sequence};
   for (const LedgerView& view : views) {
     for (auto& [name, account] : accounts_) {
-      if (account.id == view.tenant &&
+      if (account.id == view.workspace &&
           std::find(account.ledgers.begin(), account.ledgers.end(), agent) !=
               account.ledgers.end()) {
         account.views[agent] = {now, view.level, view.asked_per_s,
@@ -214,7 +214,7 @@
   std::vector<Summary> summaries;
   for (const auto& [name, account] : accounts_) {
     Summary summary;
-    summary.tenant = name;
+    summary.workspace = name;
     summary.counters = account.counters;
     summary.limits = account.limits;
     summary.use = account.use;
--- a/src/quota/quota_decision.cc
+++ b/src/quota/quota_decision.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // The longest time until the ledger tells what others have admitted meanwhile,
-// while a tenant is near its limit.
+// while a workspace is near its limit.
 constexpr Duration kBlindTime = std::chrono::milliseconds(250);
 
 // The time over which the ledger averages what callers ask.
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -24,13 +24,13 @@
 constexpr Duration kReporterLifetime = std::chrono::seconds(60);
 
 // The bucket is overdrawn by at most the refill of this time, so that use that
-// was reported late does not stop a tenant for long.
+// was reported late does not stop a workspace for long.
 constexpr double kMaxDebtS = 3;
 
-// Below this share of the burst a tenant is near its limit.
+// Below this share of the burst a workspace is near its limit.
 constexpr double kNearLimitShare = 0.5;
 
-constexpr std::size_t kMaxTenants = 4096;
+constexpr std::size_t kMaxWorkspaces = 4096;
 
 }  // namespace
 
@@ -44,11 +44,11 @@
                           std::isfinite(report.limits.rate_per_s) &&
                           std::isfinite(report.limits.burst) &&
                           std::isfinite(report.level.value_or(0));
-    if (!is_valid ||
-        (tenants_.size() >= kMaxTenants && !tenants_.contains(report.tenant))) {
+    if (!is_valid || (workspaces_.size() >= kMaxWorkspaces &&
+                      !workspaces_.contains(report.workspace))) {
       continue;
     }
-    const auto [account, is_new] = tenants_.try_emplace(report.tenant);
+    const auto [account, is_new] = workspaces_.try_emplace(report.workspace);
     if (is_new) {
       account->second.created = now;
       account->second.refilled = now;
@@ -136,14 +136,14 @@
 std::vector<LedgerView> QuotaLedger::ViewsFor(const Address& router,
                                               Time now) const {
   std::vector<LedgerView> views;
-  for (const auto& [tenant, account] : tenants_) {
+  for (const auto& [workspace, account] : workspaces_) {
     const auto reporter = account.reporters.find(router);
     if (reporter == account.reporters.end() ||
         now - account.created < kWarmUp) {
       continue;
     }
     LedgerView view;
-    view.tenant = tenant;
+    view.workspace = workspace;
     view.level = Level(account, now);
     view.asked_per_s = AskedPerSecond(account, now);
     view.own_asked_per_s = reporter->second.asked_per_s;
@@ -154,21 +154,22 @@
 }
 
 bool QuotaLedger::IsNearLimit(Time now) const {
-  return std::any_of(tenants_.begin(), tenants_.end(), [now](const auto& item) {
-    const Account& account = item.second;
-    return account.limits.rate_per_s > 0 &&
-           (Level(account, now) < kNearLimitShare * account.limits.burst ||
-            AskedPerSecond(account, now) > account.limits.rate_per_s);
-  });
+  return std::any_of(
+      workspaces_.begin(), workspaces_.end(), [now](const auto& item) {
+        const Account& account = item.second;
+        return account.limits.rate_per_s > 0 &&
+               (Level(account, now) < kNearLimitShare * account.limits.burst ||
+                AskedPerSecond(account, now) > account.limits.rate_per_s);
+      });
 }
 
 void QuotaLedger::Expire(Time now) {
-  for (auto& [tenant, account] : tenants_) {
+  for (auto& [workspace, account] : workspaces_) {
     std::erase_if(account.reporters, [now](const auto& item) {
       return now - item.second.reported >= kReporterLifetime;
     });
   }
-  std::erase_if(tenants_,
+  std::erase_if(workspaces_,
                 [](const auto& item) { return item.second.reporters.empty(); });
 }
 
--- a/src/quota/quota_test.cc
+++ b/src/quota/quota_test.cc
@@ -25,7 +25,7 @@
 constexpr Duration kCalmViewInterval = milliseconds(250);
 constexpr Duration kViewInterval = milliseconds(100);  // Near the limit.
 
-// The bound on the use of a tenant in any window.
+// The bound on the use of a workspace in any window.
 constexpr double kWindowS = 8;
 constexpr double kOvershoot = 1.25;
 constexpr double kTolerance = 110'000;
@@ -38,12 +38,12 @@
 constexpr double kMeanCost =
     (1 - kLongShare) * kShortCost + kLongShare * kLongCost;
 
-Tenant MakeTenant(std::string name, double rate_per_s) {
-  Tenant tenant;
-  tenant.name = std::move(name);
-  tenant.quota = {rate_per_s, rate_per_s};
-  tenant.counts_tokens = true;
-  return tenant;
+Workspace MakeWorkspace(std::string name, double rate_per_s) {
+  Workspace workspace;
+  workspace.name = std::move(name);
+  workspace.quota = {rate_per_s, rate_per_s};
+  workspace.counts_tokens = true;
+  return workspace;
 }
 
 Address AddressOf(int number) {
@@ -55,15 +55,15 @@
 // exponent of 1.
 class QuotaFleet {
  public:
-  QuotaFleet(int routers, int agents, std::vector<Tenant> tenants)
-      : tenants_(std::move(tenants)) {
+  QuotaFleet(int routers, int agents, std::vector<Workspace> workspaces)
+      : workspaces_(std::move(workspaces)) {
     for (int i = 0; i < agents; ++i) {
       agents_.push_back({AddressOf(100 + i), {}, 1, 0, {}});
     }
     for (int i = 0; i < routers; ++i) {
       AddRouter();
     }
-    usual_per_s_.assign(tenants_.size(), 0);
+    usual_per_s_.assign(workspaces_.size(), 0);
   }
 
   void AddRouter() {
@@ -85,8 +85,8 @@
     agents_[agent].incarnation = ++last_incarnation_;
   }
 
-  void SetTenants(std::vector<Tenant> tenants) {
-    tenants_ = std::move(tenants);
+  void SetWorkspaces(std::vector<Workspace> workspaces) {
+    workspaces_ = std::move(workspaces);
     ++version_;
     for (std::size_t i = 0; i < routers_.size(); ++i) {
       Configure(i);
@@ -102,8 +102,8 @@
     }
   }
 
-  void SetUsual(std::size_t tenant, double per_s) {
-    usual_per_s_[tenant] = per_s;
+  void SetUsual(std::size_t workspace, double per_s) {
+    usual_per_s_[workspace] = per_s;
   }
 
   void Run(Duration duration) {
@@ -111,17 +111,18 @@
     while (now_ < end) {
       now_ += kStep;
       Deliver();
-      for (std::size_t tenant = 0; tenant < tenants_.size(); ++tenant) {
-        AskFor(tenant);
+      for (std::size_t workspace = 0; workspace < workspaces_.size();
+           ++workspace) {
+        AskFor(workspace);
       }
       SendReports();
       SendViews();
     }
   }
 
-  // Returns the highest use of a tenant in a window since the start.
-  double HighestUse(const std::string& tenant) const {
-    const auto found = used_.find(tenant);
+  // Returns the highest use of a workspace in a window since the start.
+  double HighestUse(const std::string& workspace) const {
+    const auto found = used_.find(workspace);
     if (found == used_.end()) {
       return 0;
     }
@@ -143,9 +144,9 @@
     int asked = 0;
     int refused = 0;
   };
-  // Returns the requests of a tenant since the last call.
-  Asked TakeAsked(const std::string& tenant) {
-    return std::exchange(asked_[tenant], {});
+  // Returns the requests of a workspace since the last call.
+  Asked TakeAsked(const std::string& workspace) {
+    return std::exchange(asked_[workspace], {});
   }
   int messages() const { return messages_; }
 
@@ -181,7 +182,7 @@
   }
 
   void Configure(std::size_t router) {
-    routers_[router].accounts.SetTenants(tenants_, version_);
+    routers_[router].accounts.SetWorkspaces(workspaces_, version_);
     routers_[router].accounts.SetAgents(LiveAgents());
   }
 
@@ -201,21 +202,21 @@
   }
 
   void AskFor(std::size_t index) {
-    const Tenant& tenant = tenants_[index];
+    const Workspace& workspace = workspaces_[index];
     const double mean = usual_per_s_[index] / kMeanCost * ToSeconds(kStep);
     const int count = std::poisson_distribution<int>(mean)(random_);
     for (int i = 0; i < count; ++i) {
       const double cost =
           uniform_(random_) < kLongShare ? kLongCost : kShortCost;
       Router& router = routers_[PickRouter()];
-      ++asked_[tenant.name].asked;
+      ++asked_[workspace.name].asked;
       const QuotaDecision decision = router.accounts.Take(
-          tenant.name, cost, routers_.size(), uniform_(random_), now_);
+          workspace.name, cost, routers_.size(), uniform_(random_), now_);
       if (decision.admitted) {
-        used_[tenant.name].push_back({now_, cost});
+        used_[workspace.name].push_back({now_, cost});
       } else {
         CHECK(decision.retry_after > Duration::zero());
-        ++asked_[tenant.name].refused;
+        ++asked_[workspace.name].refused;
       }
     }
   }
@@ -286,7 +287,7 @@
   Time now_ = kStart;
   std::mt19937 random_{1};
   std::uniform_real_distribution<double> uniform_{0, 1};
-  std::vector<Tenant> tenants_;
+  std::vector<Workspace> workspaces_;
   std::int64_t version_ = 1;
   Incarnation last_incarnation_ = 0;
   std::deque<Router> routers_;
@@ -308,13 +309,13 @@
 
 }  // namespace
 
-// The load of a customer: a large and a small tenant at their usual rate, at 49
-// routers that callers reach unevenly.
+// The load of a customer: a large and a small workspace at their usual rate, at
+// 49 routers that callers reach unevenly.
 TEST_GROUP(Quota) {
   QuotaFleet fleet_{
       49,
       12,
-      {MakeTenant("large", kLargeRate), MakeTenant("small", kSmallRate)}};
+      {MakeWorkspace("large", kLargeRate), MakeWorkspace("small", kSmallRate)}};
 
   void setup() override {
     // Routers and agents run for a while before traffic starts.
@@ -324,21 +325,21 @@
     fleet_.Run(std::chrono::seconds(8));
   }
 
-  // Checks that a tenant within its quota has lost at most 1 of 100 requests to
-  // it since the last check.
-  void CheckServed(const std::string& tenant) {
-    const QuotaFleet::Asked asked = fleet_.TakeAsked(tenant);
+  // Checks that a workspace within its quota has lost at most 1 of 100 requests
+  // to it since the last check.
+  void CheckServed(const std::string& workspace) {
+    const QuotaFleet::Asked asked = fleet_.TakeAsked(workspace);
     CHECK(asked.asked > 0);
-    const std::string text = tenant + ": " + std::to_string(asked.refused) +
+    const std::string text = workspace + ": " + std::to_string(asked.refused) +
                              " of " + std::to_string(asked.asked) + " refused";
     CHECK_TRUE_TEXT(asked.refused * 100 <= asked.asked, text.c_str());
   }
 
-  void CheckBound(const std::string& tenant, double rate_per_s) {
-    const std::string text = tenant + ": " +
-                             std::to_string(fleet_.HighestUse(tenant)) +
+  void CheckBound(const std::string& workspace, double rate_per_s) {
+    const std::string text = workspace + ": " +
+                             std::to_string(fleet_.HighestUse(workspace)) +
                              " of " + std::to_string(WindowBound(rate_per_s));
-    CHECK_TRUE_TEXT(fleet_.HighestUse(tenant) <= WindowBound(rate_per_s),
+    CHECK_TRUE_TEXT(fleet_.HighestUse(workspace) <= WindowBound(rate_per_s),
                     text.c_str());
   }
 
@@ -348,19 +349,19 @@
   }
 };
 
-// Guards against refusing tenants that stay within their quotas, as equal
+// Guards against refusing workspaces that stay within their quotas, as equal
 // shares of uneven routers would.
-TEST(Quota, TenantsWithinTheirQuotaAreServed) {
+TEST(Quota, WorkspacesWithinTheirQuotaAreServed) {
   fleet_.Run(std::chrono::seconds(10));
   CheckServed("large");
   CheckServed("small");
   CheckBounds();
 }
 
-// Guards against a tenant that sends nine times its usual at all routers at
+// Guards against a workspace that sends nine times its usual at all routers at
 // once and gets more than its quota, and against others that pay for it. Most
 // of its quota is still served.
-TEST(Quota, HotTenantStaysWithinItsQuota) {
+TEST(Quota, HotWorkspaceStaysWithinItsQuota) {
   fleet_.TakeAsked("large");
   fleet_.SetUsual(0, 9 * kUsualShare * kLargeRate);
   fleet_.Run(std::chrono::seconds(7));
@@ -375,9 +376,9 @@
   CheckBounds();
 }
 
-// Guards against a small tenant whose burst passes while large requests find no
-// room in the share of a router.
-TEST(Quota, SmallHotTenantStaysWithinItsQuota) {
+// Guards against a small workspace whose burst passes while large requests find
+// no room in the share of a router.
+TEST(Quota, SmallHotWorkspaceStaysWithinItsQuota) {
   fleet_.SetUsual(1, 9 * kUsualShare * kSmallRate);
   fleet_.Run(std::chrono::seconds(7));
   const QuotaFleet::Asked hot = fleet_.TakeAsked("small");
@@ -387,7 +388,7 @@
 }
 
 // Guards against routers that hear nothing of the others and spend the whole
-// quota each: a third of them for 10 s, while a tenant is hot.
+// quota each: a third of them for 10 s, while a workspace is hot.
 TEST(Quota, DeafRoutersSpendTheirPartOnly) {
   for (std::size_t i = 0; i < 49; i += 3) {
     fleet_.SetDeaf(i, true);
@@ -409,7 +410,7 @@
 }
 
 // Guards against routers that start anew with the whole quota, and against
-// tenants that are refused while all routers restart in turn.
+// workspaces that are refused while all routers restart in turn.
 TEST(Quota, RestartsInTurnNeitherAddNorTakeQuota) {
   for (std::size_t i = 0; i < 49; ++i) {
     fleet_.Restart(i);
@@ -426,7 +427,7 @@
 }
 
 // Guards against the loss of use with the agents that keep a ledger: all agents
-// but one end in turn and start again, while a tenant is hot.
+// but one end in turn and start again, while a workspace is hot.
 TEST(Quota, LostLedgersKeepTheBound) {
   fleet_.SetUsual(0, 9 * kUsualShare * kLargeRate);
   for (std::size_t i = 0; i < 11; ++i) {
@@ -445,8 +446,8 @@
 // Guards against a limit that is lowered far below what is being sent and takes
 // effect at some routers only.
 TEST(Quota, LowerLimitBindsAfterOneWindow) {
-  fleet_.SetTenants(
-      {MakeTenant("lower", kLargeRate / 4), MakeTenant("small", kSmallRate)});
+  fleet_.SetWorkspaces({MakeWorkspace("lower", kLargeRate / 4),
+                        MakeWorkspace("small", kSmallRate)});
   fleet_.SetUsual(0, kUsualShare * kLargeRate);
   fleet_.Run(std::chrono::seconds(12));
   CheckBound("lower", kLargeRate / 4);
@@ -471,8 +472,8 @@
 // Guards against a request that was charged and did not run.
 TEST(Quota, RefusedWorkIsGivenBack) {
   QuotaAccounts accounts;
-  const std::vector<Tenant> tenants = {MakeTenant("t", 1000)};
-  accounts.SetTenants(tenants, 1);
+  const std::vector<Workspace> workspaces = {MakeWorkspace("t", 1000)};
+  accounts.SetWorkspaces(workspaces, 1);
   accounts.SetAgents({AddressOf(1)});
   CHECK(accounts.Take("t", 10, 4, 0.5, kStart).admitted);
   DOUBLES_EQUAL(10, accounts.ReportsFor(AddressOf(1), kStart)[0].use, 0);
@@ -484,7 +485,7 @@
 TEST(Quota, OddReportsAreIgnored) {
   QuotaLedger ledger;
   QuotaReport report;
-  report.tenant = 1;
+  report.workspace = 1;
   report.limits = {1000, 1000};
   report.use = std::numeric_limits<double>::quiet_NaN();
   ledger.Put(AddressOf(1), 1, std::span(&report, 1), kStart);
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -47,11 +47,11 @@
          FindHeader(head.headers, "transfer-encoding").empty();
 }
 
-// Returns `route` with the priority of `tenant`, if it has its own.
-Route WithTenantPriority(const Route& route, const Tenant* tenant) {
+// Returns `route` with the priority of `workspace`, if it has its own.
+Route WithWorkspacePriority(const Route& route, const Workspace* workspace) {
   Route result = route;
-  if (tenant != nullptr && tenant->priority) {
-    result.priority = *tenant->priority;
+  if (workspace != nullptr && workspace->priority) {
+    result.priority = *workspace->priority;
   }
   return result;
 }
@@ -67,11 +67,12 @@
     : environment_(environment),
       request_(std::move(request)),
       info_(std::move(info)),
-      route_(WithTenantPriority(route, identity.tenant)),
-      tenant_(identity.tenant == nullptr ? "" : identity.tenant->name),
-      quota_cost_(
-          identity.tenant == nullptr ? 0 : QuotaCost(*identity.tenant, info_)),
-      drops_caller_tenant_(identity.has_tenants),
+      route_(WithWorkspacePriority(route, identity.workspace)),
+      workspace_(identity.workspace == nullptr ? "" : identity.workspace->name),
+      quota_cost_(identity.workspace == nullptr
+                      ? 0
+                      : QuotaCost(*identity.workspace, info_)),
+      drops_caller_workspace_(identity.has_workspaces),
       responder_(std::move(responder)) {
   progress_.kind = route_.kind;
   progress_.resumable = route_.resumable;
@@ -269,8 +270,8 @@
   SendOptions options;
   options.expected_server = id;
   options.time_left = deadline_ - now;
-  options.drops_caller_tenant = drops_caller_tenant_;
-  options.tenant = tenant_;
+  options.drops_caller_workspace = drops_caller_workspace_;
+  options.workspace = workspace_;
   if (is_generation_) {
     options.priority = route_.priority;
     options.expected_version = version;
@@ -554,19 +555,19 @@
 
 bool RelayCall::EndIfRevoked(Time now) {
   const std::int64_t version = environment_.fleet.config_version();
-  if (tenant_.empty() || version == key_config_version_) {
+  if (workspace_.empty() || version == key_config_version_) {
     return false;
   }
   const RouteTable& table = environment_.fleet.table();
   const CallerIdentity identity = IdentifyCaller(table, route_, info_);
-  if (identity.allowed &&
-      (identity.tenant == nullptr || identity.tenant->name == tenant_)) {
+  if (identity.allowed && (identity.workspace == nullptr ||
+                           identity.workspace->name == workspace_)) {
     key_config_version_ = version;
     return false;
   }
   environment_.log.Write(LogLevel::kInfo, "key_revoked",
                          {{"request", info_.attempt_id},
-                          {"tenant", tenant_},
+                          {"workspace", workspace_},
                           {"config", std::to_string(version)}});
   if (progress_.answer_begun) {
     TakeStep(RelayStep::kBreakOff, now);
@@ -731,7 +732,7 @@
   result.service = service_;
   result.duration = now - started_;
   result.may_have_run = progress_.may_have_run > 0;
-  result.tenant = tenant_;
+  result.workspace = workspace_;
   result.quota_cost = quota_cost_;
   on_done_(result);
 }
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -21,7 +21,7 @@
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/routing/route_table.h"
 #include "amaranthcove/suspects/crash_table.h"
-#include "amaranthcove/tenants/authentication.h"
+#include "amaranthcove/workspaces/authentication.h"
 #include "src/router/answer_gate.h"
 #include "src/router/crash_checker.h"
 #include "src/router/fleet.h"
@@ -48,7 +48,7 @@
   std::string service;
   Duration duration = Duration::zero();
   bool may_have_run = false;
-  std::string tenant;  // Empty for callers without one.
+  std::string workspace;  // Empty for callers without one.
   double quota_cost = 0;
 };
 
@@ -187,10 +187,10 @@
   const HttpRequest request_;
   const RequestInfo info_;
   const Route route_;
-  const std::string tenant_;  // Empty for callers without one.
-  const double quota_cost_;   // What the request was charged.
-  // Whether the caller's own key and tenant are not passed on.
-  const bool drops_caller_tenant_;
+  const std::string workspace_;  // Empty for callers without one.
+  const double quota_cost_;      // What the request was charged.
+  // Whether the caller's own key and workspace are not passed on.
+  const bool drops_caller_workspace_;
   // The latest configuration that lists the caller's key.
   std::int64_t key_config_version_ = 0;
   // What may crash a server: the request as a whole, which may come again, and
--- a/src/router/relay_call_log.cc
+++ b/src/router/relay_call_log.cc
@@ -101,7 +101,7 @@
       LogLevel::kInfo, "request_end",
       {{"request", info_.attempt_id},
        {"route", route_.name},
-       {"tenant", tenant_},
+       {"workspace", workspace_},
        {"config", std::to_string(config_version_)},
        {"config_age_ms", std::to_string(ToMilliseconds(config_age_))},
        {"service", service_},
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -152,11 +152,11 @@
                            Time now);
   // Applies the configured limits of callers to the HTTP server.
   void ApplyLimits();
-  // Applies the configured quotas of tenants.
+  // Applies the configured quotas of workspaces.
   void ApplyQuotas();
-  // Takes the request out of the quota of its tenant. Refuses it, and returns
-  // false, if the quota does not cover it.
-  bool TakeQuota(const Tenant& tenant,
+  // Takes the request out of the quota of its workspace. Refuses it, and
+  // returns false, if the quota does not cover it.
+  bool TakeQuota(const Workspace& workspace,
                  const RequestInfo& info,
                  HttpResponder& responder,
                  Time now);
@@ -189,8 +189,8 @@
   void OnDatagram(const Address& sender, std::string_view bytes);
   // Returns the estimates of the services with engines.
   nlohmann::json DumpServices(Time now) const;
-  // Returns the quotas of tenants and what was done about them.
-  nlohmann::json DumpTenants(Time now) const;
+  // Returns the quotas of workspaces and what was done about them.
+  nlohmann::json DumpWorkspaces(Time now) const;
   void NotifyCalls(std::string_view server);
   // Records a request that was lost in the crash of a plain server, and tells
   // the other routers by way of an agent.
@@ -352,17 +352,17 @@
 void RouterImpl::ApplyQuotas() {
   if (fleet_.has_config()) {
     const RoutingConfig& config = fleet_.table().config();
-    quotas_.SetTenants(config.tenants, config.version);
+    quotas_.SetWorkspaces(config.workspaces, config.version);
   }
 }
 
-bool RouterImpl::TakeQuota(const Tenant& tenant,
+bool RouterImpl::TakeQuota(const Workspace& workspace,
                            const RequestInfo& info,
                            HttpResponder& responder,
                            Time now) {
-  const double cost = QuotaCost(tenant, info);
+  const double cost = QuotaCost(workspace, info);
   const QuotaDecision decision =
-      quotas_.Take(tenant.name, cost, links_.router_count(now),
+      quotas_.Take(workspace.name, cost, links_.router_count(now),
                    UnitHash(info.attempt_id, key_salt_), now);
   for (const Address& agent :
        quotas_.TakeUrgentReports(links_.router_count(now), now)) {
@@ -375,14 +375,14 @@
   log_.Write(
       LogLevel::kInfo, "quota_exceeded",
       {{"request", info.attempt_id},
-       {"tenant", tenant.name},
+       {"workspace", workspace.name},
        {"cost", std::to_string(static_cast<std::int64_t>(cost))},
        {"available",
         std::to_string(static_cast<std::int64_t>(decision.available))},
        {"basis", std::string(QuotaBasisName(decision.basis))},
        {"view_age_ms", std::to_string(ToMilliseconds(decision.view_age))},
        {"rate_per_s",
-        std::to_string(static_cast<std::int64_t>(tenant.quota.rate_per_s))},
+        std::to_string(static_cast<std::int64_t>(workspace.quota.rate_per_s))},
        {"retry_after_ms", std::to_string(ToMilliseconds(decision.retry_after))},
        {"config", std::to_string(fleet_.config_version())}});
   SendRefusal(kTooManyRequests, "quota_exceeded", decision.retry_after,
@@ -422,7 +422,7 @@
     return;
   }
   const CallerIdentity identity = IdentifyCaller(fleet_.table(), *route, info);
-  if (identity.has_tenants && !route->is_public && AreKeysTooOld(now)) {
+  if (identity.has_workspaces && !route->is_public && AreKeysTooOld(now)) {
     Refuse(info, kServiceUnavailable, "keys_too_old", *responder);
     return;
   }
@@ -435,8 +435,8 @@
     Refuse(info, kBadRequest, "model_not_utf8", *responder);
     return;
   }
-  if (identity.tenant != nullptr &&
-      !TakeQuota(*identity.tenant, info, *responder, now)) {
+  if (identity.workspace != nullptr &&
+      !TakeQuota(*identity.workspace, info, *responder, now)) {
     return;
   }
   const std::uint64_t id = next_call_++;
@@ -502,8 +502,8 @@
 
 void RouterImpl::OnCallDone(std::uint64_t call, const RelayResult& result) {
   request_metrics_.Count(result);
-  if (!result.tenant.empty() && !result.may_have_run) {
-    quotas_.GiveBack(result.tenant, result.quota_cost);
+  if (!result.workspace.empty() && !result.may_have_run) {
+    quotas_.GiveBack(result.workspace, result.quota_cost);
   }
   done_calls_.push_back(call);
   if (cleanup_timer_ == 0) {
@@ -695,10 +695,10 @@
   return services;
 }
 
-nlohmann::json RouterImpl::DumpTenants(Time now) const {
-  nlohmann::json tenants = nlohmann::json::object();
+nlohmann::json RouterImpl::DumpWorkspaces(Time now) const {
+  nlohmann::json workspaces = nlohmann::json::object();
   for (const QuotaAccounts::Summary& summary : quotas_.Summaries(now)) {
-    tenants[summary.tenant] = {
+    workspaces[summary.workspace] = {
         {"admitted", summary.counters.admitted},
         {"limited", summary.counters.limited},
         {"given_back", summary.counters.given_back},
@@ -707,7 +707,7 @@
         {"level", summary.level},
         {"view_age_ms", ToMilliseconds(summary.view_age)}};
   }
-  return tenants;
+  return workspaces;
 }
 
 nlohmann::json RouterImpl::Dump() const {
@@ -742,7 +742,7 @@
   return {
       {"instance", settings_.instance},
       {"services", DumpServices(now)},
-      {"tenants", DumpTenants(now)},
+      {"workspaces", DumpWorkspaces(now)},
       {"ready", ready()},
       {"config_version", fleet_.config_version()},
       {"config_age_s", ToSeconds(fleet_.ConfigAge(now))},
--- a/src/tenants/authentication.cc
+++ b/src/workspaces/authentication.cc
@@ -1,4 +1,4 @@
-#include "amaranthcove/tenants/authentication.h"
+#include "amaranthcove/workspaces/authentication.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -22,14 +22,14 @@
                               const Route& route,
                               const RequestInfo& info) {
   CallerIdentity identity;
-  identity.has_tenants = table.has_tenants();
-  if (!identity.has_tenants || route.is_public) {
+  identity.has_workspaces = table.has_workspaces();
+  if (!identity.has_workspaces || route.is_public) {
     identity.allowed = true;
     return identity;
   }
-  identity.tenant =
-      info.has_malformed_key ? nullptr : table.FindTenant(info.key);
-  identity.allowed = identity.tenant != nullptr;
+  identity.workspace =
+      info.has_malformed_key ? nullptr : table.FindWorkspace(info.key);
+  identity.allowed = identity.workspace != nullptr;
   return identity;
 }
 
@@ -44,12 +44,12 @@
   return text;
 }
 
-double QuotaCost(const Tenant& tenant, const RequestInfo& info) {
-  if (!tenant.counts_tokens) {
+double QuotaCost(const Workspace& workspace, const RequestInfo& info) {
+  if (!workspace.counts_tokens) {
     return 1;
   }
   if (!info.has_token_usage) {
-    return tenant.uncounted_tokens;
+    return workspace.uncounted_tokens;
   }
   const auto bounded = [](std::int64_t tokens) {
     return static_cast<double>(
