fair_share: let workspaces take turns where requests wait

Change: the order is rank, then turns of the workspaces by what they were served in about the last second and the size of their quota, then waiting time. The workspace and its weight pass with each request that waits, in messages that pass anyway. Without workspaces the order is as before.

Measured: PlaceQueue.BurstOfOneWorkspaceDoesNotDelayOthers failed with turns by requests in service alone (one place went to the older requests of the burst each time), which is why the last second counts; fair_share, places and adapter_plan tests pass now.

--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -143,6 +143,7 @@
   std::map<Address, Entry> entries_;
   std::optional<Time> late_pauses_seen_;
   std::deque<SentTokens> sent_;  // In the order of time.
+  RecentService recent_;         // The prompts that were admitted.
   LastUseTimes last_uses_;
   EngineCapacity capacity_;
   std::vector<AgentModel> models_;
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -16,6 +16,7 @@
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/fair_share/fair_order.h"
 #include "amaranthcove/quota/quota_ledger.h"
 #include "amaranthcove/suspects/crash_table.h"
 
@@ -56,6 +57,7 @@
 struct WaitingRequest {
   int priority = 0;   // 0 is the most urgent.
   Time useful_until;  // The request is late if the load begins after this time.
+  FairShare share{};
 
   bool operator==(const WaitingRequest&) const = default;
 };
--- a/include/amaranthcove/places/place_client.h
+++ b/include/amaranthcove/places/place_client.h
@@ -51,6 +51,7 @@
                    std::vector<PlaceOption> options,
                    int priority,
                    Time useful_until,
+                   const FairShare& share,
                    Time now);
 
   // Returns whether the agent has answered any demand with the ask of the call.
@@ -91,7 +92,7 @@
   };
   struct Service {
     std::map<std::int64_t, Asked> asked;
-    std::map<std::int64_t, ServerHash> running;
+    std::map<std::int64_t, PlaceUse> running;
     Time next_send;  // In the past after a change.
     bool told_empty = true;
     // Of the last answer, and the agent that it came from.
--- a/include/amaranthcove/places/place_queue.h
+++ b/include/amaranthcove/places/place_queue.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/ids.h"
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/fair_share/fair_order.h"
 
 namespace amaranthcove {
 
@@ -33,12 +33,14 @@
   std::vector<PlaceOption> options;
   int priority = 0;                        // 0 is the most urgent.
   Duration useful_for = Duration::zero();  // The call is late afterwards.
+  FairShare share{};
 };
 
 // A call that has a place.
 struct PlaceUse {
   std::int64_t id = 0;
   ServerHash server = 0;
+  WorkspaceId workspace = 0;  // 0 for callers without one.
 
   bool operator==(const PlaceUse&) const = default;
 };
@@ -82,8 +84,9 @@
   // Grants free places and returns the sources that got one.
   //
   // Answers more calls than places from many routers at the same moment: the
-  // most urgent call that can still be on time comes first, then the earliest;
-  // late calls get what is left. No server has more calls than places.
+  // most urgent call that can still be on time comes first, by turns of the
+  // workspaces and then the earliest; late calls get what is left. No server
+  // has more calls than places.
   std::set<Source> Grant(Time now);
 
   // Returns all grants of `source` whose calls it does not list as running yet.
@@ -114,17 +117,24 @@
     Incarnation incarnation = 0;
     std::int64_t sequence = 0;
     Time received;
-    std::map<std::int64_t, Waiting> waiting;     // By id.
-    std::map<std::int64_t, ServerHash> granted;  // By id; not running yet.
-    std::map<std::int64_t, ServerHash> running;  // By id.
+    std::map<std::int64_t, Waiting> waiting;   // By id.
+    std::map<std::int64_t, PlaceUse> granted;  // By id; not running yet.
+    std::map<std::int64_t, PlaceUse> running;  // By id.
+  };
+  // A call that waits, by its source and id.
+  using CallKey = std::pair<Source, std::int64_t>;
+  // The calls that are granted or run.
+  struct CallCounts {
+    std::map<ServerHash, int> by_server;
+    std::map<WorkspaceId, double> by_workspace;  // And served lately.
   };
 
-  // Waiting calls by whether they are late, their priority and their age.
-  using Rank = std::tuple<bool, int, Time, Source, std::int64_t>;
-  std::vector<Rank> RankWaiting(Time now) const;
-  std::map<ServerHash, int> CallsByServer() const;
+  // Returns the waiting calls in the order in which they get places.
+  std::vector<CallKey> OrderWaiting(const CallCounts& counts, Time now) const;
+  CallCounts CountCalls(Time now) const;
 
   std::map<Source, State> sources_;
+  RecentService recent_;
 };
 
 }  // namespace amaranthcove
--- a/include/amaranthcove/quota/quota_accounts.h
+++ b/include/amaranthcove/quota/quota_accounts.h
@@ -17,9 +17,6 @@
 
 namespace amaranthcove {
 
-// Returns the id of the workspace called `name`. Thread-safe.
-WorkspaceId IdOfWorkspace(std::string_view name);
-
 // By how much the use of a quota may exceed it in any window, for every
 // workspace.
 struct QuotaSlack {
@@ -67,8 +64,9 @@
                      double random,
                      Time now);
 
-  // Gives back the cost of a request that was admitted and has not run.
-  void GiveBack(std::string_view workspace, double cost);
+  // Gives back the cost of a request that was admitted and has not run. Returns
+  // whether its workspace has a quota.
+  bool GiveBack(std::string_view workspace, double cost);
 
   // Returns the agents that have to be told soon, because much was used since
   // the last report. Each is returned once for each such use.
--- a/include/amaranthcove/quota/quota_ledger.h
+++ b/include/amaranthcove/quota/quota_ledger.h
@@ -14,9 +14,6 @@
 
 namespace amaranthcove {
 
-// Identifies a workspace by the hash of its name.
-using WorkspaceId = std::uint64_t;
-
 // What a router tells the ledgers of a workspace. Amounts are totals since the
 // start of the router, so that the next report makes up for a lost one.
 struct QuotaReport {
--- a/include/amaranthcove/routing/route_table.h
+++ b/include/amaranthcove/routing/route_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "amaranthcove/base/time.h"
+#include "amaranthcove/fair_share/fair_order.h"
 #include "amaranthcove/workspaces/workspace.h"
 
 namespace amaranthcove {
@@ -109,6 +110,9 @@
   // Returns whether callers need a key of a workspace.
   bool has_workspaces() const { return !config_.workspaces.empty(); }
 
+  // Returns the quotas by which the shares of workspaces are measured.
+  const ShareScale& share_scale() const { return share_scale_; }
+
   // Returns the workspace that holds `key`, or null. The pointer is valid as
   // long as the table.
   const Workspace* FindWorkspace(std::string_view key) const {
@@ -125,6 +129,7 @@
            std::less<>>
       by_host_;
   WorkspaceKeys keys_;
+  ShareScale share_scale_;
 };
 
 // Picks a service with a probability in proportion to its weight, and the first
--- a/include/amaranthcove/workspaces/authentication.h
+++ b/include/amaranthcove/workspaces/authentication.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "amaranthcove/fair_share/fair_order.h"
 #include "amaranthcove/relay/request_info.h"
 #include "amaranthcove/routing/route_table.h"
 #include "amaranthcove/workspaces/workspace.h"
@@ -18,6 +19,7 @@
   bool allowed = false;
   // Null for public routes and without workspaces. Valid as long as the table.
   const Workspace* workspace = nullptr;
+  FairShare share;  // Of the workspace, where requests wait.
 };
 
 // Returns the identity of the caller of `info` on `route` by the keys that
--- a/include/amaranthcove/workspaces/workspace.h
+++ b/include/amaranthcove/workspaces/workspace.h
@@ -2,6 +2,7 @@
 #define AMARANTHCOVE_WORKSPACES_WORKSPACE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +11,12 @@
 
 namespace amaranthcove {
 
+// Identifies a workspace by the hash of its name; 0 is none.
+using WorkspaceId = std::uint64_t;
+
+// Returns the id of the workspace called `name`. Thread-safe.
+WorkspaceId IdOfWorkspace(std::string_view name);
+
 // What a workspace may use over all instances together. A rate of 0 is no
 // limit.
 struct QuotaLimits {
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -136,7 +136,11 @@
   demand.sequence = wire.sequence;
   demand.prompt_tokens = wire.prompt_tokens;
   for (const agent_wire::WaitingPrompt& prompt : wire.prompts) {
-    demand.prompts.push_back({prompt.id, prompt.tokens, prompt.rank});
+    demand.prompts.push_back(
+        {prompt.id,
+         prompt.tokens,
+         prompt.rank,
+         {static_cast<WorkspaceId>(prompt.workspace), prompt.weight}});
   }
   demand.sent_tokens = wire.sent_tokens;
   demand.has_late_pauses = wire.has_late_pauses;
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -193,17 +193,18 @@
         unread_tokens += prompt.demand.tokens;
         ++requests;
       } else {
-        waiting.push_back(
-            {prompt.demand.tokens, prompt.demand.rank, prompt.since});
+        waiting.push_back({prompt.demand.tokens, prompt.demand.rank,
+                           prompt.since, prompt.demand.share});
         asked.push_back(&prompt);
       }
     }
   }
   const Duration period = std::min(limits.gap, kLoadLifetime);
   const std::int64_t tokens = std::max(unread_tokens, SentSince(now - period));
-  for (const std::size_t index :
-       amaranthcove::AdmitPrompts(waiting, limits, tokens, requests)) {
+  for (const std::size_t index : amaranthcove::AdmitPrompts(
+           waiting, limits, tokens, requests, CountsAt(recent_, now))) {
     asked[index]->admitted = true;
+    AddService(recent_, asked[index]->demand.share.workspace, now);
     sent_.push_back({now, asked[index]->demand.tokens});
   }
   std::map<Address, std::vector<std::int64_t>> result;
--- a/src/adapter_agent/prompt_admission.cc
+++ b/src/adapter_agent/prompt_admission.cc
@@ -1,9 +1,5 @@
 #include "amaranthcove/adapter_agent/prompt_admission.h"
 
-#include <algorithm>
-#include <numeric>
-#include <tuple>
-
 namespace amaranthcove {
 
 namespace {
@@ -26,28 +22,28 @@
 
 }  // namespace
 
-std::vector<std::size_t> AdmitPrompts(std::span<const WaitingPrompt> prompts,
-                                      const PromptLimits& limits,
-                                      std::int64_t tokens,
-                                      int requests) {
-  std::vector<std::size_t> order(prompts.size());
-  std::iota(order.begin(), order.end(), std::size_t{0});
-  std::sort(order.begin(), order.end(),
-            [&prompts](std::size_t a, std::size_t b) {
-              return std::tuple(prompts[a].rank, prompts[a].since, a) <
-                     std::tuple(prompts[b].rank, prompts[b].since, b);
-            });
-  std::vector<std::size_t> admitted;
-  for (const std::size_t index : order) {
+std::vector<std::size_t> AdmitPrompts(
+    std::span<const WaitingPrompt> prompts,
+    const PromptLimits& limits,
+    std::int64_t tokens,
+    int requests,
+    const std::map<WorkspaceId, double>& admitted) {
+  std::vector<FairRequest> waiting;
+  waiting.reserve(prompts.size());
+  for (const WaitingPrompt& prompt : prompts) {
+    waiting.push_back({false, prompt.rank, prompt.share, prompt.since});
+  }
+  std::vector<std::size_t> chosen;
+  for (const std::size_t index : FairOrder(waiting, admitted)) {
     const WaitingPrompt& prompt = prompts[index];
     if (!Fits(prompt, limits, tokens, requests)) {
       break;
     }
     tokens += prompt.tokens;
     ++requests;
-    admitted.push_back(index);
+    chosen.push_back(index);
   }
-  return admitted;
+  return chosen;
 }
 
 }  // namespace amaranthcove
--- a/src/adapter_agent/prompt_admission_test.cc
+++ b/src/adapter_agent/prompt_admission_test.cc
@@ -183,6 +183,21 @@
   CHECK_EQUAL(1, static_cast<int>(admitted[0]));
 }
 
+// Guards against prompts of one workspace that wait for all those of another
+// one that were asked for earlier.
+TEST(PromptAdmission, WorkspacesTakeTurns) {
+  const PromptLimits limits = {2000, milliseconds(300), 64};
+  const std::array prompts = {
+      WaitingPrompt{1000, 0, kStart, {1, 1}},
+      WaitingPrompt{1000, 0, kStart + milliseconds(1), {1, 1}},
+      WaitingPrompt{1000, 0, kStart + milliseconds(2), {2, 1}}};
+  CHECK(
+      (AdmitPrompts(prompts, limits, 0, 0) == std::vector<std::size_t>{0, 2}));
+  // What was admitted before counts as turns.
+  CHECK((AdmitPrompts(prompts, limits, 1000, 1, {{1, 1}}) ==
+         std::vector<std::size_t>{2}));
+}
+
 // Guards against a full batch: the engine would preempt running requests for
 // more urgent ones and read their prompts again.
 TEST(PromptAdmission, FullBatchesAdmitNothing) {
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -24,6 +24,8 @@
   1: i64 id              // Unique within the incarnation of the router.
   2: i64 tokens
   3: i32 rank            // 0 is first.
+  4: i64 workspace       // Hash of the name; 0 without one.
+  5: double weight = 1   // Of the share of the workspace.
 }
 
 // A request whose connection to the engine broke before the engine began to
@@ -43,7 +45,7 @@
 // The use of a workspace's quota by a router, told to the agents that keep the
 // ledger of the workspace. Amounts are totals of the incarnation of the router.
 struct QuotaReport {
-  1: i64 workspace          // Hash of the name.
+  1: i64 workspace       // Hash of the name.
   2: double rate_per_s   // Of the quota, from the configuration.
   3: double burst
   4: i64 limits_version  // Of the configuration.
@@ -128,15 +130,16 @@
 }
 
 // The crashes that may have been caused by a request: those of the agent's
-// engine, and those of plain servers that routers have told the agent. Sent by an agent to all routers some times after each change, and to a router
-// that is new to the agent.
+// engine, and those of plain servers that routers have told the agent. Sent by
+// an agent to all routers some times after each change, and to a router that is
+// new to the agent.
 struct CrashReport {
   1: list<ServerCrash> crashes
 }
 
 // What the ledger of a workspace knows, as of the last reports.
 struct QuotaView {
-  1: i64 workspace          // Hash of the name.
+  1: i64 workspace       // Hash of the name.
   2: double level        // Left in the bucket of all routers.
   3: double asked_per_s  // At all routers.
   4: double own_asked_per_s  // At the receiver.
@@ -164,12 +167,15 @@
   2: list<PlaceOption> options
   3: i32 priority        // 0 is first.
   4: i64 useful_ms       // The call is late afterwards.
+  5: i64 workspace       // Hash of the name; 0 without one.
+  6: double weight = 1   // Of the share of the workspace.
 }
 
 // A call that has a place.
 struct PlaceUse {
   1: i64 id
   2: i64 server          // Hash of the id.
+  3: i64 workspace       // Hash of the name; 0 without one.
 }
 
 // All calls of a router to a plain service. Sent to the agent that keeps the
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -404,6 +404,8 @@
     item.id = id;
     item.tokens = prompt.tokens;
     item.rank = WaitingRank(prompt.request, now);
+    item.workspace = static_cast<std::int64_t>(prompt.request.share.workspace);
+    item.weight = prompt.request.share.weight;
     demand.prompts.push_back(item);
   }
 }
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -333,6 +333,14 @@
 void WaitingPrompt::__set_rank(const int32_t val) {
   this->rank = val;
 }
+
+void WaitingPrompt::__set_workspace(const int64_t val) {
+  this->workspace = val;
+}
+
+void WaitingPrompt::__set_weight(const double val) {
+  this->weight = val;
+}
 std::ostream& operator<<(std::ostream& out, const WaitingPrompt& obj)
 {
   obj.printTo(out);
@@ -385,6 +393,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->weight);
+          this->__isset.weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -414,6 +438,14 @@
   xfer += oprot->writeI32(this->rank);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->weight);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -424,6 +456,8 @@
   swap(a.id, b.id);
   swap(a.tokens, b.tokens);
   swap(a.rank, b.rank);
+  swap(a.workspace, b.workspace);
+  swap(a.weight, b.weight);
   swap(a.__isset, b.__isset);
 }
 
@@ -431,12 +465,16 @@
   id = other4.id;
   tokens = other4.tokens;
   rank = other4.rank;
+  workspace = other4.workspace;
+  weight = other4.weight;
   __isset = other4.__isset;
 }
 WaitingPrompt& WaitingPrompt::operator=(const WaitingPrompt& other5) noexcept {
   id = other5.id;
   tokens = other5.tokens;
   rank = other5.rank;
+  workspace = other5.workspace;
+  weight = other5.weight;
   __isset = other5.__isset;
   return *this;
 }
@@ -446,6 +484,8 @@
   out << "id=" << to_string(id);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "rank=" << to_string(rank);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "weight=" << to_string(weight);
   out << ")";
 }
 
@@ -2975,6 +3015,14 @@
 void PlaceAsk::__set_useful_ms(const int64_t val) {
   this->useful_ms = val;
 }
+
+void PlaceAsk::__set_workspace(const int64_t val) {
+  this->workspace = val;
+}
+
+void PlaceAsk::__set_weight(const double val) {
+  this->weight = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
@@ -3047,6 +3095,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->weight);
+          this->__isset.weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3088,6 +3152,14 @@
   xfer += oprot->writeI64(this->useful_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->weight);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3099,6 +3171,8 @@
   swap(a.options, b.options);
   swap(a.priority, b.priority);
   swap(a.useful_ms, b.useful_ms);
+  swap(a.workspace, b.workspace);
+  swap(a.weight, b.weight);
   swap(a.__isset, b.__isset);
 }
 
@@ -3107,6 +3181,8 @@
   options = other126.options;
   priority = other126.priority;
   useful_ms = other126.useful_ms;
+  workspace = other126.workspace;
+  weight = other126.weight;
   __isset = other126.__isset;
 }
 PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other127) {
@@ -3114,6 +3190,8 @@
   options = other127.options;
   priority = other127.priority;
   useful_ms = other127.useful_ms;
+  workspace = other127.workspace;
+  weight = other127.weight;
   __isset = other127.__isset;
   return *this;
 }
@@ -3124,6 +3202,8 @@
   out << ", " << "options=" << to_string(options);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "useful_ms=" << to_string(useful_ms);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "weight=" << to_string(weight);
   out << ")";
 }
 
@@ -3139,6 +3219,10 @@
 void PlaceUse::__set_server(const int64_t val) {
   this->server = val;
 }
+
+void PlaceUse::__set_workspace(const int64_t val) {
+  this->workspace = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceUse& obj)
 {
   obj.printTo(out);
@@ -3183,6 +3267,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3208,6 +3300,10 @@
   xfer += oprot->writeI64(this->server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3217,17 +3313,20 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.server, b.server);
+  swap(a.workspace, b.workspace);
   swap(a.__isset, b.__isset);
 }
 
 PlaceUse::PlaceUse(const PlaceUse& other128) noexcept {
   id = other128.id;
   server = other128.server;
+  workspace = other128.workspace;
   __isset = other128.__isset;
 }
 PlaceUse& PlaceUse::operator=(const PlaceUse& other129) noexcept {
   id = other129.id;
   server = other129.server;
+  workspace = other129.workspace;
   __isset = other129.__isset;
   return *this;
 }
@@ -3236,6 +3335,7 @@
   out << "PlaceUse(";
   out << "id=" << to_string(id);
   out << ", " << "server=" << to_string(server);
+  out << ", " << "workspace=" << to_string(workspace);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -192,10 +192,12 @@
 std::ostream& operator<<(std::ostream& out, const BaseModel& obj);
 
 typedef struct _WaitingPrompt__isset {
-  _WaitingPrompt__isset() : id(false), tokens(false), rank(false) {}
+  _WaitingPrompt__isset() : id(false), tokens(false), rank(false), workspace(false), weight(true) {}
   bool id :1;
   bool tokens :1;
   bool rank :1;
+  bool workspace :1;
+  bool weight :1;
 } _WaitingPrompt__isset;
 
 class WaitingPrompt : public virtual ::apache::thrift::TBase {
@@ -206,13 +208,17 @@
   WaitingPrompt() noexcept
                 : id(0),
                   tokens(0),
-                  rank(0) {
+                  rank(0),
+                  workspace(0),
+                  weight(static_cast<double>(1)) {
   }
 
   virtual ~WaitingPrompt() noexcept;
   int64_t id;
   int64_t tokens;
   int32_t rank;
+  int64_t workspace;
+  double weight;
 
   _WaitingPrompt__isset __isset;
 
@@ -222,6 +228,10 @@
 
   void __set_rank(const int32_t val);
 
+  void __set_workspace(const int64_t val);
+
+  void __set_weight(const double val);
+
   bool operator == (const WaitingPrompt & rhs) const
   {
     if (!(id == rhs.id))
@@ -230,6 +240,10 @@
       return false;
     if (!(rank == rhs.rank))
       return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(weight == rhs.weight))
+      return false;
     return true;
   }
   bool operator != (const WaitingPrompt &rhs) const {
@@ -1136,11 +1150,13 @@
 std::ostream& operator<<(std::ostream& out, const PlaceOption& obj);
 
 typedef struct _PlaceAsk__isset {
-  _PlaceAsk__isset() : id(false), options(false), priority(false), useful_ms(false) {}
+  _PlaceAsk__isset() : id(false), options(false), priority(false), useful_ms(false), workspace(false), weight(true) {}
   bool id :1;
   bool options :1;
   bool priority :1;
   bool useful_ms :1;
+  bool workspace :1;
+  bool weight :1;
 } _PlaceAsk__isset;
 
 class PlaceAsk : public virtual ::apache::thrift::TBase {
@@ -1151,7 +1167,9 @@
   PlaceAsk() noexcept
            : id(0),
              priority(0),
-             useful_ms(0) {
+             useful_ms(0),
+             workspace(0),
+             weight(static_cast<double>(1)) {
   }
 
   virtual ~PlaceAsk() noexcept;
@@ -1159,6 +1177,8 @@
   std::vector<PlaceOption>  options;
   int32_t priority;
   int64_t useful_ms;
+  int64_t workspace;
+  double weight;
 
   _PlaceAsk__isset __isset;
 
@@ -1170,6 +1190,10 @@
 
   void __set_useful_ms(const int64_t val);
 
+  void __set_workspace(const int64_t val);
+
+  void __set_weight(const double val);
+
   bool operator == (const PlaceAsk & rhs) const
   {
     if (!(id == rhs.id))
@@ -1180,6 +1204,10 @@
       return false;
     if (!(useful_ms == rhs.useful_ms))
       return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(weight == rhs.weight))
+      return false;
     return true;
   }
   bool operator != (const PlaceAsk &rhs) const {
@@ -1199,9 +1227,10 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlaceUse__isset {
-  _PlaceUse__isset() : id(false), server(false) {}
+  _PlaceUse__isset() : id(false), server(false), workspace(false) {}
   bool id :1;
   bool server :1;
+  bool workspace :1;
 } _PlaceUse__isset;
 
 class PlaceUse : public virtual ::apache::thrift::TBase {
@@ -1211,12 +1240,14 @@
   PlaceUse& operator=(const PlaceUse&) noexcept;
   PlaceUse() noexcept
            : id(0),
-             server(0) {
+             server(0),
+             workspace(0) {
   }
 
   virtual ~PlaceUse() noexcept;
   int64_t id;
   int64_t server;
+  int64_t workspace;
 
   _PlaceUse__isset __isset;
 
@@ -1224,12 +1255,16 @@
 
   void __set_server(const int64_t val);
 
+  void __set_workspace(const int64_t val);
+
   bool operator == (const PlaceUse & rhs) const
   {
     if (!(id == rhs.id))
       return false;
     if (!(server == rhs.server))
       return false;
+    if (!(workspace == rhs.workspace))
+      return false;
     return true;
   }
   bool operator != (const PlaceUse &rhs) const {
--- a/src/agent_link/place_codec.cc
+++ b/src/agent_link/place_codec.cc
@@ -16,6 +16,8 @@
   wire.id = ask.id;
   wire.priority = ask.priority;
   wire.useful_ms = ToMilliseconds(ask.useful_for);
+  wire.workspace = static_cast<std::int64_t>(ask.share.workspace);
+  wire.weight = ask.share.weight;
   for (const PlaceOption& option : ask.options) {
     agent_wire::PlaceOption item;
     item.server = static_cast<std::int64_t>(option.server);
@@ -32,6 +34,7 @@
   ask.priority = wire.priority;
   ask.useful_for = std::chrono::milliseconds(
       std::clamp<std::int64_t>(wire.useful_ms, 0, kMaxUsefulMs));
+  ask.share = {static_cast<WorkspaceId>(wire.workspace), wire.weight};
   for (const agent_wire::PlaceOption& option : wire.options) {
     ask.options.push_back({static_cast<ServerHash>(option.server),
                            option.places, std::max(option.penalty, 0)});
@@ -72,6 +75,7 @@
     agent_wire::PlaceUse item;
     item.id = use.id;
     item.server = static_cast<std::int64_t>(use.server);
+    item.workspace = static_cast<std::int64_t>(use.workspace);
     wire.push_back(item);
   }
   return wire;
@@ -81,7 +85,8 @@
     std::span<const agent_wire::PlaceUse> wire) {
   std::vector<PlaceUse> uses;
   for (const agent_wire::PlaceUse& item : wire) {
-    uses.push_back({item.id, static_cast<ServerHash>(item.server)});
+    uses.push_back({item.id, static_cast<ServerHash>(item.server),
+                    static_cast<WorkspaceId>(item.workspace)});
   }
   return uses;
 }
--- a/src/places/place_client.cc
+++ b/src/places/place_client.cc
@@ -60,13 +60,14 @@
                               std::vector<PlaceOption> options,
                               int priority,
                               Time useful_until,
+                              const FairShare& share,
                               Time now) {
   const std::int64_t id = ++last_id_;
   const ServiceHash hash = HashOfService(service);
   services_of_calls_[id] = hash;
   Service& state = services_[hash];
   Asked& asked = state.asked[id];
-  asked.ask = {id, std::move(options), priority, Duration::zero()};
+  asked.ask = {id, std::move(options), priority, Duration::zero(), share};
   asked.useful_until = useful_until;
   asked.asked = now;
   state.next_send = Time();
@@ -100,8 +101,11 @@
   if (asked == state.asked.end() || !asked->second.granted) {
     state.next_send = Time();
   }
+  const WorkspaceId workspace = asked == state.asked.end()
+                                    ? WorkspaceId{0}
+                                    : asked->second.ask.share.workspace;
   state.asked.erase(id);
-  state.running[id] = HashOfServer(server);
+  state.running[id] = {id, HashOfServer(server), workspace};
 }
 
 void PlaceClient::End(std::int64_t id) {
@@ -130,8 +134,8 @@
     }
     demand.asks.push_back(asked.ask);
   }
-  for (const auto& [id, server] : state.running) {
-    demand.running.push_back({id, server});
+  for (const auto& [id, use] : state.running) {
+    demand.running.push_back(use);
   }
   return demand;
 }
--- a/src/places/place_queue.cc
+++ b/src/places/place_queue.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <numeric>
 #include <optional>
-#include <tuple>
 
 namespace amaranthcove {
 
@@ -52,7 +51,7 @@
   state.sequence = demand.sequence;
   state.received = now;
   std::map<std::int64_t, Waiting> waiting;
-  std::map<std::int64_t, ServerHash> granted;
+  std::map<std::int64_t, PlaceUse> granted;
   for (PlaceAsk& ask : demand.asks) {
     if (waiting.size() + granted.size() >= kMaxAsksOfRouter) {
       break;
@@ -72,34 +71,42 @@
   state.granted = std::move(granted);
   state.running.clear();
   for (const PlaceUse& use : demand.running) {
-    state.running[use.id] = use.server;
+    state.running[use.id] = use;
   }
   return true;
 }
 
-std::map<ServerHash, int> PlaceQueue::CallsByServer() const {
-  std::map<ServerHash, int> calls;
+PlaceQueue::CallCounts PlaceQueue::CountCalls(Time now) const {
+  CallCounts counts = {{}, CountsAt(recent_, now)};
   for (const auto& [source, state] : sources_) {
-    for (const auto& [id, server] : state.granted) {
-      ++calls[server];
-    }
-    for (const auto& [id, server] : state.running) {
-      ++calls[server];
+    for (const auto* calls : {&state.granted, &state.running}) {
+      for (const auto& [id, use] : *calls) {
+        ++counts.by_server[use.server];
+        counts.by_workspace[use.workspace] += 1;
+      }
     }
   }
-  return calls;
+  return counts;
 }
 
-std::vector<PlaceQueue::Rank> PlaceQueue::RankWaiting(Time now) const {
-  std::vector<Rank> ranked;
+std::vector<PlaceQueue::CallKey> PlaceQueue::OrderWaiting(
+    const CallCounts& counts,
+    Time now) const {
+  std::vector<FairRequest> requests;
+  std::vector<CallKey> keys;
   for (const auto& [source, state] : sources_) {
     for (const auto& [id, item] : state.waiting) {
-      ranked.emplace_back(now >= item.useful_until, item.ask.priority,
-                          item.since, source, id);
+      requests.push_back({now >= item.useful_until, item.ask.priority,
+                          item.ask.share, item.since});
+      keys.emplace_back(source, id);
     }
   }
-  std::sort(ranked.begin(), ranked.end());
-  return ranked;
+  std::vector<CallKey> ordered;
+  ordered.reserve(keys.size());
+  for (const std::size_t index : FairOrder(requests, counts.by_workspace)) {
+    ordered.push_back(keys[index]);
+  }
+  return ordered;
 }
 
 std::vector<PlaceWait> PlaceQueue::WaitsOf(const Source& source,
@@ -110,7 +117,7 @@
     return waits;
   }
   int ahead = 0;
-  for (const auto& [late, priority, since, owner, id] : RankWaiting(now)) {
+  for (const auto& [owner, id] : OrderWaiting(CountCalls(now), now)) {
     if (owner == source) {
       waits.push_back({id, ahead});
     }
@@ -120,21 +127,19 @@
 }
 
 std::set<PlaceQueue::Source> PlaceQueue::Grant(Time now) {
-  const std::vector<Rank> ranked = RankWaiting(now);
   std::set<Source> changed;
-  if (ranked.empty()) {
-    return changed;
-  }
-  std::map<ServerHash, int> calls = CallsByServer();
-  for (const auto& [late, priority, since, source, id] : ranked) {
+  CallCounts counts = CountCalls(now);
+  for (const auto& [source, id] : OrderWaiting(counts, now)) {
     State& state = sources_[source];
     const auto item = state.waiting.find(id);
-    const auto server = ChooseServer(item->second.ask.options, calls);
+    const PlaceAsk& ask = item->second.ask;
+    const auto server = ChooseServer(ask.options, counts.by_server);
     if (!server) {
       continue;
     }
-    ++calls[*server];
-    state.granted[id] = *server;
+    ++counts.by_server[*server];
+    AddService(recent_, ask.share.workspace, now);
+    state.granted[id] = {id, *server, ask.share.workspace};
     state.waiting.erase(item);
     changed.insert(source);
   }
@@ -145,8 +150,8 @@
   std::vector<PlaceUse> grants;
   const auto state = sources_.find(source);
   if (state != sources_.end()) {
-    for (const auto& [id, server] : state->second.granted) {
-      grants.push_back({id, server});
+    for (const auto& [id, grant] : state->second.granted) {
+      grants.push_back(grant);
     }
   }
   return grants;
--- a/src/places/places_test.cc
+++ b/src/places/places_test.cc
@@ -140,7 +140,7 @@
     }
     PlaceClient& client = clients_[call.router];
     calls_[index].ticket =
-        client.Ask("desk", Options(), 0, now_ + kTarget - kWork, now_);
+        client.Ask("desk", Options(), 0, now_ + kTarget - kWork, {}, now_);
     tickets_[{call.router, calls_[index].ticket}] = index;
     After(PlaceClient::kMaxSilence, [this, index] {
       Call& waiting = calls_[index];
@@ -367,8 +367,9 @@
   }
 
   static PlaceAsk Ask(std::int64_t id, int priority,
-                      Duration useful_for = seconds(1)) {
-    return {id, {{11, 1, 0}}, priority, useful_for};
+                      Duration useful_for = seconds(1),
+                      const FairShare& share = {}) {
+    return {id, {{11, 1, 0}}, priority, useful_for, share};
   }
 };
 
@@ -385,6 +386,26 @@
   CHECK((queue_.GrantsOf({AddressOf(1), 7}) == std::vector<PlaceUse>{{1, 11}}));
 }
 
+// Guards against calls of one workspace that wait for the whole burst of
+// another one: its call comes next, since the other workspace has a place.
+TEST(PlaceQueue, BurstOfOneWorkspaceDoesNotDelayOthers) {
+  std::vector<PlaceAsk> burst;
+  for (int id = 1; id <= 20; ++id) {
+    burst.push_back(Ask(id, 0, seconds(1), {1, 1}));
+  }
+  Put(1, burst);
+  queue_.Grant(kStart);
+  Put(2, {Ask(1, 0, seconds(1), {2, 1})}, {}, kStart + milliseconds(5));
+  const std::vector<PlaceWait> waits =
+      queue_.WaitsOf({AddressOf(2), 7}, kStart + milliseconds(5));
+  CHECK_EQUAL(1, static_cast<int>(waits.size()));
+  CHECK_EQUAL(0, waits[0].ahead);
+  burst.erase(burst.begin());
+  Put(1, burst, {}, kStart + milliseconds(6));
+  queue_.Grant(kStart + milliseconds(6));
+  CHECK_EQUAL(1, static_cast<int>(queue_.GrantsOf({AddressOf(2), 7}).size()));
+}
+
 // Guards against a place that is lost with the router that had it, and against
 // a grant that is given twice when its datagram was lost.
 TEST(PlaceQueue, PlacesOfSilentRoutersAreFree) {
--- a/src/quota/quota_accounts.cc
+++ b/src/quota/quota_accounts.cc
@@ -25,10 +25,6 @@
 
 }  // namespace
 
-WorkspaceId IdOfWorkspace(std::string_view name) {
-  return Hash64(name);
-}
-
 QuotaLimits WithSlack(const QuotaLimits& limits, const QuotaSlack& slack) {
   const double factor = 1 + kSlackForCallers * slack.overshoot;
   return {limits.rate_per_s * factor,
@@ -135,12 +131,14 @@
   return decision;
 }
 
-void QuotaAccounts::GiveBack(std::string_view workspace, double cost) {
+bool QuotaAccounts::GiveBack(std::string_view workspace, double cost) {
   const auto found = accounts_.find(workspace);
-  if (found != accounts_.end()) {
-    found->second.use -= cost;
-    ++found->second.counters.given_back;
+  if (found == accounts_.end()) {
+    return false;
   }
+  found->second.use -= cost;
+  ++found->second.counters.given_back;
+  return true;
 }
 
 std::vector<Address> QuotaAccounts::TakeUrgentReports(std::size_t instances,
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -72,6 +72,7 @@
       quota_cost_(identity.workspace == nullptr
                       ? 0
                       : QuotaCost(*identity.workspace, info_)),
+      share_(identity.share),
       drops_caller_workspace_(identity.has_workspaces),
       responder_(std::move(responder)) {
   progress_.kind = route_.kind;
@@ -100,7 +101,8 @@
       std::min(route_.timeout, info_.caller_timeout.value_or(route_.timeout));
   deadline_ = now + limit;
   waiting_request_ = {route_.priority,
-                      LatestLoadStart(route_, info_.caller_timeout, now)};
+                      LatestLoadStart(route_, info_.caller_timeout, now),
+                      share_};
   service_ = PickService(route_.services, Hash64(info_.attempt_id));
   const ServiceSpec* service = environment_.fleet.table().FindService(service_);
   is_generation_ =
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -189,6 +189,7 @@
   const Route route_;
   const std::string workspace_;  // Empty for callers without one.
   const double quota_cost_;      // What the request was charged.
+  const FairShare share_;        // Where the request waits.
   // Whether the caller's own key and workspace are not passed on.
   const bool drops_caller_workspace_;
   // The latest configuration that lists the caller's key.
--- a/src/router/relay_call_waiting.cc
+++ b/src/router/relay_call_waiting.cc
@@ -123,7 +123,7 @@
       fleet.places().Ask(service_, std::move(options), route_.priority,
                          LatestPlainSend(route_, info_.caller_timeout,
                                          fleet.ServiceTime(service_), started_),
-                         now);
+                         share_, now);
   environment_.demand_changed();
   SchedulePlaceCheck();
 }
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -19,7 +19,9 @@
 }  // namespace
 
 RouteTable::RouteTable(RoutingConfig config)
-    : config_(std::move(config)), keys_(config_.workspaces) {
+    : config_(std::move(config)),
+      keys_(config_.workspaces),
+      share_scale_(ScaleOf(config_.workspaces)) {
   for (const Route& route : config_.routes) {
     by_host_[NormalizeHost(route.host)][route.path_prefix] = &route;
   }
--- a/src/workspaces/authentication.cc
+++ b/src/workspaces/authentication.cc
@@ -30,6 +30,9 @@
   identity.workspace =
       info.has_malformed_key ? nullptr : table.FindWorkspace(info.key);
   identity.allowed = identity.workspace != nullptr;
+  if (identity.allowed) {
+    identity.share = ShareOf(*identity.workspace, table.share_scale());
+  }
   return identity;
 }
 
--- a/src/workspaces/workspace.cc
+++ b/src/workspaces/workspace.cc
@@ -4,6 +4,10 @@
 
 namespace amaranthcove {
 
+WorkspaceId IdOfWorkspace(std::string_view name) {
+  return Hash64(name);
+}
+
 std::size_t WorkspaceKeys::Hash::operator()(std::string_view key) const {
   return Hash64(key);
 }
