--- a/src/router/request_metrics.cc
+++ b/src/router/request_metrics.cc
@@ -2,6 +2,12 @@
 
 namespace amaranthcove {
 
+namespace {
+
+constexpr char kOtherWorkspaces[] = "other";
+
+}  // namespace
+
 void RequestMetrics::Count(const RelayResult& result) {
   prometheus::Counter*& outcome = outcomes_[result.outcome];
   if (outcome == nullptr) {
@@ -20,6 +26,38 @@
   latency->Observe(ToSeconds(result.duration));
 }
 
+void RequestMetrics::CountQuota(const std::string& workspace,
+                                QuotaEvent event) {
+  if (workspaces_.size() < kMaxWorkspaces) {
+    workspaces_.insert(workspace);
+  }
+  const std::string label =
+      workspaces_.contains(workspace) ? workspace : kOtherWorkspaces;
+  switch (event) {
+    case QuotaEvent::kAdmitted:
+      registry_
+          .Counter("amaranthcove_quota_admitted_total",
+                   "Requests admitted by the quota of their workspace.",
+                   "workspace", label)
+          .Increment();
+      return;
+    case QuotaEvent::kLimited:
+      registry_
+          .Counter("amaranthcove_quota_limited_total",
+                   "Requests refused by the quota of their workspace.",
+                   "workspace", label)
+          .Increment();
+      return;
+    case QuotaEvent::kGivenBack:
+      registry_
+          .Counter("amaranthcove_quota_given_back_total",
+                   "Admitted requests that did not run, and do not count.",
+                   "workspace", label)
+          .Increment();
+      return;
+  }
+}
+
 void RequestMetrics::CountRefusal(std::string_view reason) {
   registry_
       .Counter("amaranthcove_refusals_total",
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -369,6 +369,12 @@
     links_.ReportQuotas(agent, now);
     SendDemandsSoon();
   }
+  if (workspace.quota.rate_per_s > 0) {
+    request_metrics_.CountQuota(workspace.name,
+                                decision.admitted
+                                    ? RequestMetrics::QuotaEvent::kAdmitted
+                                    : RequestMetrics::QuotaEvent::kLimited);
+  }
   if (decision.admitted) {
     return true;
   }
@@ -502,8 +508,10 @@
 
 void RouterImpl::OnCallDone(std::uint64_t call, const RelayResult& result) {
   request_metrics_.Count(result);
-  if (!result.workspace.empty() && !result.may_have_run) {
-    quotas_.GiveBack(result.workspace, result.quota_cost);
+  if (!result.workspace.empty() && !result.may_have_run &&
+      quotas_.GiveBack(result.workspace, result.quota_cost)) {
+    request_metrics_.CountQuota(result.workspace,
+                                RequestMetrics::QuotaEvent::kGivenBack);
   }
   done_calls_.push_back(call);
   if (cleanup_timer_ == 0) {
