--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -12,6 +12,7 @@
 
 #include "amaranthcove/adapter_agent/adapter_plan.h"
 #include "amaranthcove/adapter_agent/prompt_admission.h"
+#include "amaranthcove/adapter_agent/prompt_limiter.h"
 #include "amaranthcove/base/address.h"
 #include "amaranthcove/base/time.h"
 
@@ -27,17 +28,21 @@
   std::vector<AgentModel> models;
   // Tokens of the router's prompts that the engine has not read yet.
   std::int64_t prompt_tokens = 0;
-  std::int64_t sent_tokens = 0;  // Total of the incarnation.
+  std::int64_t sent_tokens = 0;  // Totals of the incarnation.
+  std::int64_t sent_requests = 0;
   // Prompts that wait for admission.
   std::vector<PromptDemand> prompts;
   PromptLimits prompt_limits;
-  bool has_late_pauses = false;  // Because of prompts.
+  PauseCounts pauses;  // Of the incarnation.
 };
 
 // The requests that routers have at an engine, and the tokens of their prompts
 // that it has not read yet.
 struct RequestLoad {
   int requests = 0;
+  int waiting = 0;                 // Prompts to be sent.
+  int waiting_for_loads = 0;       // Requests whose adapter is not there yet.
+  double arrivals_per_s = 0;       // Of requests.
   std::int64_t prompt_tokens = 0;  // Unread, or waiting to be sent.
   std::int64_t unread_tokens = 0;
 
@@ -64,10 +69,6 @@
   // not count: the router has most likely ended, and its requests with it.
   static constexpr Duration kLoadLifetime = std::chrono::seconds(1);
 
-  // Prompts stay limited for this time after enough routers have seen late
-  // pauses, so that the limit outlives a restart of all routers.
-  static constexpr Duration kLimitLifetime = std::chrono::seconds(30);
-
   // Replaces the demand of `router`. Returns false and changes nothing if the
   // demand is not newer than the stored one of the same incarnation.
   bool Put(const Address& router, RouterDemand demand, Time now);
@@ -99,9 +100,20 @@
   std::map<Address, std::vector<std::int64_t>> AdmitPrompts(Time now);
 
   // Returns the limits by which prompts are admitted: the mean of what routers
-  // state, without a limit of tokens unless enough of them have seen late
-  // pauses within `kLimitLifetime`.
+  // state, scaled by `limiter()`, without a limit of tokens unless it limits.
   PromptLimits Limits(Time now);
+  const PromptLimiter& limiter() const { return limiter_; }
+
+  // What the admission of prompts depends on, for logs.
+  struct AdmissionState {
+    int waiting = 0;  // Prompts.
+    Duration longest_wait = Duration::zero();
+    std::int64_t unread_tokens = 0;
+    std::int64_t recent_tokens = 0;  // Sent within the last period.
+    int requests = 0;
+    PromptLimits limits;
+  };
+  AdmissionState DescribeAdmission(Time now);
 
   // Returns whether prompts wait for admission.
   bool has_waiting_prompts() const;
@@ -125,6 +137,9 @@
     RequestLoad load;
     // When each waiting prompt was listed first, and whether it is admitted.
     std::map<std::int64_t, AskedPrompt> prompts;
+    // When the arrivals were averaged last, and the requests sent until then.
+    Time averaged;
+    std::int64_t averaged_requests = 0;
     // When the router's requests began to wait, by model and adapter name.
     std::map<std::pair<std::string, std::string>, Time> waiting_since;
   };
@@ -133,6 +148,15 @@
     Time at;
     std::int64_t tokens = 0;
   };
+  // Takes in the pauses of streams since the last demand of `router`.
+  void AddPausesOf(const Address& router,
+                   const Entry& entry,
+                   const RouterDemand& demand,
+                   Time now);
+  // Updates the moving average of the requests that a router sends.
+  static void AverageArrivals(Entry& entry,
+                              const RouterDemand& demand,
+                              Time now);
   // Records the prompts of `entry` that were sent without admission.
   void AddSent(const Entry& entry, const RouterDemand& demand, Time now);
   void ForgetSentBefore(Time time);
@@ -141,7 +165,7 @@
   std::int64_t SentSince(Time since) const;
 
   std::map<Address, Entry> entries_;
-  std::optional<Time> late_pauses_seen_;
+  PromptLimiter limiter_;
   std::deque<SentTokens> sent_;  // In the order of time.
   RecentService recent_;         // The prompts that were admitted.
   LastUseTimes last_uses_;
--- a/include/amaranthcove/adapter_agent/prompt_admission.h
+++ b/include/amaranthcove/adapter_agent/prompt_admission.h
@@ -16,7 +16,8 @@
 struct PromptDemand {
   std::int64_t id = 0;  // Chosen by the router.
   std::int64_t tokens = 0;
-  int rank = 0;  // 0 is admitted first.
+  int rank = 0;                        // 0 is admitted first.
+  Duration waited = Duration::zero();  // At all engines.
   FairShare share{};
 };
 
--- /dev/null
+++ b/include/amaranthcove/adapter_agent/prompt_limiter.h
@@ -0,0 +1,61 @@
+#ifndef AMARANTHCOVE_ADAPTER_AGENT_PROMPT_LIMITER_H_
+#define AMARANTHCOVE_ADAPTER_AGENT_PROMPT_LIMITER_H_
+
+#include <cstdint>
+#include <map>
+
+#include "amaranthcove/base/address.h"
+#include "amaranthcove/base/time.h"
+
+namespace amaranthcove {
+
+// The pauses of a router's streams at one engine that prompts may have caused:
+// all of them, and those that were too long. Totals since the router's start.
+struct PauseCounts {
+  std::int64_t long_pauses = 0;  // With the late ones.
+  std::int64_t late_pauses = 0;
+};
+
+// Whether and how far an agent holds prompts back because reading them makes
+// the streams at its engine late.
+//
+// How much an engine reads between two steps of its batch, how many steps an
+// event takes, and how many tokens of a prompt it has kept from earlier ones
+// are not known, so the limit follows the pauses of the streams at this engine:
+// at some engines no amount of prompts causes a pause that is too long, and
+// holding prompts back would only delay them.
+struct PromptLimiter {
+  struct Evidence {
+    double long_pauses = 0;  // Moving sums.
+    double late_pauses = 0;
+  };
+  std::map<Address, Evidence> evidence;  // By router.
+  Time decayed;                          // Up to when the sums have decayed.
+
+  bool limited = false;
+  // While limited, the window is this multiple of what routers work out from
+  // the pace of the engines.
+  double scale = 1;
+  Time adjusted;
+  // Since `adjusted`.
+  std::int64_t long_pauses = 0;
+  std::int64_t late_pauses = 0;
+};
+
+// Takes in the pauses that `router` has seen since its last report. `routers`
+// is the number of routers that use the engine: a single one among many may
+// have a fault of its own.
+void AddPauses(PromptLimiter& limiter,
+               const Address& router,
+               const PauseCounts& added,
+               int routers,
+               Time now);
+
+// Widens or narrows the window, at most once a second: it is narrowed while a
+// considerable share of the long pauses is late, widened while few are, and
+// lifted when it has become wide. To be called at least as often.
+void AdjustWindow(PromptLimiter& limiter, Time now);
+
+}  // namespace amaranthcove
+
+#endif  // AMARANTHCOVE_ADAPTER_AGENT_PROMPT_LIMITER_H_
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -44,6 +44,9 @@
   // The requests of other routers at the engine, and the tokens of their
   // prompts that it has not read yet; as of `load_received`.
   int other_requests = 0;
+  int other_waiting_prompts = 0;
+  int other_waiting_for_loads = 0;
+  double other_arrivals_per_s = 0;
   std::int64_t other_prompt_tokens = 0;
   std::int64_t other_unread_tokens = 0;  // Without those that wait.
   // Whether the agent limits the prompts that the engine reads at a time.
@@ -158,6 +161,7 @@
   std::int64_t AskAdmission(std::string_view engine,
                             std::int64_t tokens,
                             const WaitingRequest& request,
+                            Duration waited,
                             Time now);
   // Withdraws a prompt that was not admitted, or that is sent now.
   void WithdrawPrompt(std::string_view engine, std::int64_t id, Time now);
@@ -170,10 +174,14 @@
   };
   void SetPromptWindow(std::string_view engine, const PromptWindow& window);
 
-  // Sets whether this router has lately seen that prompts make the streams at
-  // the engine and its like late.
-  void SetLatePauses(std::string_view engine, bool has_late_pauses, Time now);
+  // Counts a pause of a stream at the engine that prompts may have caused. The
+  // agent is told with the next demand.
+  void AddLongPause(std::string_view engine, bool is_late);
 
+  // Returns the numbers of this router's requests that wait for admission, and
+  // for a load of an adapter.
+  int waiting_prompts(std::string_view engine) const;
+  int waiting_for_loads(std::string_view engine) const;
   // Returns the tokens of this router's prompts that the engine has to read,
   // with those that wait for admission.
   std::int64_t prompt_tokens(std::string_view engine) const;
@@ -228,10 +236,14 @@
   struct AskedPrompt {
     std::int64_t tokens = 0;
     WaitingRequest request;
+    Time since;  // When it began to wait, here or at another engine.
   };
   struct Prompts {
-    std::int64_t tokens = 0;                    // Sent and not read.
-    std::int64_t sent_tokens = 0;               // Total since the start.
+    std::int64_t tokens = 0;       // Sent and not read.
+    std::int64_t sent_tokens = 0;  // Total since the start.
+    std::int64_t sent_requests = 0;
+    std::int64_t long_pauses = 0;  // Totals since the start.
+    std::int64_t late_pauses = 0;
     std::map<std::int64_t, AskedPrompt> asked;  // By id.
   };
   using Uses = std::map<AdapterName, Use>;
@@ -257,7 +269,6 @@
     std::vector<std::uint64_t> held;
     Time next_send;
     PromptWindow window;
-    bool has_late_pauses = false;
     std::vector<LostReport> lost;
     std::vector<PlainCrashReport> plain_crashes;
     std::vector<SoundReport> sound;
--- a/include/amaranthcove/backend_choice/backend_choice.h
+++ b/include/amaranthcove/backend_choice/backend_choice.h
@@ -47,6 +47,14 @@
   // estimated from the numbers above.
   std::optional<int> requests;
   std::optional<double> unread_prompt_tokens;
+  // Requests of all routers that wait until the agent admits their prompts; not
+  // in `requests`.
+  int waiting_prompts = 0;
+  // Requests of all routers that wait for a load of an adapter there.
+  int waiting_for_loads = 0;
+  // Requests that other routers have sent there since the agent reported them,
+  // by the rate at which they did before.
+  double expected_arrivals = 0;
   // Whether the agent limits the prompts that the engine reads at a time.
   bool limits_prompts = false;
   int free_places = 1;  // For adapters.
@@ -55,9 +63,8 @@
   int batch_size = 1;
   // Duration of its work relative to the median engine of the service.
   double slowness = 1;
-  // Random value from 0 to 1 for each request and engine. All routers have the
-  // same status of an engine for a quarter of a second; without jitter, they
-  // would all choose the same engine during that time.
+  // Random value from 0 to 1 for each request and engine, by which routers with
+  // the same status of an engine choose different ones.
   double jitter = 0;
 };
 
@@ -96,8 +103,10 @@
                     const RequestGoal& goal);
 
 // Returns the index of the engine with the lowest sum of placement cost and
-// jitter, or nullopt if there are no candidates. Engines that are avoided or
-// were tried are chosen only if there is no other. Thread-safe.
+// jitter, or nullopt if there are no candidates. If other routers are expected
+// to have sent requests since the last information, the engines share the
+// requests by `ChooseEvenly`. Engines that are avoided or were tried are chosen
+// only if there is no other. Thread-safe.
 std::optional<std::size_t> ChooseEngine(
     std::span<const EngineCandidate> candidates,
     const EnginePace& pace = kPriorPace,
--- a/include/amaranthcove/engine_cost/engine_cost.h
+++ b/include/amaranthcove/engine_cost/engine_cost.h
@@ -17,6 +17,8 @@
   // Time between two events of a stream while no prompt is read, in
   // milliseconds.
   double event_interval_ms = 30;
+  // Time from the send of a request to the end of its answer, in milliseconds.
+  double request_ms = 600;
   // Time to load an adapter from the weight store while few others are loaded,
   // in milliseconds.
   double load_ms = 250;
@@ -34,8 +36,10 @@
   double unread_prompt_tokens = 0;
   // Streams that have begun; reading a prompt pauses all of them.
   int streams = 0;
-  // Requests at the engine in excess of its batch size, with the next one.
+  // Requests at the engine, or waiting for it, in excess of its batch size,
+  // with the next one.
   int excess_requests = 0;
+  int batch_size = 1;
   // Duration of its work relative to the median engine.
   double slowness = 1;
 };
--- a/include/amaranthcove/engine_cost/pace_estimator.h
+++ b/include/amaranthcove/engine_cost/pace_estimator.h
@@ -20,6 +20,9 @@
   // expectation, as of faulty engines, are counted as a multiple of it.
   void Observe(double tokens, double first_event_ms, double slowness, Time now);
 
+  // Adds a request whose answer ended `request_ms` after the send.
+  void ObserveEnd(double request_ms, double slowness, Time now);
+
   // Returns the estimate. `event_interval_ms` is the median over the engines;
   // if it is 0, the prior is used.
   EnginePace Pace(double event_interval_ms) const;
@@ -35,6 +38,8 @@
   double tokens_squared_ = 0;
   double products_ = 0;
   Time updated_;
+  double request_ms_ = kPriorPace.request_ms;  // A moving average.
+  Time request_updated_;
 };
 
 }  // namespace amaranthcove
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -60,6 +60,13 @@
 constexpr Duration kStatusInterval = milliseconds(250);
 constexpr Duration kIdleStatusInterval = milliseconds(500);
 
+// The longest wait of a prompt that counts.
+constexpr Duration kMaxWaited = std::chrono::minutes(1);
+
+// Prompts that wait longer are logged, at most once in the interval.
+constexpr Duration kLoggedWait = milliseconds(200);
+constexpr Duration kWaitingLogInterval = milliseconds(1000);
+
 // Interval at which waiting prompts are checked while nothing else happens.
 constexpr Duration kAdmissionInterval = milliseconds(20);
 
@@ -140,10 +147,13 @@
         {prompt.id,
          prompt.tokens,
          prompt.rank,
+         milliseconds(std::clamp<std::int64_t>(prompt.waited_ms, 0,
+                                               ToMilliseconds(kMaxWaited))),
          {static_cast<WorkspaceId>(prompt.workspace), prompt.weight}});
   }
   demand.sent_tokens = wire.sent_tokens;
-  demand.has_late_pauses = wire.has_late_pauses;
+  demand.sent_requests = wire.sent_requests;
+  demand.pauses = {wire.long_pauses, wire.late_pauses};
   demand.prompt_limits = {wire.prompt_window, milliseconds(wire.gap_ms),
                           wire.batch_size};
   demand.capacity = {wire.adapter_places, wire.weights_mb};
@@ -237,6 +247,8 @@
   void SendQuotas(const std::vector<Address>& routers);
   // Returns what `router` has to know of quotas, if anything.
   std::optional<agent_wire::QuotaViews> QuotasFor(const Address& router);
+  // Logs what prompts wait for, if they have waited for long.
+  void LogWaitingPrompts(Time now);
   // Admits waiting prompts and tells their routers.
   void SendAdmissions();
   void LogLimitChange();
@@ -290,6 +302,7 @@
   TimerId quotas_timer_ = 0;
   Time loads_sent_;
   bool prompts_limited_ = false;
+  Time waiting_logged_;
   std::uint64_t orders_ = 0;
   std::uint64_t reports_ = 0;
 };
@@ -707,6 +720,9 @@
   wire.sequence = status_sequence_;
   wire.incarnation = incarnation_;
   wire.requests = load.requests;
+  wire.waiting = load.waiting;
+  wire.waiting_for_loads = load.waiting_for_loads;
+  wire.arrivals_per_s = load.arrivals_per_s;
   wire.prompt_tokens = load.prompt_tokens;
   wire.unread_tokens = load.unread_tokens;
   wire.limits_prompts = demands_.Limits(loop_.Now()).window_tokens > 0;
@@ -796,8 +812,31 @@
   }
 }
 
+void AdapterAgentImpl::LogWaitingPrompts(Time now) {
+  if (now - waiting_logged_ < kWaitingLogInterval) {
+    return;
+  }
+  const DemandTable::AdmissionState state = demands_.DescribeAdmission(now);
+  if (state.longest_wait < kLoggedWait) {
+    return;
+  }
+  waiting_logged_ = now;
+  log_.Write(
+      LogLevel::kInfo, "prompts_waiting",
+      {{"prompts", std::to_string(state.waiting)},
+       {"longest_ms", std::to_string(ToMilliseconds(state.longest_wait))},
+       {"unread_tokens", std::to_string(state.unread_tokens)},
+       {"recent_tokens", std::to_string(state.recent_tokens)},
+       {"window_tokens", std::to_string(state.limits.window_tokens)},
+       {"window_scale_pct",
+        std::to_string(static_cast<int>(demands_.limiter().scale * 100))},
+       {"requests", std::to_string(state.requests)},
+       {"batch_size", std::to_string(state.limits.batch_size)}});
+}
+
 void AdapterAgentImpl::SendAdmissions() {
   const auto admitted = demands_.AdmitPrompts(loop_.Now());
+  LogWaitingPrompts(loop_.Now());
   if (demands_.has_waiting_prompts() && admission_timer_ == 0) {
     admission_timer_ = loop_.RunAfter(kAdmissionInterval, [this] {
       admission_timer_ = 0;
@@ -864,6 +903,7 @@
     dump["running"] = report_->running;
     dump["queued"] = report_->queued;
     dump["prompts_limited"] = prompts_limited_;
+    dump["prompt_window_scale"] = demands_.limiter().scale;
   }
   return dump;
 }
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/adapter_agent/demand_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace amaranthcove {
@@ -10,9 +11,11 @@
 // Maximum number of stored last uses. Above it, the oldest ones are removed.
 constexpr std::size_t kMaxLastUses = 4096;
 
-// Prompts are limited if one of this many routers has seen that they make
-// streams late. A single router among many may have a fault of its own.
-constexpr int kRoutersPerWitness = 4;
+// Time constant of the moving average of arrivals. Demand doubles within a
+// second in a burst.
+constexpr double kArrivalsAverageS = 0.5;
+// Demands that follow each other sooner are averaged together.
+constexpr Duration kMinAveraged = std::chrono::milliseconds(50);
 
 std::pair<std::string, std::string> KeyOf(const AdapterState& adapter) {
   return {adapter.model, adapter.adapter};
@@ -27,14 +30,22 @@
     return false;
   }
   std::map<std::pair<std::string, std::string>, Time> waiting_since;
+  AddPausesOf(router, entry, demand, now);
   AddSent(entry, demand, now);
-  entry.load = {0, demand.prompt_tokens, demand.prompt_tokens};
+  AverageArrivals(entry, demand, now);
+  entry.load.requests = 0;
+  entry.load.waiting = static_cast<int>(demand.prompts.size());
+  entry.load.waiting_for_loads = 0;
+  entry.load.prompt_tokens = demand.prompt_tokens;
+  entry.load.unread_tokens = demand.prompt_tokens;
   std::map<std::int64_t, AskedPrompt> prompts;
   for (const PromptDemand& prompt : demand.prompts) {
     const auto known = entry.prompts.find(prompt.id);
     AskedPrompt& asked = prompts[prompt.id];
     asked.demand = prompt;
-    asked.since = known == entry.prompts.end() ? now : known->second.since;
+    // A request that comes from another engine keeps its turn.
+    asked.since = known == entry.prompts.end() ? now - prompt.waited
+                                               : known->second.since;
     asked.admitted = known != entry.prompts.end() && known->second.admitted;
     entry.load.prompt_tokens += prompt.tokens;
   }
@@ -43,6 +54,7 @@
     const auto key = KeyOf(use.target);
     last_uses_[key] = now;
     entry.load.requests += use.running;
+    entry.load.waiting_for_loads += use.waiting;
     if (use.waiting > 0) {
       const auto known = entry.waiting_since.find(key);
       use.waiting_since =
@@ -103,6 +115,42 @@
   return result;
 }
 
+void DemandTable::AddPausesOf(const Address& router,
+                              const Entry& entry,
+                              const RouterDemand& demand,
+                              Time now) {
+  if (entry.demand.incarnation != demand.incarnation) {
+    return;  // The first demand: when its streams paused is unknown.
+  }
+  AddPauses(limiter_, router,
+            {demand.pauses.long_pauses - entry.demand.pauses.long_pauses,
+             demand.pauses.late_pauses - entry.demand.pauses.late_pauses},
+            static_cast<int>(entries_.size()), now);
+}
+
+void DemandTable::AverageArrivals(Entry& entry,
+                                  const RouterDemand& demand,
+                                  Time now) {
+  if (entry.demand.incarnation != demand.incarnation) {
+    entry.load.arrivals_per_s = 0;
+    entry.averaged = now;
+    entry.averaged_requests = demand.sent_requests;
+    return;
+  }
+  const Duration elapsed = now - entry.averaged;
+  if (elapsed < kMinAveraged) {
+    return;
+  }
+  const double seconds = ToSeconds(elapsed);
+  const double latest =
+      static_cast<double>(demand.sent_requests - entry.averaged_requests) /
+      seconds;
+  entry.load.arrivals_per_s += (1 - std::exp(-seconds / kArrivalsAverageS)) *
+                               (latest - entry.load.arrivals_per_s);
+  entry.averaged = now;
+  entry.averaged_requests = demand.sent_requests;
+}
+
 void DemandTable::AddSent(const Entry& entry,
                           const RouterDemand& demand,
                           Time now) {
@@ -142,14 +190,10 @@
   PromptLimits limits;
   std::int64_t tokens = 0;
   int windows = 0;
-  int routers = 0;
-  int late = 0;
   for (const auto& [router, entry] : entries_) {
     if (now - entry.received >= kLoadLifetime) {
       continue;
     }
-    ++routers;
-    late += entry.demand.has_late_pauses ? 1 : 0;
     const PromptLimits& stated = entry.demand.prompt_limits;
     limits.batch_size = std::max(limits.batch_size, stated.batch_size);
     if (stated.window_tokens > 0) {
@@ -158,17 +202,35 @@
       ++windows;
     }
   }
-  if (late > 0 && late * kRoutersPerWitness >= routers) {
-    late_pauses_seen_ = now;
-  }
-  const bool limited =
-      late_pauses_seen_ && now - *late_pauses_seen_ < kLimitLifetime;
-  if (windows > 0 && limited) {
-    limits.window_tokens = tokens / windows;
+  AdjustWindow(limiter_, now);
+  if (windows > 0 && limiter_.limited) {
+    limits.window_tokens = static_cast<std::int64_t>(
+        limiter_.scale * static_cast<double>(tokens / windows));
   }
   return limits;
 }
 
+DemandTable::AdmissionState DemandTable::DescribeAdmission(Time now) {
+  AdmissionState state;
+  state.limits = Limits(now);
+  for (const auto& [router, entry] : entries_) {
+    if (now - entry.received >= kLoadLifetime) {
+      continue;
+    }
+    state.unread_tokens += entry.demand.prompt_tokens;
+    state.requests += entry.load.requests;
+    for (const auto& [id, prompt] : entry.prompts) {
+      if (!prompt.admitted) {
+        ++state.waiting;
+        state.longest_wait = std::max(state.longest_wait, now - prompt.since);
+      }
+    }
+  }
+  state.recent_tokens =
+      SentSince(now - std::min(state.limits.gap, kLoadLifetime));
+  return state;
+}
+
 bool DemandTable::has_waiting_prompts() const {
   return std::any_of(entries_.begin(), entries_.end(), [](const auto& item) {
     return !item.second.prompts.empty();
@@ -223,6 +285,9 @@
   for (const auto& [router, entry] : entries_) {
     if (now - entry.received < kLoadLifetime) {
       total.requests += entry.load.requests;
+      total.waiting += entry.load.waiting;
+      total.waiting_for_loads += entry.load.waiting_for_loads;
+      total.arrivals_per_s += entry.load.arrivals_per_s;
       total.prompt_tokens += entry.load.prompt_tokens;
       total.unread_tokens += entry.load.unread_tokens;
     }
@@ -238,6 +303,9 @@
     RequestLoad others = total;
     if (now - entry.received < kLoadLifetime) {
       others.requests -= entry.load.requests;
+      others.waiting -= entry.load.waiting;
+      others.waiting_for_loads -= entry.load.waiting_for_loads;
+      others.arrivals_per_s -= entry.load.arrivals_per_s;
       others.prompt_tokens -= entry.load.prompt_tokens;
       others.unread_tokens -= entry.load.unread_tokens;
     }
--- a/src/adapter_agent/prompt_admission_test.cc
+++ b/src/adapter_agent/prompt_admission_test.cc
@@ -16,6 +16,9 @@
 
 using std::chrono::milliseconds;
 
+// Of which half were too long.
+constexpr PauseCounts kLatePauses = {40, 20};
+
 const Time kStart = Time(std::chrono::hours(1));
 
 // A prompt that a caller sends at a time.
@@ -63,6 +66,17 @@
     router.demand.prompt_tokens += tokens;
     router.demand.sent_tokens += tokens;
   };
+  if (limits != nullptr) {
+    // The streams were late before. The first demand is the base of the counts.
+    for (const PauseCounts& pauses : {PauseCounts(), kLatePauses}) {
+      for (std::size_t i = 0; i < routers.size(); ++i) {
+        states[i].demand.prompt_limits = *limits;
+        states[i].demand.pauses = pauses;
+        ++states[i].demand.sequence;
+        table.Put(routers[i], states[i].demand, kStart);
+      }
+    }
+  }
   while (next < arrivals.size() || !queue.empty() ||
          !states[0].demand.prompts.empty() ||
          !states[1].demand.prompts.empty()) {
@@ -80,7 +94,6 @@
     if (limits != nullptr) {
       for (std::size_t i = 0; i < routers.size(); ++i) {
         states[i].demand.prompt_limits = *limits;
-        states[i].demand.has_late_pauses = true;
         ++states[i].demand.sequence;
         table.Put(routers[i], states[i].demand, now);
       }
@@ -218,9 +231,17 @@
     demand.incarnation = 1;
     demand.sequence = sequence;
     demand.prompt_limits = {2000, milliseconds(300), 64};
-    demand.has_late_pauses = true;
     return demand;
   }
+
+  // Puts a demand of `router` after reports of late pauses, so that prompts are
+  // limited.
+  void PutLimited(const Address& router, RouterDemand demand, Time now) {
+    RouterDemand first = MakeDemand(demand.sequence - 1);
+    table_.Put(router, first, now);
+    demand.pauses = kLatePauses;
+    table_.Put(router, demand, now);
+  }
 };
 
 // Guards against counting a router's own prompts twice: it adds its own, which
@@ -245,7 +266,7 @@
 TEST(PromptDemands, PromptsOfSilentRoutersAreForgotten) {
   RouterDemand demand = MakeDemand(1);
   demand.prompt_tokens = 5000;
-  table_.Put(router_a_, demand, kStart);
+  PutLimited(router_a_, demand, kStart);
   const Time later = kStart + DemandTable::kLoadLifetime;
   RouterDemand waiting = MakeDemand(1);
   waiting.prompts = {{1, 900, 0}};
@@ -276,20 +297,60 @@
 // Guards against prompts that are held back at engines whose streams are on
 // time anyway. One router in doubt is not enough among many.
 TEST(PromptDemands, PromptsAreLimitedOnlyIfStreamsWereLate) {
-  RouterDemand demand = MakeDemand(1);
-  demand.has_late_pauses = false;
-  for (int number = 1; number <= 9; ++number) {
+  const auto put = [this](int number, std::int64_t sequence,
+                          const PauseCounts& pauses) {
+    RouterDemand demand = MakeDemand(sequence);
+    demand.pauses = pauses;
     table_.Put({"10.0.1." + std::to_string(number), 7000}, demand, kStart);
+  };
+  for (int number = 1; number <= 11; ++number) {
+    put(number, 1, {});
+    put(number, 2, {10, 0});
   }
   CHECK_EQUAL(0, static_cast<int>(table_.Limits(kStart).window_tokens));
-  demand.has_late_pauses = true;
-  table_.Put(router_a_, demand, kStart);
+  put(1, 3, {70, 60});
   CHECK_EQUAL(0, static_cast<int>(table_.Limits(kStart).window_tokens));
-  table_.Put(router_b_, demand, kStart);
-  demand.sequence = 2;
-  table_.Put({"10.0.1.1", 7000}, demand, kStart);
+  put(2, 3, {15, 5});
+  put(3, 3, {15, 5});
   CHECK_EQUAL(2000, static_cast<int>(table_.Limits(kStart).window_tokens));
   CHECK_EQUAL(64, table_.Limits(kStart).batch_size);
 }
 
+// Guards against a request that is placed again and starts at the end of the
+// queue of its next engine: requests that waited longest came last each time.
+TEST(PromptDemands, RequestsKeepTheirTurnAtAnotherEngine) {
+  RouterDemand demand = MakeDemand(1);
+  demand.prompt_limits.batch_size = 1;
+  demand.prompts = {{1, 300, 0, Duration::zero(), {}}};
+  table_.Put(router_a_, demand, kStart);
+  demand.prompts = {{1, 300, 0, milliseconds(500), {}}};
+  table_.Put(router_b_, demand, kStart + milliseconds(50));
+  const auto admitted = table_.AdmitPrompts(kStart + milliseconds(50));
+  CHECK_EQUAL(1, static_cast<int>(admitted.size()));
+  CHECK_EQUAL(1, static_cast<int>(admitted.count(router_b_)));
+}
+
+// Guards against routers that do not learn how many requests of others wait at
+// an engine, and how many arrive there.
+TEST(PromptDemands, RoutersLearnWhatOthersWillSend) {
+  RouterDemand demand = MakeDemand(1);
+  demand.sent_requests = 1000;
+  table_.Put(router_a_, demand, kStart);
+  table_.Put(router_b_, demand, kStart);
+  for (int i = 1; i <= 20; ++i) {
+    demand.sequence = 1 + i;
+    demand.sent_requests += 5;
+    demand.prompts = {{i, 300, 0}, {i + 1, 300, 0}};
+    demand.uses = {{{"m", "a", 1}, 3, 2, 0, {}}};
+    table_.Put(router_a_, demand, kStart + milliseconds(250 * i));
+  }
+  const Time now = kStart + milliseconds(5000);
+  for (const LoadOfOthers& others : table_.LoadsOfOthers(now)) {
+    const bool is_a = others.router == router_a_;
+    CHECK_EQUAL(is_a ? 0 : 2, others.load.waiting);
+    CHECK_EQUAL(is_a ? 0 : 3, others.load.waiting_for_loads);
+    DOUBLES_EQUAL(is_a ? 0 : 20, others.load.arrivals_per_s, 1);
+  }
+}
+
 }  // namespace amaranthcove
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -24,6 +24,7 @@
   1: i64 id              // Unique within the incarnation of the router.
   2: i64 tokens
   3: i32 rank            // 0 is first.
+  6: i64 waited_ms       // For admission, at this engine and others before.
   4: i64 workspace       // Hash of the name; 0 without one.
   5: double weight = 1   // Of the share of the workspace.
 }
@@ -74,12 +75,16 @@
   12: i64 sent_tokens        // Tokens of all prompts that the incarnation of
                              // the router has sent to the engine.
   13: i32 gap_ms
-  14: bool has_late_pauses   // Whether prompts have lately made streams late.
   15: list<LostRequest> lost // Of about the last second.
   16: list<i64> begun_parts  // Parts that the agent listed with a crash, and
                              // that have not crashed a server since.
   17: list<PlainServerCrash> plain_crashes  // Of about the last second.
   18: list<QuotaReport> quotas  // Of the workspaces whose ledger the agent keeps.
+  19: i64 long_pauses    // Pauses of streams at the engine that prompts may have
+                         // caused, and those of them that were too long; totals
+                         // of the incarnation of the router.
+  20: i64 late_pauses
+  21: i64 sent_requests  // Total of the incarnation.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
@@ -120,6 +125,9 @@
   5: i64 unread_tokens   // Those of them that are sent and unread.
   6: bool limits_prompts // Whether the agent keeps to the prompt window.
   7: list<i64> admitted  // Waiting prompts of the receiver that it may send.
+  8: i32 waiting         // Prompts of other routers that wait for admission.
+  9: i32 waiting_for_loads  // Requests of other routers that wait for a load.
+  10: double arrivals_per_s  // Of requests that other routers send.
 }
 
 // A crash of a server.
--- a/src/agent_link/agent_link_test.cc
+++ b/src/agent_link/agent_link_test.cc
@@ -267,7 +267,8 @@
 // Guards against a prompt that is never admitted because one datagram was lost,
 // and against prompts that stay listed after they were withdrawn.
 TEST(AgentLinks, AsksForAdmissionUntilThePromptIsWithdrawn) {
-  const std::int64_t id = links_.AskAdmission("e1", 800, kRequest, kStart);
+  const std::int64_t id =
+      links_.AskAdmission("e1", 800, kRequest, Duration::zero(), kStart);
   links_.Tick(kStart);
   links_.Tick(kStart + milliseconds(100));
   CHECK_EQUAL(2, static_cast<int>(sent_.size()));
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/agent_link/agent_links.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <span>
 #include <utility>
@@ -89,6 +90,11 @@
   }
   snapshot.load_sequence = load.sequence;
   snapshot.other_requests = std::max(load.requests, 0);
+  snapshot.other_waiting_prompts = std::max(load.waiting, 0);
+  snapshot.other_waiting_for_loads = std::max(load.waiting_for_loads, 0);
+  snapshot.other_arrivals_per_s = std::isfinite(load.arrivals_per_s)
+                                      ? std::max(load.arrivals_per_s, 0.0)
+                                      : 0;
   snapshot.other_prompt_tokens = std::max<std::int64_t>(load.prompt_tokens, 0);
   snapshot.other_unread_tokens = std::max<std::int64_t>(load.unread_tokens, 0);
   snapshot.limits_prompts = load.limits_prompts;
@@ -321,6 +327,7 @@
                            Time now) {
   Prompts& prompts = prompts_[std::string(engine)];
   prompts.tokens += tokens;
+  ++prompts.sent_requests;
   prompts.sent_tokens += tokens;
   ScheduleSend(engine, now);
 }
@@ -339,9 +346,10 @@
 std::int64_t AgentLinks::AskAdmission(std::string_view engine,
                                       std::int64_t tokens,
                                       const WaitingRequest& request,
+                                      Duration waited,
                                       Time now) {
   const std::int64_t id = ++last_prompt_id_;
-  prompts_[std::string(engine)].asked[id] = {tokens, request};
+  prompts_[std::string(engine)].asked[id] = {tokens, request, now - waited};
   ScheduleSend(engine, now);
   return id;
 }
@@ -363,14 +371,28 @@
   }
 }
 
-void AgentLinks::SetLatePauses(std::string_view engine,
-                               bool has_late_pauses,
-                               Time now) {
-  Link* link = FindLink(engine);
-  if (link != nullptr && link->has_late_pauses != has_late_pauses) {
-    link->has_late_pauses = has_late_pauses;
-    link->next_send = std::min(link->next_send, now);
+void AgentLinks::AddLongPause(std::string_view engine, bool is_late) {
+  Prompts& prompts = prompts_[std::string(engine)];
+  ++prompts.long_pauses;
+  prompts.late_pauses += is_late ? 1 : 0;
+}
+
+int AgentLinks::waiting_prompts(std::string_view engine) const {
+  const auto found = prompts_.find(engine);
+  return found == prompts_.end() ? 0
+                                 : static_cast<int>(found->second.asked.size());
+}
+
+int AgentLinks::waiting_for_loads(std::string_view engine) const {
+  const auto found = uses_.find(engine);
+  if (found == uses_.end()) {
+    return 0;
+  }
+  std::size_t waiting = 0;
+  for (const auto& [adapter, use] : found->second) {
+    waiting += use.waiting.size();
   }
+  return static_cast<int>(waiting);
 }
 
 std::int64_t AgentLinks::prompt_tokens(std::string_view engine) const {
@@ -399,11 +421,15 @@
   }
   demand.prompt_tokens = found->second.tokens;
   demand.sent_tokens = found->second.sent_tokens;
+  demand.sent_requests = found->second.sent_requests;
+  demand.long_pauses = found->second.long_pauses;
+  demand.late_pauses = found->second.late_pauses;
   for (const auto& [id, prompt] : found->second.asked) {
     agent_wire::WaitingPrompt item;
     item.id = id;
     item.tokens = prompt.tokens;
     item.rank = WaitingRank(prompt.request, now);
+    item.waited_ms = ToMilliseconds(now - prompt.since);
     item.workspace = static_cast<std::int64_t>(prompt.request.share.workspace);
     item.weight = prompt.request.share.weight;
     demand.prompts.push_back(item);
@@ -528,7 +554,6 @@
   demand.sequence = ++sequence_;
   demand.prompt_window = link.window.tokens;
   demand.gap_ms = static_cast<std::int32_t>(ToMilliseconds(link.window.gap));
-  demand.has_late_pauses = link.has_late_pauses;
   AddPromptsTo(demand, engine, now);
   if (quota_reporter_) {
     demand.quotas =
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -334,6 +334,10 @@
   this->rank = val;
 }
 
+void WaitingPrompt::__set_waited_ms(const int64_t val) {
+  this->waited_ms = val;
+}
+
 void WaitingPrompt::__set_workspace(const int64_t val) {
   this->workspace = val;
 }
@@ -393,6 +397,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waited_ms);
+          this->__isset.waited_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->workspace);
@@ -446,6 +458,10 @@
   xfer += oprot->writeDouble(this->weight);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->waited_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -456,6 +472,7 @@
   swap(a.id, b.id);
   swap(a.tokens, b.tokens);
   swap(a.rank, b.rank);
+  swap(a.waited_ms, b.waited_ms);
   swap(a.workspace, b.workspace);
   swap(a.weight, b.weight);
   swap(a.__isset, b.__isset);
@@ -465,6 +482,7 @@
   id = other4.id;
   tokens = other4.tokens;
   rank = other4.rank;
+  waited_ms = other4.waited_ms;
   workspace = other4.workspace;
   weight = other4.weight;
   __isset = other4.__isset;
@@ -473,6 +491,7 @@
   id = other5.id;
   tokens = other5.tokens;
   rank = other5.rank;
+  waited_ms = other5.waited_ms;
   workspace = other5.workspace;
   weight = other5.weight;
   __isset = other5.__isset;
@@ -484,6 +503,7 @@
   out << "id=" << to_string(id);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "rank=" << to_string(rank);
+  out << ", " << "waited_ms=" << to_string(waited_ms);
   out << ", " << "workspace=" << to_string(workspace);
   out << ", " << "weight=" << to_string(weight);
   out << ")";
@@ -1004,10 +1024,6 @@
   this->gap_ms = val;
 }
 
-void AdapterDemand::__set_has_late_pauses(const bool val) {
-  this->has_late_pauses = val;
-}
-
 void AdapterDemand::__set_lost(const std::vector<LostRequest> & val) {
   this->lost = val;
 }
@@ -1023,6 +1039,18 @@
 void AdapterDemand::__set_quotas(const std::vector<QuotaReport> & val) {
   this->quotas = val;
 }
+
+void AdapterDemand::__set_long_pauses(const int64_t val) {
+  this->long_pauses = val;
+}
+
+void AdapterDemand::__set_late_pauses(const int64_t val) {
+  this->late_pauses = val;
+}
+
+void AdapterDemand::__set_sent_requests(const int64_t val) {
+  this->sent_requests = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -1191,14 +1219,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->has_late_pauses);
-          this->__isset.has_late_pauses = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 15:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -1279,6 +1299,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->long_pauses);
+          this->__isset.long_pauses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->late_pauses);
+          this->__isset.late_pauses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_requests);
+          this->__isset.sent_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1372,10 +1416,6 @@
   xfer += oprot->writeI32(this->gap_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("has_late_pauses", ::apache::thrift::protocol::T_BOOL, 14);
-  xfer += oprot->writeBool(this->has_late_pauses);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
@@ -1424,6 +1464,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("long_pauses", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->long_pauses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("late_pauses", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->late_pauses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_requests", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->sent_requests);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1444,11 +1496,13 @@
   swap(a.batch_size, b.batch_size);
   swap(a.sent_tokens, b.sent_tokens);
   swap(a.gap_ms, b.gap_ms);
-  swap(a.has_late_pauses, b.has_late_pauses);
   swap(a.lost, b.lost);
   swap(a.begun_parts, b.begun_parts);
   swap(a.plain_crashes, b.plain_crashes);
   swap(a.quotas, b.quotas);
+  swap(a.long_pauses, b.long_pauses);
+  swap(a.late_pauses, b.late_pauses);
+  swap(a.sent_requests, b.sent_requests);
   swap(a.__isset, b.__isset);
 }
 
@@ -1466,11 +1520,13 @@
   batch_size = other60.batch_size;
   sent_tokens = other60.sent_tokens;
   gap_ms = other60.gap_ms;
-  has_late_pauses = other60.has_late_pauses;
   lost = other60.lost;
   begun_parts = other60.begun_parts;
   plain_crashes = other60.plain_crashes;
   quotas = other60.quotas;
+  long_pauses = other60.long_pauses;
+  late_pauses = other60.late_pauses;
+  sent_requests = other60.sent_requests;
   __isset = other60.__isset;
 }
 AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other61) {
@@ -1487,11 +1543,13 @@
   batch_size = other61.batch_size;
   sent_tokens = other61.sent_tokens;
   gap_ms = other61.gap_ms;
-  has_late_pauses = other61.has_late_pauses;
   lost = other61.lost;
   begun_parts = other61.begun_parts;
   plain_crashes = other61.plain_crashes;
   quotas = other61.quotas;
+  long_pauses = other61.long_pauses;
+  late_pauses = other61.late_pauses;
+  sent_requests = other61.sent_requests;
   __isset = other61.__isset;
   return *this;
 }
@@ -1511,11 +1569,13 @@
   out << ", " << "batch_size=" << to_string(batch_size);
   out << ", " << "sent_tokens=" << to_string(sent_tokens);
   out << ", " << "gap_ms=" << to_string(gap_ms);
-  out << ", " << "has_late_pauses=" << to_string(has_late_pauses);
   out << ", " << "lost=" << to_string(lost);
   out << ", " << "begun_parts=" << to_string(begun_parts);
   out << ", " << "plain_crashes=" << to_string(plain_crashes);
   out << ", " << "quotas=" << to_string(quotas);
+  out << ", " << "long_pauses=" << to_string(long_pauses);
+  out << ", " << "late_pauses=" << to_string(late_pauses);
+  out << ", " << "sent_requests=" << to_string(sent_requests);
   out << ")";
 }
 
@@ -2075,6 +2135,18 @@
 void EngineLoad::__set_admitted(const std::vector<int64_t> & val) {
   this->admitted = val;
 }
+
+void EngineLoad::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void EngineLoad::__set_waiting_for_loads(const int32_t val) {
+  this->waiting_for_loads = val;
+}
+
+void EngineLoad::__set_arrivals_per_s(const double val) {
+  this->arrivals_per_s = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj)
 {
   obj.printTo(out);
@@ -2171,6 +2243,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting_for_loads);
+          this->__isset.waiting_for_loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->arrivals_per_s);
+          this->__isset.arrivals_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2224,6 +2320,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting_for_loads", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->waiting_for_loads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("arrivals_per_s", ::apache::thrift::protocol::T_DOUBLE, 10);
+  xfer += oprot->writeDouble(this->arrivals_per_s);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2238,6 +2346,9 @@
   swap(a.unread_tokens, b.unread_tokens);
   swap(a.limits_prompts, b.limits_prompts);
   swap(a.admitted, b.admitted);
+  swap(a.waiting, b.waiting);
+  swap(a.waiting_for_loads, b.waiting_for_loads);
+  swap(a.arrivals_per_s, b.arrivals_per_s);
   swap(a.__isset, b.__isset);
 }
 
@@ -2249,6 +2360,9 @@
   unread_tokens = other90.unread_tokens;
   limits_prompts = other90.limits_prompts;
   admitted = other90.admitted;
+  waiting = other90.waiting;
+  waiting_for_loads = other90.waiting_for_loads;
+  arrivals_per_s = other90.arrivals_per_s;
   __isset = other90.__isset;
 }
 EngineLoad& EngineLoad::operator=(const EngineLoad& other91) {
@@ -2259,6 +2373,9 @@
   unread_tokens = other91.unread_tokens;
   limits_prompts = other91.limits_prompts;
   admitted = other91.admitted;
+  waiting = other91.waiting;
+  waiting_for_loads = other91.waiting_for_loads;
+  arrivals_per_s = other91.arrivals_per_s;
   __isset = other91.__isset;
   return *this;
 }
@@ -2272,6 +2389,9 @@
   out << ", " << "unread_tokens=" << to_string(unread_tokens);
   out << ", " << "limits_prompts=" << to_string(limits_prompts);
   out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "waiting_for_loads=" << to_string(waiting_for_loads);
+  out << ", " << "arrivals_per_s=" << to_string(arrivals_per_s);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -192,10 +192,11 @@
 std::ostream& operator<<(std::ostream& out, const BaseModel& obj);
 
 typedef struct _WaitingPrompt__isset {
-  _WaitingPrompt__isset() : id(false), tokens(false), rank(false), workspace(false), weight(true) {}
+  _WaitingPrompt__isset() : id(false), tokens(false), rank(false), waited_ms(false), workspace(false), weight(true) {}
   bool id :1;
   bool tokens :1;
   bool rank :1;
+  bool waited_ms :1;
   bool workspace :1;
   bool weight :1;
 } _WaitingPrompt__isset;
@@ -209,6 +210,7 @@
                 : id(0),
                   tokens(0),
                   rank(0),
+                  waited_ms(0),
                   workspace(0),
                   weight(static_cast<double>(1)) {
   }
@@ -217,6 +219,7 @@
   int64_t id;
   int64_t tokens;
   int32_t rank;
+  int64_t waited_ms;
   int64_t workspace;
   double weight;
 
@@ -228,6 +231,8 @@
 
   void __set_rank(const int32_t val);
 
+  void __set_waited_ms(const int64_t val);
+
   void __set_workspace(const int64_t val);
 
   void __set_weight(const double val);
@@ -240,6 +245,8 @@
       return false;
     if (!(rank == rhs.rank))
       return false;
+    if (!(waited_ms == rhs.waited_ms))
+      return false;
     if (!(workspace == rhs.workspace))
       return false;
     if (!(weight == rhs.weight))
@@ -448,7 +455,7 @@
 std::ostream& operator<<(std::ostream& out, const QuotaReport& obj);
 
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), has_late_pauses(false), lost(false), begun_parts(false), plain_crashes(false), quotas(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), lost(false), begun_parts(false), plain_crashes(false), quotas(false), long_pauses(false), late_pauses(false), sent_requests(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -462,11 +469,13 @@
   bool batch_size :1;
   bool sent_tokens :1;
   bool gap_ms :1;
-  bool has_late_pauses :1;
   bool lost :1;
   bool begun_parts :1;
   bool plain_crashes :1;
   bool quotas :1;
+  bool long_pauses :1;
+  bool late_pauses :1;
+  bool sent_requests :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -485,7 +494,9 @@
                   batch_size(0),
                   sent_tokens(0),
                   gap_ms(0),
-                  has_late_pauses(0) {
+                  long_pauses(0),
+                  late_pauses(0),
+                  sent_requests(0) {
   }
 
   virtual ~AdapterDemand() noexcept;
@@ -502,11 +513,13 @@
   int32_t batch_size;
   int64_t sent_tokens;
   int32_t gap_ms;
-  bool has_late_pauses;
   std::vector<LostRequest>  lost;
   std::vector<int64_t>  begun_parts;
   std::vector<PlainServerCrash>  plain_crashes;
   std::vector<QuotaReport>  quotas;
+  int64_t long_pauses;
+  int64_t late_pauses;
+  int64_t sent_requests;
 
   _AdapterDemand__isset __isset;
 
@@ -536,8 +549,6 @@
 
   void __set_gap_ms(const int32_t val);
 
-  void __set_has_late_pauses(const bool val);
-
   void __set_lost(const std::vector<LostRequest> & val);
 
   void __set_begun_parts(const std::vector<int64_t> & val);
@@ -546,6 +557,12 @@
 
   void __set_quotas(const std::vector<QuotaReport> & val);
 
+  void __set_long_pauses(const int64_t val);
+
+  void __set_late_pauses(const int64_t val);
+
+  void __set_sent_requests(const int64_t val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -574,8 +591,6 @@
       return false;
     if (!(gap_ms == rhs.gap_ms))
       return false;
-    if (!(has_late_pauses == rhs.has_late_pauses))
-      return false;
     if (!(lost == rhs.lost))
       return false;
     if (!(begun_parts == rhs.begun_parts))
@@ -584,6 +599,12 @@
       return false;
     if (!(quotas == rhs.quotas))
       return false;
+    if (!(long_pauses == rhs.long_pauses))
+      return false;
+    if (!(late_pauses == rhs.late_pauses))
+      return false;
+    if (!(sent_requests == rhs.sent_requests))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
@@ -784,7 +805,7 @@
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj);
 
 typedef struct _EngineLoad__isset {
-  _EngineLoad__isset() : sequence(false), incarnation(false), requests(false), prompt_tokens(false), unread_tokens(false), limits_prompts(false), admitted(false) {}
+  _EngineLoad__isset() : sequence(false), incarnation(false), requests(false), prompt_tokens(false), unread_tokens(false), limits_prompts(false), admitted(false), waiting(false), waiting_for_loads(false), arrivals_per_s(false) {}
   bool sequence :1;
   bool incarnation :1;
   bool requests :1;
@@ -792,6 +813,9 @@
   bool unread_tokens :1;
   bool limits_prompts :1;
   bool admitted :1;
+  bool waiting :1;
+  bool waiting_for_loads :1;
+  bool arrivals_per_s :1;
 } _EngineLoad__isset;
 
 class EngineLoad : public virtual ::apache::thrift::TBase {
@@ -805,7 +829,10 @@
                requests(0),
                prompt_tokens(0),
                unread_tokens(0),
-               limits_prompts(0) {
+               limits_prompts(0),
+               waiting(0),
+               waiting_for_loads(0),
+               arrivals_per_s(0) {
   }
 
   virtual ~EngineLoad() noexcept;
@@ -816,6 +843,9 @@
   int64_t unread_tokens;
   bool limits_prompts;
   std::vector<int64_t>  admitted;
+  int32_t waiting;
+  int32_t waiting_for_loads;
+  double arrivals_per_s;
 
   _EngineLoad__isset __isset;
 
@@ -833,6 +863,12 @@
 
   void __set_admitted(const std::vector<int64_t> & val);
 
+  void __set_waiting(const int32_t val);
+
+  void __set_waiting_for_loads(const int32_t val);
+
+  void __set_arrivals_per_s(const double val);
+
   bool operator == (const EngineLoad & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -849,6 +885,12 @@
       return false;
     if (!(admitted == rhs.admitted))
       return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(waiting_for_loads == rhs.waiting_for_loads))
+      return false;
+    if (!(arrivals_per_s == rhs.arrivals_per_s))
+      return false;
     return true;
   }
   bool operator != (const EngineLoad &rhs) const {
--- a/src/backend_choice/backend_choice.cc
+++ b/src/backend_choice/backend_choice.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "amaranthcove/backend_choice/even_load.h"
 #include "amaranthcove/base/hash.h"
 
 namespace amaranthcove {
@@ -82,6 +83,58 @@
   return loads * pace.load_ms + queue_ms;
 }
 
+// With fewer requests on their way from other routers, the jitter is enough.
+constexpr double kMinExpectedArrivals = 1;
+
+// Returns the indexes of the engines that were not tried and are not avoided,
+// as far as there are any.
+std::vector<std::size_t> LeastDrawback(
+    std::span<const EngineCandidate> candidates) {
+  std::pair least(true, true);
+  for (const EngineCandidate& candidate : candidates) {
+    least = std::min(least, std::pair(candidate.tried, candidate.avoided));
+  }
+  std::vector<std::size_t> usable;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (std::pair(candidates[i].tried, candidates[i].avoided) == least) {
+      usable.push_back(i);
+    }
+  }
+  return usable;
+}
+
+// Returns by how much one more request of the usual size raises the cost of the
+// next one: it is read first, and takes a place of a full batch.
+double RequestCostMs(const EngineCandidate& candidate, const EnginePace& pace) {
+  const EngineWork work = WorkOf(candidate);
+  const double reading_ms = pace.prompt_token_ms * kPriorPromptTokens;
+  const double place_ms = work.excess_requests > 0
+                              ? pace.request_ms / std::max(work.batch_size, 1)
+                              : 0;
+  return work.slowness * std::max(reading_ms, place_ms);
+}
+
+// Returns the index of the offer with the lowest sum of cost and jitter.
+std::optional<std::size_t> ChooseCheapest(
+    std::span<const ServerOffer> offers,
+    std::span<const EngineCandidate> candidates,
+    std::span<const std::size_t> usable,
+    const EnginePace& pace) {
+  const double max_jitter_ms =
+      kJitterPrompts * kPriorPromptTokens * pace.prompt_token_ms;
+  std::optional<std::size_t> best;
+  std::pair<double, std::size_t> best_cost;
+  for (std::size_t i = 0; i < offers.size(); ++i) {
+    const std::pair cost(offers[i].cost_ms + max_jitter_ms * offers[i].jitter,
+                         candidates[usable[i]].affinity_rank);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
 // The median of fewer engines is not representative.
 constexpr std::ptrdiff_t kMinKnownIntervals = 3;
 constexpr double kMinSlowness = 0.5;
@@ -117,13 +170,16 @@
 EngineWork WorkOf(const EngineCandidate& candidate) {
   const double recent_tokens =
       kUnreadShareOfRecentSends * kPriorPromptTokens * candidate.recent_sends;
-  const int requests = candidate.requests.value_or(
-      candidate.running + candidate.recent_sends + candidate.queued);
+  const int requests =
+      candidate.requests.value_or(candidate.running + candidate.recent_sends +
+                                  candidate.queued) +
+      candidate.waiting_prompts + candidate.waiting_for_loads;
   EngineWork work;
   work.unread_prompt_tokens = candidate.unread_prompt_tokens.value_or(
       kPriorPromptTokens * candidate.queued + recent_tokens);
   work.streams = candidate.running;
   work.excess_requests = std::max(requests + 1 - candidate.batch_size, 0);
+  work.batch_size = candidate.batch_size;
   work.slowness = candidate.slowness;
   return work;
 }
@@ -174,8 +230,10 @@
   const bool long_queue =
       window > 0 && work.unread_prompt_tokens + goal.prompt_tokens >
                         kFreeWindowShare * window;
-  const bool full = candidate.requests.value_or(0) + 1 >
-                    kFreeBatchShare * candidate.batch_size;
+  const double requests =
+      candidate.requests.value_or(0) + candidate.waiting_prompts +
+      candidate.waiting_for_loads + candidate.expected_arrivals;
+  const bool full = requests + 1 > kFreeBatchShare * candidate.batch_size;
   return full || (work.unread_prompt_tokens > 0 && long_queue);
 }
 
@@ -183,22 +241,22 @@
     std::span<const EngineCandidate> candidates,
     const EnginePace& pace,
     const RequestGoal& goal) {
-  const double max_jitter_ms =
-      kJitterPrompts * kPriorPromptTokens * pace.prompt_token_ms;
-  std::optional<std::size_t> best;
-  std::tuple<bool, bool, double, std::size_t> best_cost;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const EngineCandidate& candidate = candidates[i];
-    const std::tuple cost(candidate.tried, candidate.avoided,
-                          PlacementCostMs(candidate, pace, goal) +
-                              max_jitter_ms * candidate.jitter,
-                          candidate.affinity_rank);
-    if (!best || cost < best_cost) {
-      best = i;
-      best_cost = cost;
-    }
+  const std::vector<std::size_t> usable = LeastDrawback(candidates);
+  std::vector<ServerOffer> offers;
+  offers.reserve(usable.size());
+  double expected_arrivals = 0;
+  for (const std::size_t index : usable) {
+    const EngineCandidate& candidate = candidates[index];
+    offers.push_back({PlacementCostMs(candidate, pace, goal),
+                      RequestCostMs(candidate, pace),
+                      candidate.expected_arrivals, candidate.jitter});
+    expected_arrivals += candidate.expected_arrivals;
   }
-  return best;
+  const std::optional<std::size_t> best =
+      expected_arrivals >= kMinExpectedArrivals
+          ? ChooseEvenly(offers)
+          : ChooseCheapest(offers, candidates, usable, pace);
+  return best ? std::optional(usable[*best]) : std::nullopt;
 }
 
 void RankByAffinity(std::string_view adapter,
--- a/src/engine_cost/engine_cost.cc
+++ b/src/engine_cost/engine_cost.cc
@@ -18,11 +18,14 @@
 double FirstEventMs(const EnginePace& pace,
                     const EngineWork& work,
                     double prompt_tokens) {
-  const double reading_ms =
-      pace.prompt_token_ms * (work.unread_prompt_tokens + prompt_tokens);
-  // A request in excess of the batch waits for another one to end.
-  const double excess_ms = pace.event_interval_ms * work.excess_requests;
-  return work.slowness * (pace.first_event_ms + reading_ms + excess_ms);
+  const double unread_ms = pace.prompt_token_ms * work.unread_prompt_tokens;
+  // A request in excess of the batch waits for another one to end, while the
+  // prompts before it are read.
+  const double excess_ms =
+      pace.request_ms * work.excess_requests / std::max(work.batch_size, 1);
+  return work.slowness *
+         (pace.first_event_ms + pace.prompt_token_ms * prompt_tokens +
+          std::max(unread_ms, excess_ms));
 }
 
 double PauseMs(const EnginePace& pace,
--- a/src/engine_cost/engine_cost_test.cc
+++ b/src/engine_cost/engine_cost_test.cc
@@ -1,7 +1,7 @@
 #include "amaranthcove/engine_cost/engine_cost.h"
 
 #include "amaranthcove/engine_cost/pace_estimator.h"
-#include "amaranthcove/engine_cost/pause_monitor.h"
+#include "amaranthcove/engine_cost/stream_pause.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -117,51 +117,50 @@
   DOUBLES_EQUAL(90, pace.first_event_ms + 500 * pace.prompt_token_ms, 20);
 }
 
-TEST_GROUP(PauseMonitor) {
-  PauseMonitor monitor_;
-};
+TEST_GROUP(ClassifyPause){};
 
-// Guards against holding prompts back at engines whose streams never pause for
-// too long, whatever they read: their longest pauses end below the limit.
-TEST(PauseMonitor, LongPausesWithinTheLimitAreNotLate) {
-  for (int i = 0; i < 500; ++i) {
-    monitor_.Observe(milliseconds(290), milliseconds(400),
-                     kStart + milliseconds(10 * i));
-  }
-  CHECK(!monitor_.has_late_pauses());
+// Guards against taking frozen processes and lost packets for the work of
+// prompts, and against counting the usual steps of the engine.
+TEST(ClassifyPause, FaultsAndShortPausesDoNotCount) {
+  const Duration limit = milliseconds(300);
+  CHECK(ClassifyPause(milliseconds(40), limit) == StreamPause::kUsual);
+  CHECK(ClassifyPause(milliseconds(200), limit) == StreamPause::kLong);
+  CHECK(ClassifyPause(milliseconds(300), limit) == StreamPause::kLong);
+  CHECK(ClassifyPause(milliseconds(340), limit) == StreamPause::kLate);
+  CHECK(ClassifyPause(seconds(2), limit) == StreamPause::kUsual);
+  CHECK(ClassifyPause(milliseconds(340), Duration::zero()) ==
+        StreamPause::kUsual);
 }
 
-// Guards against streams that stay late because prompts are not held back, and
-// against letting prompts go as soon as holding them back has worked.
-TEST(PauseMonitor, LatePausesAreFoundAndRemembered) {
-  Time now = kStart;
-  for (int i = 0; i < 40; ++i) {
-    now += milliseconds(10);
-    monitor_.Observe(milliseconds(i % 3 == 0 ? 340 : 200), milliseconds(300),
-                     now);
-  }
-  CHECK(monitor_.has_late_pauses());
-  for (int i = 0; i < 200; ++i) {
-    now += milliseconds(10);
-    monitor_.Observe(milliseconds(200), milliseconds(300), now);
-  }
-  CHECK(monitor_.has_late_pauses());
-  for (int i = 0; i < 400; ++i) {
-    now += seconds(1);
-    monitor_.Observe(milliseconds(200), milliseconds(300), now);
-  }
-  CHECK(!monitor_.has_late_pauses());
+// Guards against queues at full engines that look short because only their
+// prompts count: 24 requests beyond a batch of 24 wait as long as one request
+// takes.
+TEST(EngineCost, RequestsBeyondTheBatchWaitForOthersToEnd) {
+  EnginePace pace;
+  pace.request_ms = 600;
+  EngineWork work;
+  work.batch_size = 24;
+  const double idle_ms = FirstEventMs(pace, work, 600);
+  work.excess_requests = 24;
+  work.unread_prompt_tokens = 24 * 100;
+  DOUBLES_EQUAL(600, FirstEventMs(pace, work, 600) - idle_ms, 1);
+  // Reading that takes longer hides the wait for a place.
+  work.unread_prompt_tokens = 24 * 1000;
+  DOUBLES_EQUAL(960, FirstEventMs(pace, work, 600) - idle_ms, 1);
 }
 
-// Guards against taking frozen processes and lost packets for the work of
-// prompts, and against counting the usual steps of the engine.
-TEST(PauseMonitor, FaultsAndShortPausesDoNotCount) {
-  for (int i = 0; i < 100; ++i) {
-    CHECK(!monitor_.Observe(seconds(2), milliseconds(300), kStart));
-    CHECK(!monitor_.Observe(milliseconds(40), milliseconds(300), kStart));
-    CHECK(!monitor_.Observe(milliseconds(340), Duration::zero(), kStart));
+// Guards against an estimate that does not follow engines that slow down under
+// load, and against one odd request that decides it.
+TEST(PaceEstimator, RequestTimesFollowTheLoad) {
+  PaceEstimator estimator;
+  Time now = kStart;
+  for (int i = 0; i < 1000; ++i) {
+    now += milliseconds(10);
+    estimator.ObserveEnd(1800, 2, now);
   }
-  CHECK(!monitor_.has_late_pauses());
+  DOUBLES_EQUAL(900, estimator.Pace(0).request_ms, 50);
+  estimator.ObserveEnd(60000, 1, now + milliseconds(10));
+  CHECK(estimator.Pace(0).request_ms < 1100);
 }
 
 }  // namespace amaranthcove
--- a/src/engine_cost/pace_estimator.cc
+++ b/src/engine_cost/pace_estimator.cc
@@ -12,6 +12,11 @@
 // meet an engine that reads nothing else.
 constexpr double kDecayTimeS = 60;
 
+// Time constant of the mean time of requests, which grows with the load.
+constexpr double kRequestTimeS = 5;
+// Bounds the weight of requests that end at the same moment from below.
+constexpr double kMinElapsedS = 0.01;
+
 // The prior counts like this many requests at each of two sizes, which fix both
 // parameters of the line.
 constexpr double kPriorWeight = 1;
@@ -44,8 +49,19 @@
   products_ = products_ * decay + tokens * time_ms;
 }
 
+void PaceEstimator::ObserveEnd(double request_ms, double slowness, Time now) {
+  // The latest request counts for the time since the one before it, so that
+  // the average follows a load that slows the engines down.
+  const double elapsed_s = std::clamp(ToSeconds(now - request_updated_),
+                                      kMinElapsedS, kRequestTimeS);
+  request_updated_ = now;
+  const double share = 1 - std::exp(-elapsed_s / kRequestTimeS);
+  request_ms_ += share * (request_ms / slowness - request_ms_);
+}
+
 EnginePace PaceEstimator::Pace(double event_interval_ms) const {
   EnginePace pace = kPriorPace;
+  pace.request_ms = request_ms_;
   double weight = weight_;
   double tokens = tokens_;
   double times = times_;
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "amaranthcove/base/hash.h"
+#include "amaranthcove/engine_cost/stream_pause.h"
 
 namespace amaranthcove {
 
@@ -30,6 +31,10 @@
 // The latest service time has one part of so many in the moving average.
 constexpr int kServiceTimeWeightDivisor = 16;
 
+// Time from a send of another router until its agent's report arrives, beside
+// the age of the report.
+constexpr Duration kReportDelay = milliseconds(20);
+
 int CountSince(std::span<const Time> times, Time since) {
   return static_cast<int>(std::count_if(
       times.begin(), times.end(), [since](Time at) { return at >= since; }));
@@ -163,7 +168,13 @@
   const auto activity = activity_.find(server.id);
   if (snapshot->load_received) {
     candidate.requests = snapshot->other_requests;
+    candidate.waiting_prompts =
+        snapshot->other_waiting_prompts + links_.waiting_prompts(server.id);
+    candidate.waiting_for_loads =
+        snapshot->other_waiting_for_loads + links_.waiting_for_loads(server.id);
     const Duration age = now - *snapshot->load_received;
+    candidate.expected_arrivals =
+        snapshot->other_arrivals_per_s * ToSeconds(age + kReportDelay);
     candidate.unread_prompt_tokens =
         TokensLeft(static_cast<double>(snapshot->other_prompt_tokens), pace,
                    age) +
@@ -268,16 +279,19 @@
                                            placement.slowness, now);
 }
 
-void Fleet::RecordPause(const std::string& service,
+void Fleet::RecordRequestTime(const Placement& placement,
+                              Duration taken,
+                              Time now) {
+  paces_[placement.server.service].ObserveEnd(ToSeconds(taken) * 1000,
+                                              placement.slowness, now);
+}
+
+void Fleet::RecordPause(std::string_view engine,
                         Duration pause,
-                        Duration limit,
-                        Time now) {
-  if (!pauses_[service].Observe(pause, limit, now)) {
-    return;
-  }
-  const bool late = pauses_[service].has_late_pauses();
-  for (const BackendServer* server : directory_.Serving(service)) {
-    links_.SetLatePauses(server->id, late, now);
+                        Duration limit) {
+  const StreamPause kind = ClassifyPause(pause, limit);
+  if (kind != StreamPause::kUsual) {
+    links_.AddLongPause(engine, kind == StreamPause::kLate);
   }
 }
 
@@ -297,9 +311,6 @@
     estimate.pace = pace->second.Pace(0);
     estimate.updated = pace->second.updated();
   }
-  const auto pauses = pauses_.find(service);
-  estimate.has_late_pauses =
-      pauses != pauses_.end() && pauses->second.has_late_pauses();
   return estimate;
 }
 
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -18,7 +18,6 @@
 #include "amaranthcove/base/time.h"
 #include "amaranthcove/engine_cost/engine_cost.h"
 #include "amaranthcove/engine_cost/pace_estimator.h"
-#include "amaranthcove/engine_cost/pause_monitor.h"
 #include "amaranthcove/node/node_settings.h"
 #include "amaranthcove/places/place_client.h"
 #include "amaranthcove/relay/request_info.h"
@@ -126,12 +125,12 @@
                         Duration first_event,
                         Time now);
 
-  // Records a pause between two events of a stream of `service`, whose longest
+  // Records the time from a send to the end of a complete stream.
+  void RecordRequestTime(const Placement& placement, Duration taken, Time now);
+
+  // Records a pause between two events of a stream at `engine`, whose longest
   // pause should be `limit`.
-  void RecordPause(const std::string& service,
-                   Duration pause,
-                   Duration limit,
-                   Time now);
+  void RecordPause(std::string_view engine, Duration pause, Duration limit);
 
   // Returns the prompt tokens that were sent to an engine and are not read yet,
   // or nullopt if its agent does not report them.
@@ -142,7 +141,6 @@
   struct ServiceEstimate {
     EnginePace pace;
     std::optional<Time> updated;  // No value if `pace` is the prior.
-    bool has_late_pauses = false;
   };
   ServiceEstimate EstimateOf(const std::string& service) const;
 
@@ -242,7 +240,6 @@
   std::map<std::string, RetryBudget, std::less<>> budgets_;
   // Moving averages for plain services.
   std::map<std::string, Duration, std::less<>> service_times_;
-  std::map<std::string, PauseMonitor, std::less<>> pauses_;  // By service.
   std::map<std::string, PaceEstimator, std::less<>> paces_;  // By service.
 };
 
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -131,6 +131,7 @@
 }
 
 void RelayCall::Place(Time now) {
+  ++placements_;
   progress_.time_left = deadline_ - now;
   if (EndIfRevoked(now) || EndIfCrashCause(now)) {
     return;
@@ -370,8 +371,8 @@
   RecordProgress(now);
   if (progress_.answer_begun) {
     longest_pause_ = std::max(longest_pause_, now - last_event_);
-    environment_.fleet.RecordPause(service_, now - last_event_,
-                                   route_.target_gap, now);
+    environment_.fleet.RecordPause(placement_.server.id, now - last_event_,
+                                   route_.target_gap);
     last_event_ = now;
     RemovePrompt(now);
     responder_->Write(events);
@@ -456,6 +457,7 @@
 
 void RelayCall::CompleteStream(Time now) {
   RecordSound(parts_, now);
+  environment_.fleet.RecordRequestTime(placement_, now - sent_, now);
   EndActivity();
   RecordHealth(SendEnd::kAnswered, now);
   responder_->Write(splitter_.partial_event());
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -224,6 +224,10 @@
   Duration backends_age_ = Duration::zero();
   Time wait_started_;
   Duration waited_ = Duration::zero();
+  // The parts of `waited_` for an adapter and for admission.
+  Duration waited_for_load_ = Duration::zero();
+  Duration waited_for_admission_ = Duration::zero();
+  int placements_ = 0;
   // Time from the send to the first event of a stream.
   std::optional<Duration> first_event_;
   // Prompt tokens at the engine that were not read at the send, with those of
--- a/src/router/relay_call_waiting.cc
+++ b/src/router/relay_call_waiting.cc
@@ -38,7 +38,8 @@
   state_ = State::kWaiting;
   wait_started_ = now;
   asked_prompt_ = environment_.fleet.links().AskAdmission(
-      placement_.server.id, info_.prompt_tokens, waiting_request_, now);
+      placement_.server.id, info_.prompt_tokens, waiting_request_, waited_,
+      now);
   environment_.demand_changed();
   ScheduleAdmissionCheck();
 }
@@ -210,17 +211,20 @@
   }
   state_ = State::kNew;
   const Time now = environment_.loop.Now();
-  waited_ += now - wait_started_;
+  const Duration waited = now - wait_started_;
+  waited_ += waited;
   environment_.loop.Cancel(std::exchange(wait_timer_, 0));
   if (!is_generation_) {
     GiveBackPlace();
     return;
   }
   if (asked_prompt_ != 0) {
+    waited_for_admission_ += waited;
     environment_.fleet.links().WithdrawPrompt(
         placement_.server.id, std::exchange(asked_prompt_, 0), now);
     return;
   }
+  waited_for_load_ += waited;
   environment_.fleet.links().RemoveWaiting(
       placement_.server.id, {info_.model, info_.adapter}, waiting_request_);
 }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -697,8 +697,7 @@
         {"prompt_token_ms", estimate.pace.prompt_token_ms},
         {"first_event_ms", estimate.pace.first_event_ms},
         {"estimate_age_ms",
-         estimate.updated ? ToMilliseconds(now - *estimate.updated) : -1},
-        {"has_late_pauses", estimate.has_late_pauses}};
+         estimate.updated ? ToMilliseconds(now - *estimate.updated) : -1}};
   }
   return services;
 }
