router: heed servers that say they leave, and how long they want nothing

Change: the first answer that says so marks that start of the server as leaving, whatever the store says; 503 with a number of seconds pauses the server for this router, with an end put off by up to a fifth so that routers return one after the other. Requests that wait for it are placed anew; where all servers of a service pause, the caller is told the shortest wait. Odd values are ignored or bounded to five minutes. Not done: agents that hear of it in the engine's state.

--- a/include/amaranthcove/backends/backend_directory.h
+++ b/include/amaranthcove/backends/backend_directory.h
@@ -58,6 +58,11 @@
   // Adds or updates an entry of the list. Returns the resulting change, if any.
   std::vector<Change> Put(BackendServer server);
 
+  // Marks a server as leaving that has said so itself. Servers that are not
+  // listed, or that have started anew since, stay as they are. Returns the
+  // resulting change, if any.
+  std::vector<Change> MarkLeaving(const BackendServer& server);
+
   // Removes an entry. During the grace period, a server that was not leaving is
   // kept until `Expire`. Returns the resulting change, if any.
   std::vector<Change> Remove(std::string_view id, Time now);
--- a/include/amaranthcove/relay/request_info.h
+++ b/include/amaranthcove/relay/request_info.h
@@ -56,6 +56,10 @@
   // Id of the server that answered; empty if the answer does not contain it.
   std::string server_id;
   bool is_signed = false;  // It bears the signature of a backend server.
+  bool server_leaves = false;
+  // How long the server wants nothing more, if it refused the request and said
+  // so.
+  std::optional<Duration> wants_nothing_for;
 };
 
 }  // namespace amaranthcove
--- a/src/backends/backend_directory.cc
+++ b/src/backends/backend_directory.cc
@@ -62,6 +62,16 @@
   return {};
 }
 
+std::vector<Change> BackendDirectory::MarkLeaving(const BackendServer& server) {
+  const auto found = entries_.find(server.id);
+  if (found == entries_.end() || found->second.server.leaving ||
+      !IsSameStart(found->second.server, server)) {
+    return {};
+  }
+  found->second.server.leaving = true;
+  return {{Kind::kLeaving, found->second.server}};
+}
+
 std::vector<Change> BackendDirectory::Remove(std::string_view id, Time now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
--- a/src/backends/backends_test.cc
+++ b/src/backends/backends_test.cc
@@ -1,5 +1,6 @@
 #include "amaranthcove/backends/backend_directory.h"
 #include "amaranthcove/backends/backend_health.h"
+#include "amaranthcove/backends/backend_pause.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -145,4 +146,63 @@
   CHECK(health_.avoided_until - second == milliseconds(1000));
 }
 
+// Guards against new work for a server that has said in an answer that it
+// leaves, when its entry is listed again without that, and against a later
+// start of it that gets no work.
+TEST(BackendDirectory, ServersThatSayTheyLeaveStayLeaving) {
+  const BackendServer server = MakeServer("e1");
+  directory_.Put(server);
+  CHECK_EQUAL(1, static_cast<int>(directory_.MarkLeaving(server).size()));
+  CHECK(directory_.MarkLeaving(server).empty());
+  CHECK(!IsServing("e1"));
+  CHECK(directory_.Put(server).empty());
+  CHECK(!IsServing("e1"));
+  BackendServer next = server;
+  next.started_at_ms = 2000;
+  directory_.Put(next);
+  CHECK(IsServing("e1"));
+  // A late answer of the earlier start.
+  CHECK(directory_.MarkLeaving(server).empty());
+  CHECK(IsServing("e1"));
+}
+
+TEST_GROUP(BackendPause) {
+  BackendPause pause_;
+};
+
+// Guards against a server that gets requests although it wants none, and
+// against a pause that is shortened by a refusal that arrives late.
+TEST(BackendPause, LastsAsLongAsAsked) {
+  ExtendPause(pause_, std::chrono::seconds(2), 0, kStart);
+  ExtendPause(pause_, std::chrono::seconds(1), 0, kStart);
+  CHECK(PauseLeft(pause_, kStart) == std::chrono::seconds(2));
+  CHECK(PauseLeft(pause_, kStart + std::chrono::milliseconds(1999)) >
+        Duration::zero());
+  CHECK(PauseLeft(pause_, kStart + std::chrono::seconds(2)) ==
+        Duration::zero());
+}
+
+// Load: a server that refuses the requests of 100 routers at the same moment.
+// Guards against all of them returning at the end of the pause together.
+TEST(BackendPause, RoutersReturnOneAfterTheOther) {
+  int soon = 0;
+  for (int router = 0; router < 100; ++router) {
+    BackendPause pause;
+    ExtendPause(pause, std::chrono::seconds(2), router / 100.0, kStart);
+    const Duration left = PauseLeft(pause, kStart);
+    CHECK(left >= std::chrono::seconds(2));
+    CHECK(left <= std::chrono::milliseconds(2400));
+    soon += left < std::chrono::milliseconds(2100) ? 1 : 0;
+  }
+  CHECK(soon <= 26);
+}
+
+// Guards against an odd value that ends the use of a server.
+TEST(BackendPause, OddTimesAreBounded) {
+  ExtendPause(pause_, -std::chrono::hours(1), 1, kStart);
+  CHECK(PauseLeft(pause_, kStart) == Duration::zero());
+  ExtendPause(pause_, std::chrono::hours(10000), 1, kStart);
+  CHECK(PauseLeft(pause_, kStart) <= std::chrono::minutes(6));
+}
+
 }  // namespace amaranthcove
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -113,6 +113,7 @@
     return directory_.Find(item.first) != nullptr;
   };
   std::erase_if(health_, [&](const auto& item) { return !is_known(item); });
+  std::erase_if(pauses_, [&](const auto& item) { return !is_known(item); });
   std::erase_if(activity_, [&](const auto& item) {
     return item.second.in_flight == 0 && !is_known(item);
   });
@@ -205,7 +206,8 @@
     const RequestGoal& goal,
     const std::set<std::string>& tried,
     Time now) const {
-  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  const std::vector<const BackendServer*> servers =
+      ServersTakingWork(service, now);
   std::vector<double> intervals_ms;
   intervals_ms.reserve(servers.size());
   for (const BackendServer* server : servers) {
@@ -345,7 +347,8 @@
                                            const std::set<std::string>& tried,
                                            std::uint64_t random,
                                            Time now) const {
-  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  const std::vector<const BackendServer*> servers =
+      ServersTakingWork(service, now);
   const std::vector<PlainCandidate> candidates =
       PlainCandidates(servers, tried, random, now);
   const std::optional<std::size_t> best = ChoosePlainServer(candidates);
@@ -361,7 +364,8 @@
 std::vector<PlaceOption> Fleet::PlainOptions(std::string_view service,
                                              const std::set<std::string>& tried,
                                              Time now) const {
-  const std::vector<const BackendServer*> servers = directory_.Serving(service);
+  const std::vector<const BackendServer*> servers =
+      ServersTakingWork(service, now);
   const std::vector<PlainCandidate> candidates =
       PlainCandidates(servers, tried, 0, now);
   std::vector<PlaceOption> options;
@@ -375,8 +379,9 @@
 }
 
 std::optional<Placement> Fleet::PlaceAt(std::string_view service,
-                                        ServerHash server) const {
-  for (const BackendServer* candidate : directory_.Serving(service)) {
+                                        ServerHash server,
+                                        Time now) const {
+  for (const BackendServer* candidate : ServersTakingWork(service, now)) {
     if (HashOfServer(candidate->id) == server) {
       Placement placement;
       placement.server = *candidate;
@@ -441,6 +446,55 @@
          !directory_.IsSuperseded(*known);
 }
 
+bool Fleet::TakesWork(const BackendServer& server, Time now) const {
+  return IsServing(server) && PauseOf(server, now) == Duration::zero();
+}
+
+Duration Fleet::PauseOf(const BackendServer& server, Time now) const {
+  const auto pause = pauses_.find(server.id);
+  return pause != pauses_.end() &&
+                 pause->second.started_at_ms == server.started_at_ms
+             ? PauseLeft(pause->second, now)
+             : Duration::zero();
+}
+
+std::vector<const BackendServer*> Fleet::ServersTakingWork(
+    std::string_view service,
+    Time now) const {
+  std::vector<const BackendServer*> servers = directory_.Serving(service);
+  std::erase_if(servers, [this, now](const BackendServer* server) {
+    return PauseOf(*server, now) > Duration::zero();
+  });
+  return servers;
+}
+
+void Fleet::PauseServer(const BackendServer& server,
+                        Duration asked,
+                        double random,
+                        Time now) {
+  if (!IsServing(server)) {
+    return;
+  }
+  BackendPause& pause = pauses_[server.id];
+  if (pause.started_at_ms != server.started_at_ms) {
+    pause = {Time(), server.started_at_ms};
+  }
+  ExtendPause(pause, asked, random, now);
+}
+
+std::optional<Duration> Fleet::ShortestPause(std::string_view service,
+                                             Time now) const {
+  std::optional<Duration> shortest;
+  for (const BackendServer* server : directory_.Serving(service)) {
+    const Duration left = PauseOf(*server, now);
+    if (left == Duration::zero()) {
+      return std::nullopt;
+    }
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest;
+}
+
 void Fleet::BeginWait(const std::string& server, Time now) {
   AddBounded(activity_[server].recent_waits, now);
 }
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -15,6 +15,7 @@
 #include "amaranthcove/backend_choice/backend_choice.h"
 #include "amaranthcove/backends/backend_directory.h"
 #include "amaranthcove/backends/backend_health.h"
+#include "amaranthcove/backends/backend_pause.h"
 #include "amaranthcove/base/time.h"
 #include "amaranthcove/engine_cost/engine_cost.h"
 #include "amaranthcove/engine_cost/pace_estimator.h"
@@ -160,7 +161,8 @@
   // Returns the placement at the server with the hash `server`, or nullopt if
   // it does not take work for `service`.
   std::optional<Placement> PlaceAt(std::string_view service,
-                                   ServerHash server) const;
+                                   ServerHash server,
+                                   Time now) const;
 
   // Returns whether calls to a plain service ask for places of its servers.
   bool SharesPlaces(std::string_view service, Time now) const;
@@ -179,8 +181,20 @@
                       Time now,
                       std::optional<std::int64_t>& version) const;
 
-  // Returns whether this start of the server still takes work.
+  // Returns whether this start of the server is listed and is not leaving.
   bool IsServing(const BackendServer& server) const;
+  // Likewise, and whether the server wants requests at present.
+  bool TakesWork(const BackendServer& server, Time now) const;
+
+  // Records that a server wants nothing for some time. `random` is from 0 to 1.
+  void PauseServer(const BackendServer& server,
+                   Duration asked,
+                   double random,
+                   Time now);
+  // Returns when the first server of `service` wants requests again, if none
+  // takes work now and some wait for the end of a pause.
+  std::optional<Duration> ShortestPause(std::string_view service,
+                                        Time now) const;
 
   // Counts a request that starts to wait for an adapter at a server.
   void BeginWait(const std::string& server, Time now);
@@ -213,6 +227,10 @@
   };
 
   RetryBudget& BudgetOf(const std::string& service);
+  Duration PauseOf(const BackendServer& server, Time now) const;
+  // Returns the servers of `service` that take work now.
+  std::vector<const BackendServer*> ServersTakingWork(std::string_view service,
+                                                      Time now) const;
   // Returns the time between two events of a running generation at an engine,
   // in milliseconds; 0 if unknown.
   double EventIntervalMs(const BackendServer& server, Time now) const;
@@ -236,6 +254,7 @@
   BackendDirectory directory_;
   std::map<AdapterName, std::int64_t> versions_;
   std::map<std::string, BackendHealth, std::less<>> health_;
+  std::map<std::string, BackendPause, std::less<>> pauses_;
   std::map<std::string, Activity, std::less<>> activity_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
   // Moving averages for plain services.
--- a/src/router/fleet_updates.cc
+++ b/src/router/fleet_updates.cc
@@ -109,6 +109,10 @@
   ApplyDirectoryChanges(fleet_.directory().Expire(now));
 }
 
+void FleetUpdates::MarkLeaving(const BackendServer& server) {
+  ApplyDirectoryChanges(fleet_.directory().MarkLeaving(server));
+}
+
 void FleetUpdates::OnListing(const std::vector<platform::StoreItem>& items) {
   OnOperatorItems(items);
   ReplaceBackends(items);
--- a/src/router/fleet_updates.h
+++ b/src/router/fleet_updates.h
@@ -57,6 +57,10 @@
   // Drops servers whose grace period has ended. Call about every 50 ms.
   void Tick(Time now);
 
+  // Applies that a server has said in an answer that it leaves, whatever the
+  // store says of it.
+  void MarkLeaving(const BackendServer& server);
+
   // Returns whether the backend servers have been listed at least once.
   bool has_backends() const { return has_backends_; }
 
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -166,7 +166,8 @@
 }
 
 void RelayCall::EndWithoutServer(Time now) {
-  expected_delay_ = kDelayWithoutServer;
+  paused_for_ = environment_.fleet.ShortestPause(service_, now);
+  expected_delay_ = paused_for_.value_or(kDelayWithoutServer);
   environment_.log.Write(
       LogLevel::kWarn, "no_server",
       {{"request", info_.attempt_id}, {"service", service_}});
@@ -210,7 +211,7 @@
   if (placement_.server.id != server) {
     return;
   }
-  const bool serving = environment_.fleet.IsServing(placement_.server);
+  const bool serving = environment_.fleet.TakesWork(placement_.server, now);
   if (state_ == State::kSending && !serving) {
     WithdrawUnsent(now);
   }
@@ -315,6 +316,10 @@
 void RelayCall::OnHead(const HttpResponse& head) {
   has_head_ = true;
   answer_ = platform::DecodeResponseHead(head);
+  if (answer_.server_leaves || answer_.wants_nothing_for) {
+    environment_.on_announcement(placement_.server, answer_,
+                                 environment_.loop.Now());
+  }
   head_ = head;
   streaming_ = route_.kind == CallKind::kStream && head.status == kOk &&
                (!progress_.answer_begun || ContinuesStream(head));
@@ -713,8 +718,8 @@
   response.headers = {{"Content-Type", "application/json"}};
   if (outcome == RelayOutcome::kRefused) {
     response.headers.push_back(
-        {"Retry-After",
-         FormatSeconds(RetryAfter(expected_delay_, deadline_ - now))});
+        {"Retry-After", FormatSeconds(paused_for_.value_or(
+                            RetryAfter(expected_delay_, deadline_ - now)))});
   }
   const bool not_run = outcome == RelayOutcome::kRefused ||
                        outcome == RelayOutcome::kUnauthorized;
--- a/src/router/relay_call.h
+++ b/src/router/relay_call.h
@@ -68,6 +68,10 @@
     AnswerGate& answers;
     // Schedules sending the changed demands to the agents.
     std::function<void()> demand_changed;
+    // Applies what a server has said of itself in an answer: that it leaves, or
+    // for how long it wants nothing.
+    std::function<void(const BackendServer&, const ResponseInfo&, Time now)>
+        on_announcement;
   };
 
   // `environment` must outlive the call.
@@ -241,6 +245,8 @@
   WaitingRequest waiting_request_;
   Placement placement_;
   Duration expected_delay_ = Duration::zero();
+  // When a server of the service wants requests again, if none does now.
+  std::optional<Duration> paused_for_;
 
   UpstreamCallId call_ = 0;
   std::uint64_t answer_ticket_ = 0;  // 0 unless the answer is large.
--- a/src/router/relay_call_test.cc
+++ b/src/router/relay_call_test.cc
@@ -134,9 +134,10 @@
   CrashTable crashes_;
   CrashChecker crash_checker_{loop_, [](std::uint64_t, const LostRequest&) {}};
   AnswerGate answers_{2};
-  RelayCall::Environment environment_{loop_,    upstream_, fleet_,
-                                      log_,     crashes_,  crash_checker_,
-                                      answers_, [] {}};
+  RelayCall::Environment environment_{
+      loop_,    upstream_, fleet_,
+      log_,     crashes_,  crash_checker_,
+      answers_, [] {},     [](const auto&, const auto&, Time) {}};
 
   void setup() override {
     fleet_.directory().Put(MakeEngine());
--- a/src/router/relay_call_waiting.cc
+++ b/src/router/relay_call_waiting.cc
@@ -62,7 +62,7 @@
     return;
   }
   std::optional<std::int64_t> version;
-  if (!agent_answers && fleet.IsServing(placement_.server) &&
+  if (!agent_answers && fleet.TakesWork(placement_.server, now) &&
       fleet.IsAdapterReady(engine, info_, now, version)) {
     // Without its agent, the engine queues what it cannot run yet.
     StopWaiting();
@@ -78,7 +78,7 @@
   }
   StopWaiting();
   std::optional<std::int64_t> version;
-  if (!environment_.fleet.IsServing(placement_.server) ||
+  if (!environment_.fleet.TakesWork(placement_.server, now) ||
       !environment_.fleet.IsAdapterReady(placement_.server.id, info_, now,
                                          version)) {
     Place(now);
@@ -192,7 +192,7 @@
     return;
   }
   const std::optional<Placement> placement =
-      environment_.fleet.PlaceAt(service_, server);
+      environment_.fleet.PlaceAt(service_, server, now);
   if (!placement) {
     StopWaiting();
     Place(now);
@@ -233,7 +233,7 @@
   StopWaiting();
   const std::string& engine = placement_.server.id;
   if (environment_.fleet.links().Snapshot(engine, now) == nullptr &&
-      environment_.fleet.IsServing(placement_.server)) {
+      environment_.fleet.TakesWork(placement_.server, now)) {
     // Without its agent, the adapters of the engine are unknown. The engine
     // refuses a request for an adapter, or a version of it, that it does not
     // hold.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -112,9 +112,17 @@
                        [this](std::uint64_t id, LostRequest request) {
                          OnPlainCrash(id, std::move(request));
                        }),
-        environment_{
-            loop_,    *upstream_,     fleet_,   log_,
-            crashes_, crash_checker_, answers_, [this] { SendDemandsSoon(); }},
+        environment_{loop_,
+                     *upstream_,
+                     fleet_,
+                     log_,
+                     crashes_,
+                     crash_checker_,
+                     answers_,
+                     [this] { SendDemandsSoon(); },
+                     [this](const BackendServer& server,
+                            const ResponseInfo& info,
+                            Time now) { OnAnnouncement(server, info, now); }},
         updates_(loop,
                  fleet_,
                  *upstream_,
@@ -132,6 +140,7 @@
     loop_.Cancel(tick_timer_);
     loop_.Cancel(demand_timer_);
     loop_.Cancel(cleanup_timer_);
+    loop_.Cancel(announcement_timer_);
     loop_.Cancel(stop_timer_);
   }
 
@@ -192,6 +201,10 @@
   // Returns the quotas of workspaces and what was done about them.
   nlohmann::json DumpWorkspaces(Time now) const;
   void NotifyCalls(std::string_view server);
+  // Applies what a server says of itself in an answer.
+  void OnAnnouncement(const BackendServer& server,
+                      const ResponseInfo& info,
+                      Time now);
   // Records a request that was lost in the crash of a plain server, and tells
   // the other routers by way of an agent.
   void OnPlainCrash(std::uint64_t id, LostRequest request);
@@ -234,6 +247,8 @@
   std::map<std::uint64_t, HeldRequest> held_;
   std::map<std::uint64_t, std::unique_ptr<RelayCall>> calls_;
   std::vector<std::uint64_t> done_calls_;
+  // Servers that have said something of themselves, and whether they leave.
+  std::vector<std::pair<BackendServer, bool>> announced_;
 
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> readiness_server_;
@@ -242,6 +257,7 @@
   Time next_tick_;
   TimerId demand_timer_ = 0;
   TimerId cleanup_timer_ = 0;
+  TimerId announcement_timer_ = 0;
   TimerId stop_timer_ = 0;
   bool leaving_ = false;
   bool stopped_ = false;
@@ -581,6 +597,33 @@
   }
 }
 
+void RouterImpl::OnAnnouncement(const BackendServer& server,
+                                const ResponseInfo& info,
+                                Time now) {
+  if (info.wants_nothing_for) {
+    fleet_.PauseServer(server, *info.wants_nothing_for,
+                       UnitHash(server.id, key_salt_), now);
+    log_.Write(
+        LogLevel::kInfo, "server_paused",
+        {{"server", server.id},
+         {"request", info.attempt_id},
+         {"for_ms", std::to_string(ToMilliseconds(*info.wants_nothing_for))}});
+  }
+  // Deferred because the call that got the answer is still on the stack.
+  announced_.push_back({server, info.server_leaves});
+  if (announcement_timer_ == 0) {
+    announcement_timer_ = loop_.RunAfter(Duration::zero(), [this] {
+      announcement_timer_ = 0;
+      for (const auto& [announced, leaves] : std::exchange(announced_, {})) {
+        if (leaves) {
+          updates_.MarkLeaving(announced);
+        }
+        NotifyCalls(announced.id);
+      }
+    });
+  }
+}
+
 void RouterImpl::SendDemandsSoon() {
   if (demand_timer_ == 0) {
     demand_timer_ = loop_.RunAfter(Duration::zero(), [this] {
