prompt_limiter: find late streams sooner, and do not probe

Change: no scale of the window. An engine is limited from three late pauses on, if they are 15% of its long ones and several routers saw them, until 30 s after the last one.

--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -100,9 +100,8 @@
   std::map<Address, std::vector<std::int64_t>> AdmitPrompts(Time now);
 
   // Returns the limits by which prompts are admitted: the mean of what routers
-  // state, scaled by `limiter()`, without a limit of tokens unless it limits.
+  // state, without a limit of tokens unless prompts make the streams late.
   PromptLimits Limits(Time now);
-  const PromptLimiter& limiter() const { return limiter_; }
 
   // What the admission of prompts depends on, for logs.
   struct AdmissionState {
--- a/include/amaranthcove/adapter_agent/prompt_limiter.h
+++ b/include/amaranthcove/adapter_agent/prompt_limiter.h
@@ -16,14 +16,13 @@
   std::int64_t late_pauses = 0;
 };
 
-// Whether and how far an agent holds prompts back because reading them makes
-// the streams at its engine late.
+// Whether an agent holds prompts back because reading them makes the streams at
+// its engine late.
 //
-// How much an engine reads between two steps of its batch, how many steps an
-// event takes, and how many tokens of a prompt it has kept from earlier ones
-// are not known, so the limit follows the pauses of the streams at this engine:
-// at some engines no amount of prompts causes a pause that is too long, and
-// holding prompts back would only delay them.
+// How much an engine reads between two steps of its batch, and how many steps
+// an event takes, are not known, so the limit follows the pauses of the streams
+// at this engine: at some engines no amount of prompts causes a pause that is
+// too long, and holding prompts back would only delay them.
 struct PromptLimiter {
   struct Evidence {
     double long_pauses = 0;  // Moving sums.
@@ -31,15 +30,8 @@
   };
   std::map<Address, Evidence> evidence;  // By router.
   Time decayed;                          // Up to when the sums have decayed.
-
   bool limited = false;
-  // While limited, the window is this multiple of what routers work out from
-  // the pace of the engines.
-  double scale = 1;
-  Time adjusted;
-  // Since `adjusted`.
-  std::int64_t long_pauses = 0;
-  std::int64_t late_pauses = 0;
+  Time late_seen;  // When the last pause was late.
 };
 
 // Takes in the pauses that `router` has seen since its last report. `routers`
@@ -51,10 +43,9 @@
                int routers,
                Time now);
 
-// Widens or narrows the window, at most once a second: it is narrowed while a
-// considerable share of the long pauses is late, widened while few are, and
-// lifted when it has become wide. To be called at least as often.
-void AdjustWindow(PromptLimiter& limiter, Time now);
+// Returns whether prompts are held back at `now`, and ends the limit when no
+// pause has been late for half a minute.
+bool IsLimited(PromptLimiter& limiter, Time now);
 
 }  // namespace amaranthcove
 
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -828,8 +828,6 @@
        {"unread_tokens", std::to_string(state.unread_tokens)},
        {"recent_tokens", std::to_string(state.recent_tokens)},
        {"window_tokens", std::to_string(state.limits.window_tokens)},
-       {"window_scale_pct",
-        std::to_string(static_cast<int>(demands_.limiter().scale * 100))},
        {"requests", std::to_string(state.requests)},
        {"batch_size", std::to_string(state.limits.batch_size)}});
 }
@@ -903,7 +901,6 @@
     dump["running"] = report_->running;
     dump["queued"] = report_->queued;
     dump["prompts_limited"] = prompts_limited_;
-    dump["prompt_window_scale"] = demands_.limiter().scale;
   }
   return dump;
 }
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -202,10 +202,8 @@
       ++windows;
     }
   }
-  AdjustWindow(limiter_, now);
-  if (windows > 0 && limiter_.limited) {
-    limits.window_tokens = static_cast<std::int64_t>(
-        limiter_.scale * static_cast<double>(tokens / windows));
+  if (windows > 0 && IsLimited(limiter_, now)) {
+    limits.window_tokens = tokens / windows;
   }
   return limits;
 }
--- a/src/fair_share/fair_order_test.cc
+++ b/src/fair_share/fair_order_test.cc
@@ -49,6 +49,7 @@
 // nine others. Guards against the others waiting for the whole burst.
 TEST(FairOrder, BurstOfOneWorkspaceDoesNotDelayOthers) {
   std::vector<FairRequest> requests;
+  requests.reserve(209);
   for (int i = 0; i < 200; ++i) {
     requests.push_back(Of(1, i));
   }
@@ -64,6 +65,7 @@
 // much. Guards against shares that ignore what a workspace may use.
 TEST(FairOrder, SharesFollowTheWeights) {
   std::vector<FairRequest> requests;
+  requests.reserve(200);
   for (int i = 0; i < 100; ++i) {
     requests.push_back(Of(1, i, 1.5));
     requests.push_back(Of(2, i, 0.5));
@@ -86,6 +88,7 @@
 // are older, and against a memory that outlives the burst.
 TEST(FairOrder, WorkspacesTakeTurnsAtASinglePlace) {
   std::vector<FairRequest> requests;
+  requests.reserve(20);
   for (int i = 0; i < 10; ++i) {
     requests.push_back(Of(1, i));
     requests.push_back(Of(2, 100 + i));
