router: take announcements of the chosen server only

Cause: an answer of a later server at the same address could mark the earlier one as leaving or pausing; found on reading the change.

Change: the id in the answer has to be that of the server the request went to, if the answer has one.

--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -155,9 +155,10 @@
   // the first event.
   void AddPrompt(std::string_view engine, std::int64_t tokens, Time now);
   void RemovePrompt(std::string_view engine, std::int64_t tokens, Time now);
-  // Asks the agent of `engine` to admit a prompt. Returns the id by which
-  // `Update` names it. The agent counts the prompt as sent once it is admitted,
-  // until a demand shows otherwise.
+  // Asks the agent of `engine` to admit a prompt of a request that has `waited`
+  // before, also for other engines. Returns the id by which `Update` names it.
+  // The agent counts the prompt as sent once it is admitted, until a demand
+  // shows otherwise.
   std::int64_t AskAdmission(std::string_view engine,
                             std::int64_t tokens,
                             const WaitingRequest& request,
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -316,7 +316,11 @@
 void RelayCall::OnHead(const HttpResponse& head) {
   has_head_ = true;
   answer_ = platform::DecodeResponseHead(head);
-  if (answer_.server_leaves || answer_.wants_nothing_for) {
+  // A later server at the same address speaks for itself only.
+  const bool is_chosen_server =
+      answer_.server_id.empty() || answer_.server_id == placement_.server.id;
+  if (is_chosen_server &&
+      (answer_.server_leaves || answer_.wants_nothing_for)) {
     environment_.on_announcement(placement_.server, answer_,
                                  environment_.loop.Now());
   }
