prompt_limiter: count what routers saw at the whole service again

Change: PauseMonitor and its tests are back, and one router of four that saw late streams limits all engines of the service for 30 s, as before. An engine whose own streams are late is limited besides.

--- a/include/amaranthcove/adapter_agent/demand_table.h
+++ b/include/amaranthcove/adapter_agent/demand_table.h
@@ -34,6 +34,7 @@
   std::vector<PromptDemand> prompts;
   PromptLimits prompt_limits;
   PauseCounts pauses;  // Of the incarnation.
+  bool service_has_late_pauses = false;
 };
 
 // The requests that routers have at an engine, and the tokens of their prompts
--- a/include/amaranthcove/adapter_agent/prompt_limiter.h
+++ b/include/amaranthcove/adapter_agent/prompt_limiter.h
@@ -32,6 +32,9 @@
   Time decayed;                          // Up to when the sums have decayed.
   bool limited = false;
   Time late_seen;  // When the last pause was late.
+  // Until when the engines of the service are taken to be late, where the
+  // streams at this one do not show that they are on time.
+  Time service_late_until;
 };
 
 // Takes in the pauses that `router` has seen since its last report. `routers`
@@ -43,6 +46,14 @@
                int routers,
                Time now);
 
+// Records that `witnesses` of the `routers` that use the engine have seen late
+// pauses at the engines of its service. What one engine shows takes many
+// pauses; together they tell sooner what kind of engine it is.
+void AddServiceEvidence(PromptLimiter& limiter,
+                        int witnesses,
+                        int routers,
+                        Time now);
+
 // Returns whether prompts are held back at `now`, and ends the limit when no
 // pause has been late for half a minute.
 bool IsLimited(PromptLimiter& limiter, Time now);
--- a/include/amaranthcove/agent_link/agent_links.h
+++ b/include/amaranthcove/agent_link/agent_links.h
@@ -179,6 +179,10 @@
   // agent is told with the next demand.
   void AddLongPause(std::string_view engine, bool is_late);
 
+  // Sets whether this router has lately seen late pauses at the engines of the
+  // service of `engine`. The agent is told at once of a change.
+  void SetLatePauses(std::string_view engine, bool has_late_pauses, Time now);
+
   // Returns the numbers of this router's requests that wait for admission, and
   // for a load of an adapter.
   int waiting_prompts(std::string_view engine) const;
@@ -270,6 +274,7 @@
     std::vector<std::uint64_t> held;
     Time next_send;
     PromptWindow window;
+    bool has_late_pauses = false;
     std::vector<LostReport> lost;
     std::vector<PlainCrashReport> plain_crashes;
     std::vector<SoundReport> sound;
--- a/src/adapter_agent/adapter_agent.cc
+++ b/src/adapter_agent/adapter_agent.cc
@@ -154,6 +154,7 @@
   demand.sent_tokens = wire.sent_tokens;
   demand.sent_requests = wire.sent_requests;
   demand.pauses = {wire.long_pauses, wire.late_pauses};
+  demand.service_has_late_pauses = wire.service_has_late_pauses;
   demand.prompt_limits = {wire.prompt_window, milliseconds(wire.gap_ms),
                           wire.batch_size};
   demand.capacity = {wire.adapter_places, wire.weights_mb};
--- a/src/adapter_agent/demand_table.cc
+++ b/src/adapter_agent/demand_table.cc
@@ -190,10 +190,14 @@
   PromptLimits limits;
   std::int64_t tokens = 0;
   int windows = 0;
+  int routers = 0;
+  int witnesses = 0;
   for (const auto& [router, entry] : entries_) {
     if (now - entry.received >= kLoadLifetime) {
       continue;
     }
+    ++routers;
+    witnesses += entry.demand.service_has_late_pauses ? 1 : 0;
     const PromptLimits& stated = entry.demand.prompt_limits;
     limits.batch_size = std::max(limits.batch_size, stated.batch_size);
     if (stated.window_tokens > 0) {
@@ -202,6 +206,7 @@
       ++windows;
     }
   }
+  AddServiceEvidence(limiter_, witnesses, routers, now);
   if (windows > 0 && IsLimited(limiter_, now)) {
     limits.window_tokens = tokens / windows;
   }
--- a/src/adapter_agent/prompt_limiter.cc
+++ b/src/adapter_agent/prompt_limiter.cc
@@ -38,20 +38,32 @@
   });
 }
 
-bool AreStreamsLate(const PromptLimiter& limiter, int routers) {
+struct Totals {
   double long_pauses = 0;
   double late_pauses = 0;
-  int witnesses = 0;
+  int witnesses = 0;  // Routers that saw late pauses.
+};
+
+Totals Sum(const PromptLimiter& limiter) {
+  Totals totals;
   for (const auto& [router, evidence] : limiter.evidence) {
-    long_pauses += evidence.long_pauses;
-    late_pauses += evidence.late_pauses;
-    witnesses += evidence.late_pauses >= 0.5 ? 1 : 0;
+    totals.long_pauses += evidence.long_pauses;
+    totals.late_pauses += evidence.late_pauses;
+    totals.witnesses += evidence.late_pauses >= 0.5 ? 1 : 0;
   }
-  const bool has_witnesses =
-      witnesses >= kEnoughWitnesses ||
-      (witnesses > 0 && witnesses * kRoutersPerWitness >= routers);
-  return has_witnesses && late_pauses >= kMinLatePauses &&
-         late_pauses >= kLateShare * long_pauses;
+  return totals;
+}
+
+bool AreEnough(int witnesses, int routers) {
+  return witnesses >= kEnoughWitnesses ||
+         (witnesses > 0 && witnesses * kRoutersPerWitness >= routers);
+}
+
+bool AreStreamsLate(const PromptLimiter& limiter, int routers) {
+  const Totals totals = Sum(limiter);
+  return AreEnough(totals.witnesses, routers) &&
+         totals.late_pauses >= kMinLatePauses &&
+         totals.late_pauses >= kLateShare * totals.long_pauses;
 }
 
 }  // namespace
@@ -74,12 +86,21 @@
   limiter.limited = limiter.limited || AreStreamsLate(limiter, routers);
 }
 
+void AddServiceEvidence(PromptLimiter& limiter,
+                        int witnesses,
+                        int routers,
+                        Time now) {
+  if (witnesses > 0 && witnesses * kRoutersPerWitness >= routers) {
+    limiter.service_late_until = now + kLimitLifetime;
+  }
+}
+
 bool IsLimited(PromptLimiter& limiter, Time now) {
   if (limiter.limited && now - limiter.late_seen >= kLimitLifetime) {
     limiter.limited = false;
     limiter.evidence.clear();
   }
-  return limiter.limited;
+  return limiter.limited || now < limiter.service_late_until;
 }
 
 }  // namespace amaranthcove
--- a/src/adapter_agent/prompt_limiter_test.cc
+++ b/src/adapter_agent/prompt_limiter_test.cc
@@ -87,6 +87,19 @@
   CHECK(!limiter_.limited);
 }
 
+// Load: a service whose engines all pause their streams for too long, and one
+// with a few slow engines among many. Guards against streams that are late
+// until each engine has shown it, and against holding back the prompts of
+// engines whose own streams are on time.
+TEST(PromptLimiter, EvidenceOfTheServiceCounts) {
+  AddServiceEvidence(limiter_, 2, 30, now_);
+  CHECK(!IsLimited(limiter_, now_));
+  AddServiceEvidence(limiter_, 8, 30, now_);
+  CHECK(IsLimited(limiter_, now_));
+  Run(31, 0, 0);
+  CHECK(!IsLimited(limiter_, now_));
+}
+
 // Guards against one router behind a bad link that holds back the prompts of
 // all routers.
 TEST(PromptLimiter, OneRouterInDoubtIsNotEnough) {
--- a/src/agent_link/agent_link.thrift
+++ b/src/agent_link/agent_link.thrift
@@ -85,6 +85,8 @@
                          // of the incarnation of the router.
   20: i64 late_pauses
   21: i64 sent_requests  // Total of the incarnation.
+  22: bool service_has_late_pauses  // As seen by the router at all engines of
+                                    // the service.
 }
 
 // Statuses are most of the traffic between data centres, so a status contains
--- a/src/agent_link/agent_links.cc
+++ b/src/agent_link/agent_links.cc
@@ -377,6 +377,16 @@
   prompts.late_pauses += is_late ? 1 : 0;
 }
 
+void AgentLinks::SetLatePauses(std::string_view engine,
+                               bool has_late_pauses,
+                               Time now) {
+  Link* link = FindLink(engine);
+  if (link != nullptr && link->has_late_pauses != has_late_pauses) {
+    link->has_late_pauses = has_late_pauses;
+    link->next_send = std::min(link->next_send, now);
+  }
+}
+
 int AgentLinks::waiting_prompts(std::string_view engine) const {
   const auto found = prompts_.find(engine);
   return found == prompts_.end() ? 0
@@ -554,6 +564,7 @@
   demand.sequence = ++sequence_;
   demand.prompt_window = link.window.tokens;
   demand.gap_ms = static_cast<std::int32_t>(ToMilliseconds(link.window.gap));
+  demand.service_has_late_pauses = link.has_late_pauses;
   AddPromptsTo(demand, engine, now);
   if (quota_reporter_) {
     demand.quotas =
--- a/src/agent_link/gen/agent_link_types.cpp
+++ b/src/agent_link/gen/agent_link_types.cpp
@@ -1051,6 +1051,10 @@
 void AdapterDemand::__set_sent_requests(const int64_t val) {
   this->sent_requests = val;
 }
+
+void AdapterDemand::__set_service_has_late_pauses(const bool val) {
+  this->service_has_late_pauses = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdapterDemand& obj)
 {
   obj.printTo(out);
@@ -1323,6 +1327,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->service_has_late_pauses);
+          this->__isset.service_has_late_pauses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1476,6 +1488,10 @@
   xfer += oprot->writeI64(this->sent_requests);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("service_has_late_pauses", ::apache::thrift::protocol::T_BOOL, 22);
+  xfer += oprot->writeBool(this->service_has_late_pauses);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1503,6 +1519,7 @@
   swap(a.long_pauses, b.long_pauses);
   swap(a.late_pauses, b.late_pauses);
   swap(a.sent_requests, b.sent_requests);
+  swap(a.service_has_late_pauses, b.service_has_late_pauses);
   swap(a.__isset, b.__isset);
 }
 
@@ -1527,6 +1544,7 @@
   long_pauses = other60.long_pauses;
   late_pauses = other60.late_pauses;
   sent_requests = other60.sent_requests;
+  service_has_late_pauses = other60.service_has_late_pauses;
   __isset = other60.__isset;
 }
 AdapterDemand& AdapterDemand::operator=(const AdapterDemand& other61) {
@@ -1550,6 +1568,7 @@
   long_pauses = other61.long_pauses;
   late_pauses = other61.late_pauses;
   sent_requests = other61.sent_requests;
+  service_has_late_pauses = other61.service_has_late_pauses;
   __isset = other61.__isset;
   return *this;
 }
@@ -1576,6 +1595,7 @@
   out << ", " << "long_pauses=" << to_string(long_pauses);
   out << ", " << "late_pauses=" << to_string(late_pauses);
   out << ", " << "sent_requests=" << to_string(sent_requests);
+  out << ", " << "service_has_late_pauses=" << to_string(service_has_late_pauses);
   out << ")";
 }
 
--- a/src/agent_link/gen/agent_link_types.h
+++ b/src/agent_link/gen/agent_link_types.h
@@ -455,7 +455,7 @@
 std::ostream& operator<<(std::ostream& out, const QuotaReport& obj);
 
 typedef struct _AdapterDemand__isset {
-  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), lost(false), begun_parts(false), plain_crashes(false), quotas(false), long_pauses(false), late_pauses(false), sent_requests(false) {}
+  _AdapterDemand__isset() : router(false), sequence(false), uses(false), adapter_places(false), weights_mb(false), models(false), incarnation(false), prompt_tokens(false), prompts(false), prompt_window(false), batch_size(false), sent_tokens(false), gap_ms(false), lost(false), begun_parts(false), plain_crashes(false), quotas(false), long_pauses(false), late_pauses(false), sent_requests(false), service_has_late_pauses(false) {}
   bool router :1;
   bool sequence :1;
   bool uses :1;
@@ -476,6 +476,7 @@
   bool long_pauses :1;
   bool late_pauses :1;
   bool sent_requests :1;
+  bool service_has_late_pauses :1;
 } _AdapterDemand__isset;
 
 class AdapterDemand : public virtual ::apache::thrift::TBase {
@@ -496,7 +497,8 @@
                   gap_ms(0),
                   long_pauses(0),
                   late_pauses(0),
-                  sent_requests(0) {
+                  sent_requests(0),
+                  service_has_late_pauses(0) {
   }
 
   virtual ~AdapterDemand() noexcept;
@@ -520,6 +522,7 @@
   int64_t long_pauses;
   int64_t late_pauses;
   int64_t sent_requests;
+  bool service_has_late_pauses;
 
   _AdapterDemand__isset __isset;
 
@@ -563,6 +566,8 @@
 
   void __set_sent_requests(const int64_t val);
 
+  void __set_service_has_late_pauses(const bool val);
+
   bool operator == (const AdapterDemand & rhs) const
   {
     if (!(router == rhs.router))
@@ -605,6 +610,8 @@
       return false;
     if (!(sent_requests == rhs.sent_requests))
       return false;
+    if (!(service_has_late_pauses == rhs.service_has_late_pauses))
+      return false;
     return true;
   }
   bool operator != (const AdapterDemand &rhs) const {
--- a/src/engine_cost/engine_cost_test.cc
+++ b/src/engine_cost/engine_cost_test.cc
@@ -1,6 +1,7 @@
 #include "amaranthcove/engine_cost/engine_cost.h"
 
 #include "amaranthcove/engine_cost/pace_estimator.h"
+#include "amaranthcove/engine_cost/pause_monitor.h"
 #include "amaranthcove/engine_cost/stream_pause.h"
 
 #include <CppUTest/TestHarness.h>
@@ -117,6 +118,53 @@
   DOUBLES_EQUAL(90, pace.first_event_ms + 500 * pace.prompt_token_ms, 20);
 }
 
+TEST_GROUP(PauseMonitor) {
+  PauseMonitor monitor_;
+};
+
+// Guards against holding prompts back at engines whose streams never pause for
+// too long, whatever they read: their longest pauses end below the limit.
+TEST(PauseMonitor, LongPausesWithinTheLimitAreNotLate) {
+  for (int i = 0; i < 500; ++i) {
+    monitor_.Observe(milliseconds(290), milliseconds(400),
+                     kStart + milliseconds(10 * i));
+  }
+  CHECK(!monitor_.has_late_pauses());
+}
+
+// Guards against streams that stay late because prompts are not held back, and
+// against letting prompts go as soon as holding them back has worked.
+TEST(PauseMonitor, LatePausesAreFoundAndRemembered) {
+  Time now = kStart;
+  for (int i = 0; i < 40; ++i) {
+    now += milliseconds(10);
+    monitor_.Observe(milliseconds(i % 3 == 0 ? 340 : 200), milliseconds(300),
+                     now);
+  }
+  CHECK(monitor_.has_late_pauses());
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(10);
+    monitor_.Observe(milliseconds(200), milliseconds(300), now);
+  }
+  CHECK(monitor_.has_late_pauses());
+  for (int i = 0; i < 400; ++i) {
+    now += seconds(1);
+    monitor_.Observe(milliseconds(200), milliseconds(300), now);
+  }
+  CHECK(!monitor_.has_late_pauses());
+}
+
+// Guards against taking frozen processes and lost packets for the work of
+// prompts, and against counting the usual steps of the engine.
+TEST(PauseMonitor, FaultsAndShortPausesDoNotCount) {
+  for (int i = 0; i < 100; ++i) {
+    CHECK(!monitor_.Observe(seconds(2), milliseconds(300), kStart));
+    CHECK(!monitor_.Observe(milliseconds(40), milliseconds(300), kStart));
+    CHECK(!monitor_.Observe(milliseconds(340), Duration::zero(), kStart));
+  }
+  CHECK(!monitor_.has_late_pauses());
+}
+
 TEST_GROUP(ClassifyPause){};
 
 // Guards against taking frozen processes and lost packets for the work of
--- a/src/router/fleet.cc
+++ b/src/router/fleet.cc
@@ -288,12 +288,19 @@
                                               placement.slowness, now);
 }
 
-void Fleet::RecordPause(std::string_view engine,
+void Fleet::RecordPause(const BackendServer& engine,
                         Duration pause,
-                        Duration limit) {
+                        Duration limit,
+                        Time now) {
   const StreamPause kind = ClassifyPause(pause, limit);
-  if (kind != StreamPause::kUsual) {
-    links_.AddLongPause(engine, kind == StreamPause::kLate);
+  if (kind == StreamPause::kUsual) {
+    return;
+  }
+  links_.AddLongPause(engine.id, kind == StreamPause::kLate);
+  PauseMonitor& monitor = late_pauses_[engine.service];
+  monitor.Observe(pause, limit, now);
+  for (const BackendServer* server : directory_.Serving(engine.service)) {
+    links_.SetLatePauses(server->id, monitor.has_late_pauses(), now);
   }
 }
 
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -19,6 +19,7 @@
 #include "amaranthcove/base/time.h"
 #include "amaranthcove/engine_cost/engine_cost.h"
 #include "amaranthcove/engine_cost/pace_estimator.h"
+#include "amaranthcove/engine_cost/pause_monitor.h"
 #include "amaranthcove/node/node_settings.h"
 #include "amaranthcove/places/place_client.h"
 #include "amaranthcove/relay/request_info.h"
@@ -131,7 +132,10 @@
 
   // Records a pause between two events of a stream at `engine`, whose longest
   // pause should be `limit`.
-  void RecordPause(std::string_view engine, Duration pause, Duration limit);
+  void RecordPause(const BackendServer& engine,
+                   Duration pause,
+                   Duration limit,
+                   Time now);
 
   // Returns the prompt tokens that were sent to an engine and are not read yet,
   // or nullopt if its agent does not report them.
@@ -259,7 +263,8 @@
   std::map<std::string, RetryBudget, std::less<>> budgets_;
   // Moving averages for plain services.
   std::map<std::string, Duration, std::less<>> service_times_;
-  std::map<std::string, PaceEstimator, std::less<>> paces_;  // By service.
+  std::map<std::string, PauseMonitor, std::less<>> late_pauses_;  // By service.
+  std::map<std::string, PaceEstimator, std::less<>> paces_;       // By service.
 };
 
 }  // namespace amaranthcove
--- a/src/router/relay_call.cc
+++ b/src/router/relay_call.cc
@@ -380,8 +380,8 @@
   RecordProgress(now);
   if (progress_.answer_begun) {
     longest_pause_ = std::max(longest_pause_, now - last_event_);
-    environment_.fleet.RecordPause(placement_.server.id, now - last_event_,
-                                   route_.target_gap);
+    environment_.fleet.RecordPause(placement_.server, now - last_event_,
+                                   route_.target_gap, now);
     last_event_ = now;
     RemovePrompt(now);
     responder_->Write(events);
