net: share the raw TCP peers of the tests

Cause: tests of other components need a server whose bytes, closes and resets the test itself decides; such peers stood in http_test.cc only.

Change: RawPeer, RawListener and RunUntil move into src/net/testing/. The listener never blocks, which most of its users had asked for. No test changes what it checks.

--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -1,7 +1,3 @@
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -10,6 +6,7 @@
 
 #include "amaranthcove/net/http_client.h"
 #include "amaranthcove/net/http_server.h"
+#include "src/net/testing/raw_peer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,103 +17,6 @@
 constexpr Duration kTestTimeout = std::chrono::seconds(20);
 const Address kAnyPort = {"127.0.0.1", 0};
 
-// Runs the loop until `done` returns true. Fails the test after `kTestTimeout`.
-void RunUntil(EventLoop& loop, const std::function<bool()>& done) {
-  const Time limit = SteadyNow() + kTestTimeout;
-  while (!done()) {
-    CHECK_TEXT(SteadyNow() < limit, "the event did not happen in time");
-    loop.RunOnce(std::chrono::milliseconds(20));
-  }
-}
-
-// A TCP connection whose bytes the test itself writes and reads.
-class RawPeer {
- public:
-  explicit RawPeer(int fd) : fd_(fd) {}
-  ~RawPeer() { Close(); }
-  RawPeer(const RawPeer&) = delete;
-  RawPeer& operator=(const RawPeer&) = delete;
-
-  static int Connect(const Address& address) {
-    sockaddr_in server{};
-    server.sin_family = AF_INET;
-    server.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &server.sin_addr);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    CHECK_EQUAL(
-        0, connect(fd, reinterpret_cast<sockaddr*>(&server), sizeof(server)));
-    return fd;
-  }
-
-  void Write(std::string_view text) const {
-    CHECK_EQUAL(static_cast<ssize_t>(text.size()),
-                send(fd_, text.data(), text.size(), MSG_NOSIGNAL));
-  }
-
-  // Appends the available bytes to `received`. Returns whether the peer has
-  // closed the connection.
-  bool ReadAvailable() {
-    char buffer[65536];
-    for (;;) {
-      const ssize_t size = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
-      if (size <= 0) {
-        return size == 0 || errno == ECONNRESET;
-      }
-      received.append(buffer, static_cast<std::size_t>(size));
-    }
-  }
-
-  void Close() {
-    if (fd_ >= 0) {
-      close(fd_);
-      fd_ = -1;
-    }
-  }
-
-  std::string received;
-
- private:
-  int fd_;
-};
-
-// A listener on whose connections the test itself writes and reads the bytes.
-class RawListener {
- public:
-  RawListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(bound);
-    CHECK_EQUAL(0, bind(fd_, reinterpret_cast<sockaddr*>(&bound), size));
-    CHECK_EQUAL(0, listen(fd_, 8));
-    getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
-    address = {"127.0.0.1", ntohs(bound.sin_port)};
-  }
-  ~RawListener() { close(fd_); }
-  RawListener(const RawListener&) = delete;
-  RawListener& operator=(const RawListener&) = delete;
-
-  // Waits for a connection while the loop runs.
-  std::unique_ptr<RawPeer> Accept(EventLoop& loop) const {
-    int fd = -1;
-    RunUntil(loop, [&] {
-      fd = accept4(fd_, nullptr, nullptr, 0);
-      return fd >= 0;
-    });
-    return std::make_unique<RawPeer>(fd);
-  }
-
-  void SetNonBlocking() const {
-    const timeval wait = {0, 1000};
-    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-  }
-
-  Address address;
-
- private:
-  int fd_;
-};
-
 struct Answer {
   HttpCallEnd end = HttpCallEnd::kBroken;
   HttpResponse response;
@@ -177,7 +77,6 @@
   // connection.
   HttpCallEnd EndAfterAnswer(std::string_view bytes) {
     const RawListener listener;
-    listener.SetNonBlocking();
     std::optional<HttpCallEnd> end;
     client->Fetch(
         listener.address, {"GET", "/", {}, ""}, SteadyNow() + kTestTimeout,
@@ -369,7 +268,6 @@
 // have executed the first copy.
 TEST(Http, BrokenKeepAliveConnectionIsNotSentAgain) {
   const RawListener listener;
-  listener.SetNonBlocking();
   std::vector<HttpCallEnd> ends;
   const auto fetch = [&] {
     client->Fetch(
@@ -619,7 +517,6 @@
 // to the next call.
 TEST(Http, CallsThatKeepNoConnectionAreNotFollowedByOthers) {
   const RawListener listener;
-  listener.SetNonBlocking();
   for (int i = 0; i < 2; ++i) {
     std::optional<Answer> answer;
     client->Fetch(listener.address, {"POST", "/", {}, "body", false},
