tcp: do not take a reset during an upload for an orderly close

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part as a complete answer; a stream cut off between two events ended as complete.

Cause: the system reports a reset once. While a request was being written, h2o's loop wrote first and so took the error (ECONNRESET), then read, and got the end of the input without an error. TcpConnection took that for an orderly close, which completes an answer without a length. A sound answer suffered from the same order: if its server ended it in the orderly way and then closed with the request unread, the write failed, and the connection was given up with the answer in it.

Evidence, system calls of UpstreamClient.AnswerWithoutLengthThatIsReset... before: epoll_pwait EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP writev(6, ...) = -1 ECONNRESET read(6, "", 8192) = 0

Change: TcpConnection sends by itself, and h2o only tells when the socket is writable, since h2o does not tell which error it met. After a failed send, reading goes on to the end. That end is orderly unless the send met a reset or a timeout; EPIPE comes only if the peer had ended its direction before.

Why it works: whichever call meets the error first, its kind is known at the end of the input.

--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -18,6 +18,10 @@
 // A TCP connection. Writes made in one round of the event loop are sent with
 // one system call.
 //
+// If sending fails, for example because the peer has reset the connection, what
+// the peer had sent before is still received; then `on_closed` follows. Until
+// then the bytes that were not sent count as buffered.
+//
 // Thread safety: not thread-safe; all calls must be made on the loop's thread.
 // The owner may destroy the connection at any time, also inside one of its
 // callbacks; no callback follows.
@@ -60,7 +64,7 @@
 
   // Returns the number of bytes queued but not yet accepted by the system.
   std::size_t buffered_bytes() const {
-    return queued_.size() + sending_.size();
+    return queued_.size() + sending_.size() - sent_bytes_;
   }
 
   // Returns the number of bytes that were not passed to the system yet. Bytes
@@ -85,20 +89,29 @@
   void StartReading();
   void ScheduleFlush();
   void Flush();
+  // Passes `sending_` to the system, as far as it accepts it now.
+  void Send();
+  void DropSent();
+  void OnSendFailed(int error);
   void ScheduleFailure();
   void HandleClosed();
   static void OnConnected(st_h2o_socket_t* socket, const char* error);
   static void OnReadable(st_h2o_socket_t* socket, const char* error);
-  static void OnWritten(st_h2o_socket_t* socket, const char* error);
+  static void OnWritable(st_h2o_socket_t* socket, const char* error);
 
   EventLoop& loop_;
   st_h2o_socket_t* socket_ = nullptr;
   bool connected_ = false;
   bool closed_cleanly_ = false;
+  // Sending has met a reset or a timeout. The system reports these only once,
+  // so reading then ends like after an orderly close. Sending is not left to
+  // h2o, because h2o does not tell which error it has met.
+  bool was_reset_ = false;
   // Shared, so that a callback may destroy the connection that called it.
   std::shared_ptr<const Callbacks> callbacks_;
   std::string queued_;
   std::string sending_;
+  std::size_t sent_bytes_ = 0;  // Of `sending_`.
   TimerId flush_timer_ = 0;
   TimerId failure_timer_ = 0;
 };
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -126,6 +126,23 @@
   }
 }
 
+// Guards against taking a reset for an orderly close because a write was the
+// first to meet it, after which reading ends without an error.
+TEST(Tcp, ResetThatAWriteMeetsIsNotAnOrderlyClose) {
+  auto client = ConnectPair();
+  bool closed = false;
+  client->Open(
+      {nullptr, [](std::string_view) {}, [&closed] { closed = true; }});
+  // Both happen in one round, in which the reset is not read before the write.
+  loop_.RunAfter(Duration::zero(), [this] {
+    accepted_->ResetOnClose();
+    accepted_.reset();
+  });
+  client->Write("x");
+  CHECK(RunUntil(loop_, [&closed] { return closed; }));
+  CHECK(!client->closed_cleanly());
+}
+
 // Guards against a connection failure that is not reported.
 TEST(Tcp, ReportsRefusedConnection) {
   Address unused;
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -162,7 +162,8 @@
 void TcpConnection::OnReadable(st_h2o_socket_t* socket, const char* error) {
   auto* connection = static_cast<TcpConnection*>(socket->data);
   if (error != nullptr) {
-    connection->closed_cleanly_ = error == h2o_socket_error_closed;
+    connection->closed_cleanly_ =
+        error == h2o_socket_error_closed && !connection->was_reset_;
     connection->HandleClosed();
     return;
   }
@@ -208,18 +209,53 @@
     return;
   }
   sending_.swap(queued_);
-  h2o_iovec_t buffer = h2o_iovec_init(sending_.data(), sending_.size());
-  h2o_socket_write(socket_, &buffer, 1, &TcpConnection::OnWritten);
+  Send();
 }
 
-void TcpConnection::OnWritten(st_h2o_socket_t* socket, const char* error) {
+void TcpConnection::Send() {
+  while (sent_bytes_ < sending_.size()) {
+    const ssize_t size =
+        send(h2o_socket_get_fd(socket_), sending_.data() + sent_bytes_,
+             sending_.size() - sent_bytes_, MSG_NOSIGNAL);
+    if (size >= 0) {
+      sent_bytes_ += static_cast<std::size_t>(size);
+    } else if (errno == EAGAIN) {
+      h2o_socket_notify_write(socket_, &TcpConnection::OnWritable);
+      return;
+    } else if (errno != EINTR) {
+      OnSendFailed(errno);
+      return;
+    }
+  }
+  DropSent();
+  ScheduleFlush();
+}
+
+void TcpConnection::DropSent() {
+  sending_.clear();
+  sent_bytes_ = 0;
+}
+
+void TcpConnection::OnWritable(st_h2o_socket_t* socket, const char* error) {
   auto* connection = static_cast<TcpConnection*>(socket->data);
-  connection->sending_.clear();
   if (error != nullptr) {
     connection->HandleClosed();
     return;
   }
-  connection->ScheduleFlush();
+  connection->Send();
+}
+
+void TcpConnection::OnSendFailed(int error) {
+  const bool has_ended =
+      error == EPIPE || error == ECONNRESET || error == ETIMEDOUT;
+  if (!has_ended) {
+    HandleClosed();
+    return;
+  }
+  // Reading goes on, and comes to the end after what the peer had sent. The
+  // bytes stay queued until then. EPIPE comes only if the peer had ended its
+  // direction before.
+  was_reset_ = error != EPIPE;
 }
 
 void TcpConnection::ScheduleFailure() {
@@ -237,7 +273,7 @@
   loop_.Cancel(std::exchange(flush_timer_, 0));
   connected_ = false;
   queued_.clear();
-  sending_.clear();
+  DropSent();
   const auto callbacks = callbacks_;
   if (callbacks != nullptr && callbacks->on_closed) {
     callbacks->on_closed();
--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "amaranthcove/net/tcp.h"
+#include "src/net/testing/raw_peer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,6 +22,10 @@
 // takes from the program at once.
 constexpr std::size_t kMoreThanAReceiveBuffer = 512 << 10;
 
+// Bytes that the buffers of both ends of a connection do not hold, so that the
+// sender is still writing them while the receiver does not read.
+constexpr std::size_t kLongUpload = 16 << 20;
+
 struct CallRecord {
   std::optional<UpstreamEnd> end;
   int status = 0;
@@ -38,6 +43,7 @@
   bool read_accepted_ = true;
   std::vector<UpstreamConnectionId> avoided_;  // By calls of `Start`.
   std::unique_ptr<TcpListener> listener_;
+  Address server_;  // The address that `Start` sends to.
   std::unique_ptr<UpstreamClient> client_;
 
   void setup() override {
@@ -53,6 +59,7 @@
                               }
                             });
     listener_ = std::move(*listener);
+    server_ = listener_->local_address();
     client_ = UpstreamClient::Create(loop_, {});
   }
 
@@ -94,7 +101,7 @@
     request.headers = {{"call-id", attempt}};
     request.body = "body-" + attempt + std::string(padding, 'x');
     return client_->Start(
-        listener_->local_address(), request,
+        server_, request,
         {[attempt](const HttpResponse& head) {
            const std::string_view id = FindHeader(head.headers, "call-id");
            if (id.empty()) {
@@ -115,6 +122,21 @@
     });
   }
 
+  // Starts a call with a long upload to `listener`, whose server has then read
+  // the beginning of the request only.
+  std::unique_ptr<RawPeer> StartLongUpload(const RawListener& listener,
+                                           CallRecord& record) {
+    server_ = listener.address;
+    Start(record, "a1", kLongUpload);
+    std::unique_ptr<RawPeer> server = listener.Accept(loop_);
+    CHECK(RunUntil([&server] {
+      server->ReadSome(64);
+      return !server->received.empty();
+    }));
+    RunRounds();
+    return server;
+  }
+
   void FinishFirstCall() {
     CallRecord record;
     Start(record);
@@ -232,6 +254,70 @@
   CHECK(cut.end == UpstreamEnd::kBroken);
 }
 
+// Guards against taking the beginning of an answer without a length for the
+// whole one. If the connection is reset while the request is still being
+// written, the system may report the reset to the write only, and the end of
+// the input then looks like that of an orderly close.
+TEST(UpstreamClient, AnswerWithoutLengthThatIsResetDuringTheUploadIsBroken) {
+  const RawListener listener;
+  for (const bool is_read_before_reset : {true, false}) {
+    for (const bool is_deliberate : {true, false}) {
+      CallRecord record;
+      const auto server = StartLongUpload(listener, record);
+      server->Write("HTTP/1.1 200 OK\r\nCall-Id: a1\r\n\r\npart");
+      if (is_read_before_reset) {
+        CHECK(RunUntil([&record] { return record.body == "part"; }));
+      }
+      if (is_deliberate) {
+        server->Reset();
+      } else {
+        server->Close();  // Resets the connection, as the request is unread.
+      }
+      CHECK(RunUntil([&record] { return record.end.has_value(); }));
+      CHECK(record.end == UpstreamEnd::kBroken);
+    }
+  }
+}
+
+// Guards against losing a sound answer without a length that the server ends in
+// the orderly way while the request is still being written, whether it goes on
+// with the connection or then closes it with the rest of the request unread.
+TEST(UpstreamClient, AnswerWithoutLengthMayEndDuringTheUpload) {
+  const RawListener listener;
+  for (const bool closes_after_the_answer : {false, true}) {
+    for (const bool is_read_before_close : {true, false}) {
+      CallRecord record;
+      const auto server = StartLongUpload(listener, record);
+      server->Write("HTTP/1.1 200 OK\r\nCall-Id: a1\r\n\r\nwhole");
+      if (is_read_before_close) {
+        CHECK(RunUntil([&record] { return record.body == "whole"; }));
+      }
+      server->CloseWriting();
+      if (closes_after_the_answer) {
+        server->Close();
+      }
+      CHECK(RunUntil([&record] { return record.end.has_value(); }));
+      CHECK(record.end == UpstreamEnd::kComplete);
+      CHECK("whole" == record.body);
+    }
+  }
+}
+
+// Guards against losing an answer with a length, such as a refusal, because the
+// server resets the connection right after it instead of reading the request.
+TEST(UpstreamClient, AnswerWithLengthIsKeptIfAResetFollows) {
+  const RawListener listener;
+  CallRecord record;
+  const auto server = StartLongUpload(listener, record);
+  server->Write(
+      "HTTP/1.1 413 Long\r\nCall-Id: a1\r\nContent-Length: 3\r\n\r\nno!");
+  server->Reset();
+  CHECK(RunUntil([&record] { return record.end.has_value(); }));
+  CHECK(record.end == UpstreamEnd::kComplete);
+  CHECK_EQUAL(413, record.status);
+  CHECK("no!" == record.body);
+}
+
 // Guards against reporting kNotSent for a request that the server may have
 // executed.
 TEST(UpstreamClient, DistinguishesNotSentFromBroken) {
