net: end calls whose answer has an invalid status

What callers saw: a server in trouble sent an answer whose status was 000. At entries and sidecars the caller got it as an answer, as it did one with 101; the same held for 600 and above, at routers too. At routers a caller of 000 got nothing until its deadline, then 504 (15 s in the test), and no other server was tried.

Cause: both parsers take any three digits for a status. UpstreamClient counted all statuses below 200 as interim ones, dropped the body and waited for a final answer on the same connection; HttpClient passed on what h2o did not count as interim.

Change: IsAnswerStatus (100 to 599 without 101, which answers a wish to change the protocol that requests never state) is checked where both clients take a head. A call with another status ends as broken: what may be sent again is, else 502.

Why it works: these two are the only readers of answers, so routers, agents, the reading of the store, entries, sidecars and amaranthctl are covered.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -210,7 +210,8 @@
         FindHeader(head.headers, "transfer-encoding"), "chunked");
     call->has_length = !call->is_chunked &&
                        !FindHeader(head.headers, "content-length").empty();
-    if (internal::StatesLengthTwice(head.headers)) {
+    if (!internal::IsAnswerStatus(status) ||
+        internal::StatesLengthTwice(head.headers)) {
       call->owner->ScheduleEnd(*call, HttpCallEnd::kBroken);
       return nullptr;
     }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -578,6 +578,24 @@
                        "4\r\nbody\r\n0\r\n\r\n"));
 }
 
+// Guards against passing on a message whose status is none of a final answer.
+TEST(Http, AnswersWithInvalidStatusAreBroken) {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    const std::string answer =
+        "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok";
+    CHECK_TEXT(HttpCallEnd::kBroken == EndAfterAnswer(answer), status);
+  }
+}
+
+// Guards against taking an interim answer for the final one, or for a broken
+// one.
+TEST(Http, InterimAnswersPrecedeTheFinalOne) {
+  CHECK(HttpCallEnd::kComplete ==
+        EndAfterAnswer("HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+}
+
 // Guards against bytes that are not HTTP but reach a handler.
 TEST(Http, RefusesOtherProtocols) {
   ListenAndCollect();
--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -32,6 +32,14 @@
 
 }  // namespace
 
+bool IsAnswerStatus(int status) {
+  constexpr int kFirstStatus = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kEndOfStatuses = 600;
+  return status >= kFirstStatus && status < kEndOfStatuses &&
+         status != kSwitchingProtocols;
+}
+
 bool StatesLengthTwice(std::span<const HttpHeader> fields) {
   return std::count_if(fields.begin(), fields.end(),
                        [](const HttpHeader& field) {
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -8,6 +8,10 @@
 
 namespace amaranthcove::internal {
 
+// Returns whether an answer may have `status`: an interim or a final one. Not a
+// switch to another protocol, which requests never ask for. Thread-safe.
+bool IsAnswerStatus(int status);
+
 // Returns whether `fields` state the length of the body more than once. The
 // sender and the receiver may then take the body to end at different places,
 // and what one of them takes for its rest, the other takes for the next
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -14,6 +14,7 @@
 
 #include "amaranthcove/net/tcp.h"
 #include "src/net/http_fields.h"
+#include "src/net/message_head.h"
 
 namespace amaranthcove {
 
@@ -438,6 +439,9 @@
 int Connection::OnHeadersComplete(http_parser* parser) {
   Connection& self = FromParser(parser);
   self.head_.status = static_cast<int>(parser->status_code);
+  if (!internal::IsAnswerStatus(self.head_.status)) {
+    return -1;  // An error for the parser.
+  }
   constexpr int kFirstFinalStatus = 200;
   if (self.head_.status < kFirstFinalStatus) {
     return 0;
--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -137,6 +137,19 @@
     return server;
   }
 
+  // Returns how a call ends whose server sends `answer` and leaves the
+  // connection open. Checks that nothing of a broken answer was passed on.
+  UpstreamEnd EndAfterAnswer(std::string_view answer) {
+    const std::size_t connection = received_.size();
+    CallRecord record;
+    Start(record);
+    CHECK(HasArrived(connection, "body-a1"));
+    accepted_[connection]->Write(answer);
+    CHECK(RunUntil([&record] { return record.end.has_value(); }));
+    CHECK(record.end == UpstreamEnd::kComplete || record.status == 0);
+    return *record.end;
+  }
+
   void FinishFirstCall() {
     CallRecord record;
     Start(record);
@@ -391,6 +404,37 @@
   CHECK(record.end == UpstreamEnd::kBroken);
 }
 
+// Guards against passing on a message whose status is none of a final answer,
+// and against waiting for another answer behind it.
+TEST(UpstreamClient, AnswersWithInvalidStatusAreBroken) {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    const std::string answer =
+        "HTTP/1.1 " + std::string(status) +
+        " X\r\nCall-Id: a1\r\nContent-Length: 2\r\n\r\nok";
+    CHECK_TEXT(UpstreamEnd::kBroken == EndAfterAnswer(answer), status);
+  }
+}
+
+// Guards against taking an interim answer for the final one, or for a broken
+// one.
+TEST(UpstreamClient, InterimAnswersPrecedeTheFinalOne) {
+  CallRecord record;
+  Start(record);
+  CHECK(HasArrived(0, "body-a1"));
+  accepted_[0]->Write(
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n");
+  RunRounds();
+  CHECK(!record.end.has_value());
+  accepted_[0]->Write(
+      "HTTP/1.1 199 More\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nCall-Id: a1\r\nContent-Length: 5\r\n\r\nfinal");
+  CHECK(RunUntil([&record] { return record.end.has_value(); }));
+  CHECK(record.end == UpstreamEnd::kComplete);
+  CHECK_EQUAL(200, record.status);
+  CHECK("final" == record.body);
+}
+
 // Guards against taking the rest of an answer, whose length is stated twice,
 // for the answer to the next request on the connection.
 TEST(UpstreamClient, AnswersThatStateTheirLengthTwiceAreBroken) {
