net: check the heads of answers against the grammar of HTTP/1.1

What callers saw: from a router, an answer in whose head the name of a field held a blank, with that line passed on. From entries and sidecars such answers were 502 already; where a line began with a blank they passed on the answer without it, and routers added the line to the value of the field before.

Cause: only the parsers looked at heads, and they take more than HTTP allows: http_parser blanks in names, both of them continued fields. Control bytes in names were refused by both.

Evidence, lines of answers that ended as complete before: UpstreamClient "X Name: value", "X-Name : value" (in final and interim answers) HttpClient " X-Name: value", "\tX-Name: value" behind another field

Change: CheckResponseHead, a plain state and a function without I/O, is applied to the bytes of a head before (UpstreamClient) or after (HttpClient) they are parsed; in UpstreamClient to interim answers too. A head that is not of the form of RFC 9112 ends the call as broken, at its first wrong byte in UpstreamClient. Bare line feeds and empty lines before the status line are taken as before. UpstreamClient parses message by message now, so that each head is checked.

Why it works: what is read by two parties in two ways is outside the grammar; within it the parsers have nothing left to decide.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 #include "src/net/h2o_headers.h"
 #include "src/net/http_fields.h"
 #include "src/net/message_head.h"
+#include "src/net/response_head.h"
 
 namespace amaranthcove {
 
@@ -192,13 +193,21 @@
                                         h2o_iovec_t /*reason*/,
                                         h2o_header_t* headers,
                                         size_t header_count,
-                                        int /*head_length*/) {
+                                        int head_length) {
     auto* call = static_cast<Call*>(client->data);
     const bool is_last = error == h2o_http1client_error_is_eos;
     if (error != nullptr && !is_last) {
       call->owner->ScheduleEnd(*call, HttpCallEnd::kBroken);
       return nullptr;
     }
+    // The head is still in the connection's buffer.
+    const std::string_view head_bytes(client->sock->input->bytes,
+                                      static_cast<std::size_t>(head_length));
+    if (!internal::IsWellFormedResponseHead(head_bytes) ||
+        !internal::IsAnswerStatus(status)) {
+      call->owner->ScheduleEnd(*call, HttpCallEnd::kBroken);
+      return nullptr;
+    }
     HttpResponse head;
     head.status = status;
     for (const h2o_header_t& header : std::span(headers, header_count)) {
@@ -210,8 +219,7 @@
         FindHeader(head.headers, "transfer-encoding"), "chunked");
     call->has_length = !call->is_chunked &&
                        !FindHeader(head.headers, "content-length").empty();
-    if (!internal::IsAnswerStatus(status) ||
-        internal::StatesLengthTwice(head.headers)) {
+    if (internal::StatesLengthTwice(head.headers)) {
       call->owner->ScheduleEnd(*call, HttpCallEnd::kBroken);
       return nullptr;
     }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -6,6 +6,7 @@
 
 #include "amaranthcove/net/http_client.h"
 #include "amaranthcove/net/http_server.h"
+#include "src/net/testing/malformed_heads.h"
 #include "src/net/testing/raw_peer.h"
 
 #include <CppUTest/TestHarness.h>
@@ -587,6 +588,26 @@
   }
 }
 
+// Guards against passing on fields that are none, and against a body that ends
+// elsewhere than the server meant, after a head that HTTP does not allow.
+TEST(Http, AnswersWithMalformedHeadsAreBroken) {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string_view lines : kMalformedFieldLines) {
+    const std::string fields =
+        std::string(lines) + "Content-Length: 4\r\n\r\nbody";
+    CHECK_TEXT(HttpCallEnd::kBroken == EndAfterAnswer(start + fields),
+               fields.c_str());
+    CHECK_TEXT(
+        HttpCallEnd::kBroken == EndAfterAnswer(start + "A: b\r\n" + fields),
+        fields.c_str());
+  }
+  for (const std::string_view lines : kMalformedLengthLines) {
+    const std::string answer =
+        start + std::string(lines) + "\r\n4\r\nbody\r\n0\r\n\r\n";
+    CHECK_TEXT(HttpCallEnd::kBroken == EndAfterAnswer(answer), answer.c_str());
+  }
+}
+
 // Guards against taking an interim answer for the final one, or for a broken
 // one.
 TEST(Http, InterimAnswersPrecedeTheFinalOne) {
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -15,6 +15,7 @@
 #include "amaranthcove/net/tcp.h"
 #include "src/net/http_fields.h"
 #include "src/net/message_head.h"
+#include "src/net/response_head.h"
 
 namespace amaranthcove {
 
@@ -116,6 +117,7 @@
   void ResetParser() {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
+    head_check_ = {};
     head_ = {};
     in_value_ = true;
     accepted_ = false;
@@ -125,6 +127,10 @@
   // Returns whether the answer with `head_` belongs to the call.
   bool IsOwnAnswer();
   void OnData(std::string_view bytes);
+  // Parses the part of the current message, its head or its body, with which
+  // `bytes` begin. Returns the size of the part, or no value if it is
+  // malformed.
+  std::optional<std::size_t> Parse(std::string_view bytes);
   void OnClosed();
   void OnAnswerComplete(bool has_more_bytes);
 
@@ -134,6 +140,7 @@
   std::unique_ptr<TcpConnection> tcp_;
   bool paused_ = false;  // Whether reading is paused.
   http_parser parser_{};
+  internal::ResponseHeadCheck head_check_;  // Of the current message.
   HttpResponse head_;
   bool in_value_ = true;   // The last header piece was (part of) a value.
   bool accepted_ = false;  // The current answer belongs to the call.
@@ -479,13 +486,14 @@
 
 int Connection::OnMessageComplete(http_parser* parser) {
   Connection& self = FromParser(parser);
+  // The head of the next message is checked before it is parsed.
+  http_parser_pause(parser, 1);
   constexpr int kFirstFinalStatus = 200;
   if (parser->status_code < kFirstFinalStatus || !self.accepted_) {
     return 0;
   }
   self.complete_ = true;
   self.reusable_ = self.is_identified_ && http_should_keep_alive(parser) != 0;
-  http_parser_pause(parser, 1);
   return 0;
 }
 
@@ -497,24 +505,52 @@
     return;
   }
   has_bytes_ = true;
-  const std::size_t used = http_parser_execute(&parser_, &ParserSettings(),
-                                               bytes.data(), bytes.size());
-  if (call_ == 0) {
-    return;  // Cancelled by a callback.
-  }
-  if (complete_) {
-    OnAnswerComplete(used < bytes.size());
-    return;
+  const std::size_t received = bytes.size();
+  while (!bytes.empty()) {
+    const std::optional<std::size_t> parsed = Parse(bytes);
+    if (call_ == 0) {
+      return;  // Cancelled by a callback.
+    }
+    if (!parsed) {
+      owner_.OnConnectionLost(*this);
+      return;
+    }
+    bytes.remove_prefix(*parsed);
+    if (complete_) {
+      OnAnswerComplete(!bytes.empty());
+      return;
+    }
   }
   if (!accepted_) {
-    bytes_before_answer_ += bytes.size();
+    bytes_before_answer_ += received;
   }
-  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
-      bytes_before_answer_ > kMaxBytesBeforeAnswer) {
+  if (bytes_before_answer_ > kMaxBytesBeforeAnswer) {
     owner_.OnConnectionLost(*this);
   }
 }
 
+std::optional<std::size_t> Connection::Parse(std::string_view bytes) {
+  using Part = internal::ResponseHeadCheck::Part;
+  if (head_check_.part != Part::kComplete) {
+    bytes = bytes.substr(0, internal::CheckResponseHead(head_check_, bytes));
+    if (head_check_.part == Part::kMalformed) {
+      return std::nullopt;
+    }
+  }
+  const std::size_t parsed = http_parser_execute(&parser_, &ParserSettings(),
+                                                 bytes.data(), bytes.size());
+  switch (HTTP_PARSER_ERRNO(&parser_)) {
+    case HPE_OK:
+      return parsed;
+    case HPE_PAUSED:  // At the end of the message.
+      http_parser_pause(&parser_, 0);
+      head_check_ = {};
+      return parsed;
+    default:
+      return std::nullopt;
+  }
+}
+
 void Connection::OnAnswerComplete(bool has_more_bytes) {
   complete_ = false;
   ResumeReading();
--- a/src/net/upstream_client_test.cc
+++ b/src/net/upstream_client_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "amaranthcove/net/tcp.h"
+#include "src/net/testing/malformed_heads.h"
 #include "src/net/testing/raw_peer.h"
 
 #include <CppUTest/TestHarness.h>
@@ -140,6 +141,7 @@
   // Returns how a call ends whose server sends `answer` and leaves the
   // connection open. Checks that nothing of a broken answer was passed on.
   UpstreamEnd EndAfterAnswer(std::string_view answer) {
+    client_->CloseIdle(server_);
     const std::size_t connection = received_.size();
     CallRecord record;
     Start(record);
@@ -415,6 +417,64 @@
   }
 }
 
+// Guards against passing on fields that are none, and against a body that ends
+// elsewhere than the server meant, after a head that HTTP does not allow.
+TEST(UpstreamClient, AnswersWithMalformedHeadsAreBroken) {
+  const std::string start = "HTTP/1.1 200 OK\r\nCall-Id: a1\r\n";
+  for (const std::string_view lines : kMalformedFieldLines) {
+    const std::string fields =
+        std::string(lines) + "Content-Length: 4\r\n\r\nbody";
+    CHECK_TEXT(UpstreamEnd::kBroken == EndAfterAnswer(start + fields),
+               fields.c_str());
+    // Right behind the status line, and in an interim answer.
+    CHECK_TEXT(
+        UpstreamEnd::kBroken == EndAfterAnswer("HTTP/1.1 200 OK\r\n" + fields),
+        fields.c_str());
+    CHECK_TEXT(
+        UpstreamEnd::kBroken ==
+            EndAfterAnswer("HTTP/1.1 103 Early Hints\r\n" + std::string(lines) +
+                           "\r\n" + start + "Content-Length: 4\r\n\r\nbody"),
+        fields.c_str());
+  }
+  for (const std::string_view lines : kMalformedLengthLines) {
+    const std::string answer =
+        start + std::string(lines) + "\r\n4\r\nbody\r\n0\r\n\r\n";
+    CHECK_TEXT(UpstreamEnd::kBroken == EndAfterAnswer(answer), answer.c_str());
+  }
+  for (const char* status_line :
+       {"HTTP/1.1 0200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200O OK",
+        "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K"}) {
+    const std::string answer =
+        std::string(status_line) +
+        "\r\nCall-Id: a1\r\nContent-Length: 4\r\n\r\nbody";
+    CHECK_TEXT(UpstreamEnd::kBroken == EndAfterAnswer(answer), status_line);
+  }
+}
+
+// Guards against refusing heads that HTTP allows, or that servers commonly
+// send, however their bytes are divided.
+TEST(UpstreamClient, AcceptsWellFormedHeadsInPieces) {
+  const std::string answer =
+      "\r\nHTTP/1.1 200 OK\nCall-Id: a1\r\nEmpty:\r\n!#$%&'*+-.^_`|~9Az:\tx\t "
+      "\r\n"
+      "Non-Ascii: caf\xC3\xA9 \xFF\r\nContent-Length: 4\r\n\r\nbody";
+  for (const std::size_t piece_bytes : {answer.size(), std::size_t{1}}) {
+    CallRecord record;
+    const std::size_t connection = received_.size();
+    Start(record);
+    CHECK(HasArrived(connection, "body-a1"));
+    for (std::size_t at = 0; at < answer.size(); at += piece_bytes) {
+      accepted_[connection]->Write(answer.substr(at, piece_bytes));
+      loop_.RunOnce(std::chrono::milliseconds(1));
+    }
+    CHECK(RunUntil([&record] { return record.end.has_value(); }));
+    CHECK(record.end == UpstreamEnd::kComplete);
+    CHECK_EQUAL(200, record.status);
+    CHECK("body" == record.body);
+    client_->CloseIdle(server_);
+  }
+}
+
 // Guards against taking an interim answer for the final one, or for a broken
 // one.
 TEST(UpstreamClient, InterimAnswersPrecedeTheFinalOne) {
