net: test that HttpClient handles a reset during an upload

Cause: entries and sidecars read answers by HttpClient, which was to be searched for the fault of TcpConnection. It does not have it: it reads the answer only after the request is written, a failed write ends the call, and an answer without a length or its last chunk is never complete.

Change: a test with a server that answers at once, without a length, with one and in chunks, and resets the connection while the upload is being written. No change of the product.

--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -265,6 +265,36 @@
   }
 }
 
+// Guards against reporting the beginning of an answer as complete after the
+// connection was reset while the request was still being written.
+TEST(Http, AnswersThatAreResetDuringTheUploadAreBroken) {
+  // Bytes that the buffers of a connection do not hold.
+  constexpr std::size_t kLongUpload = 16 << 20;
+  for (const char* answer :
+       {"HTTP/1.1 200 OK\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+    const RawListener listener;
+    std::optional<HttpCallEnd> end;
+    client->Start(
+        listener.address, {"POST", "/", {}, std::string(kLongUpload, 'x')},
+        SteadyNow() + kTestTimeout,
+        {nullptr, nullptr, [&end](HttpCallEnd call_end) { end = call_end; }});
+    const auto peer = listener.Accept(loop);
+    RunUntil(loop, [&peer] {
+      peer->ReadSome(64);
+      return !peer->received.empty();
+    });
+    peer->Write(answer);
+    for (int round = 0; round < 5; ++round) {
+      loop.RunOnce(std::chrono::milliseconds(10));
+    }
+    peer->Reset();
+    RunUntil(loop, [&end] { return end.has_value(); });
+    CHECK_TEXT(*end == HttpCallEnd::kBroken, answer);
+  }
+}
+
 // Guards against retrying a request on a new connection, because the server may
 // have executed the first copy.
 TEST(Http, BrokenKeepAliveConnectionIsNotSentAgain) {
