net: say what is cleared and what an error is

Cause: read as a newcomer would, DropSent sounded as if sent bytes were lost, and the precondition of CheckResponseHead was none.

Change: names and comments only.

--- a/include/amaranthcove/net/tcp.h
+++ b/include/amaranthcove/net/tcp.h
@@ -91,7 +91,8 @@
   void Flush();
   // Passes `sending_` to the system, as far as it accepts it now.
   void Send();
-  void DropSent();
+  void ClearSending();
+  // Handles `error`, an errno value of a failed send.
   void OnSendFailed(int error);
   void ScheduleFailure();
   void HandleClosed();
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -29,9 +29,9 @@
 };
 
 // Checks the bytes up to the end of the head, or up to the first one that the
-// grammar does not allow. Returns their number. Like the parsers, takes a bare
-// line feed for the end of a line. Preconditions: `check.part` is neither
-// kComplete nor kMalformed. Thread-safe.
+// grammar does not allow. Returns their number, which is 0 if the head is
+// complete or malformed already. Like the parsers, takes a bare line feed for
+// the end of a line. Thread-safe.
 std::size_t CheckResponseHead(ResponseHeadCheck& check, std::string_view bytes);
 
 // Returns whether `head` is one whole well-formed head. Thread-safe.
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -227,11 +227,11 @@
       return;
     }
   }
-  DropSent();
+  ClearSending();
   ScheduleFlush();
 }
 
-void TcpConnection::DropSent() {
+void TcpConnection::ClearSending() {
   sending_.clear();
   sent_bytes_ = 0;
 }
@@ -273,7 +273,7 @@
   loop_.Cancel(std::exchange(flush_timer_, 0));
   connected_ = false;
   queued_.clear();
-  DropSent();
+  ClearSending();
   const auto callbacks = callbacks_;
   if (callbacks != nullptr && callbacks->on_closed) {
     callbacks->on_closed();
