--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -622,13 +622,14 @@
 // elsewhere than the server meant, after a head that HTTP does not allow.
 TEST(Http, AnswersWithMalformedHeadsAreBroken) {
   const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string start_with_field = start + "A: b\r\n";
   for (const std::string_view lines : kMalformedFieldLines) {
     const std::string fields =
         std::string(lines) + "Content-Length: 4\r\n\r\nbody";
     CHECK_TEXT(HttpCallEnd::kBroken == EndAfterAnswer(start + fields),
                fields.c_str());
     CHECK_TEXT(
-        HttpCallEnd::kBroken == EndAfterAnswer(start + "A: b\r\n" + fields),
+        HttpCallEnd::kBroken == EndAfterAnswer(start_with_field + fields),
         fields.c_str());
   }
   for (const std::string_view lines : kMalformedLengthLines) {
